--- /dev/null
+++ b/scenarios/process.cpp
@@ -0,0 +1,56 @@
+#include "scenarios/process.h"
+
+#include <boost/process.hpp>
+
+#include <csignal>
+
+namespace daisystream::scenarios
+{
+
+class Process::Private
+{
+public:
+    Private(const std::string &program, const std::vector<std::string> &arguments, const std::string &logPath)
+        : child_(
+            program, boost::process::args(arguments), boost::process::std_in<boost::process::null, (boost::process::std_out & boost::process::std_err)> logPath)
+    {
+    }
+
+    boost::process::child child_;
+};
+
+Process::Process(const std::string &program, const std::vector<std::string> &arguments, const std::string &logPath)
+    : d_(std::make_unique<Private>(program, arguments, logPath))
+{
+}
+
+Process::~Process()
+{
+    signal(SIGKILL);
+    std::error_code ignored;
+    d_->child_.wait(ignored);
+}
+
+void Process::signal(int number)
+{
+    if (running()) {
+        ::kill(d_->child_.id(), number);
+    }
+}
+
+bool Process::running()
+{
+    std::error_code ignored;
+    return d_->child_.running(ignored);
+}
+
+int Process::wait()
+{
+    std::error_code ignored;
+    d_->child_.wait(ignored);
+    constexpr int kSignalBase = 128;
+    const int status = d_->child_.native_exit_code();
+    return WIFSIGNALED(status) ? kSignalBase + WTERMSIG(status) : WEXITSTATUS(status);
+}
+
+} // namespace daisystream::scenarios
