Let lower priority values enter an engine's batch first

Cause: Assign.priority of the scheduler counts lower values as more urgent; the opposite order in the engine model would invert ranks without an error. Change: the engine model uses the same order.

--- a/standins/enginemodel/enginemodel.cpp
+++ b/standins/enginemodel/enginemodel.cpp
@@ -32,13 +32,13 @@
     }
 };
 
-// Order of entry into the batch: higher priority first, then older.
+// Order of entry into the batch: lower priority value first, then older.
 struct EntersBefore
 {
     bool operator()(const Answer *left, const Answer *right) const
     {
         if (left->request.priority != right->request.priority) {
-            return left->request.priority > right->request.priority;
+            return left->request.priority < right->request.priority;
         }
         return left->number < right->number;
     }
