Declare the interfaces of the daemon's control part

Cause: the HTTP front end compiles against the dispatcher, lists, platform client, metrics and order forwarding. Types of the decision library that are not there yet stand in daemon/controltypes.h. Alternatives: waiting for the library's headers would block the front end. Conclusion: addresses in settings are now "ip:port" strings.

--- /dev/null
+++ b/daemon/listtable.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "daemon/controltypes.h"
+#include "daemon/settings.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+/// @file
+/// The documents that operators and the VMs share through the platform: plans, limits, endpoint states and sealing
+/// keys. A version is only ever replaced by a higher one.
+///
+/// Example:
+/// @code
+///   if (const auto refusal = lists.admission()) {
+///       return *refusal; // not run
+///   }
+///   const auto plans = lists.plans();
+/// @endcode
+
+namespace daisystream
+{
+
+/// The shared documents.
+enum class DocumentKind : std::uint8_t {
+    Plans = 0,
+    Limits = 1,
+    EndpointStates = 2,
+    SealKeys = 3,
+};
+
+constexpr std::size_t kDocumentKinds = 4;
+
+/// @return table and key of the row that holds a document, as "lists/plans".
+[[nodiscard]] const char *toString(DocumentKind kind);
+
+/// One version of a shared document.
+struct Document
+{
+    ListVersion version;
+    std::string text;
+};
+
+/// The versions in force at this VM, and whether it may accept new work. Thread-safe.
+class ListTable
+{
+public:
+    ListTable();
+    ~ListTable();
+
+    /// @return the plans in force, or null if none was obtained yet.
+    [[nodiscard]] std::shared_ptr<const PlanList> plans() const;
+
+    /// @return the limits in force, or null if none was obtained yet.
+    [[nodiscard]] std::shared_ptr<const LimitList> limits() const;
+
+    /// @return why new work must be refused as not run (`Stopping`, `NoLists` or `Isolated`), or nothing.
+    [[nodiscard]] std::optional<Error> admission() const;
+
+    /// @return the document in force with its version; number 0 means that there is none.
+    [[nodiscard]] Document document(DocumentKind kind) const;
+
+    /// Takes a document if its version is higher than the one in force and its text is valid.
+    /// @return true if it is now in force.
+    bool offer(DocumentKind kind, const ListVersion &version, const std::string &text);
+
+    /// From now on `admission` returns `Stopping`.
+    void setStopping();
+
+    /// Records whether the VM is cut off from the platform and from half of the other VMs.
+    void setIsolated(bool isolated);
+
+private:
+    class Private;
+    std::unique_ptr<Private> d_;
+};
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/platformclient.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "daemon/settings.h"
+#include "daisystream/base/result.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// @file
+/// Client of the platform's table service, object store and VM list.
+///
+/// Example:
+/// @code
+///   auto row = platform.getRow("lists", "plans", yield);
+///   auto written = platform.putRow("lists", "plans", text, IfMatch{3}, yield);
+/// @endcode
+
+namespace daisystream
+{
+
+/// One row of a table.
+struct Row
+{
+    std::string text;
+    std::uint64_t version = 0; ///< Rises with each write.
+};
+
+/// The row must have this version.
+struct IfMatch
+{
+    std::uint64_t version = 0;
+};
+
+/// The row must not exist.
+struct IfNoneMatch
+{
+};
+
+using RowCondition = std::variant<IfMatch, IfNoneMatch>;
+
+/// A VM in the platform's list.
+struct PlatformVm
+{
+    VmId vm;
+    ZoneId zone;
+    SocketAddress peerAddress; ///< Where other VMs connect.
+    bool leaving = false;
+};
+
+/// Calls to the platform, each within 2 s. Thread-safe.
+class PlatformClient
+{
+public:
+    /// @param address of the platform; without it every call returns `PlatformUnavailable`.
+    PlatformClient(boost::asio::io_context &io, std::optional<SocketAddress> address);
+    ~PlatformClient();
+
+    /// @return the row, nothing if it does not exist, or `PlatformUnavailable`.
+    [[nodiscard]] Result<std::optional<Row>> getRow(const std::string &table, const std::string &key, boost::asio::yield_context yield);
+
+    /// Writes a row if the condition holds.
+    /// @return the new version; `WriteConflict` if the condition does not hold; `PlatformUnavailable` if the write
+    ///     certainly did not take effect; `OutcomeOfWriteUnknown` if it may have.
+    [[nodiscard]] Result<std::uint64_t>
+    putRow(const std::string &table, const std::string &key, const std::string &text, const RowCondition &condition, boost::asio::yield_context yield);
+
+    /// Deletes a row that has the given version. Errors as with `putRow`.
+    [[nodiscard]] std::optional<Error> deleteRow(const std::string &table, const std::string &key, IfMatch condition, boost::asio::yield_context yield);
+
+    /// @return the object, nothing if it does not exist, or `PlatformUnavailable`.
+    [[nodiscard]] Result<std::optional<std::string>> getObject(const std::string &key, boost::asio::yield_context yield);
+
+    /// Stores an object. Errors as with `putRow`.
+    [[nodiscard]] std::optional<Error> putObject(const std::string &key, const std::string &content, boost::asio::yield_context yield);
+
+    /// @return the VMs that the platform knows, or `PlatformUnavailable`.
+    [[nodiscard]] Result<std::vector<PlatformVm>> listVms(boost::asio::yield_context yield);
+
+private:
+    class Private;
+    std::shared_ptr<Private> d_;
+};
+
+} // namespace daisystream
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -3,12 +3,15 @@
 #include "daisystream/base/ids.h"
 #include "daisystream/base/result.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// @file
-/// Settings of one daemon, read from a JSON file with comments.
+/// Settings of one daemon, read from a JSON file with comments. docs/settings.md describes every field.
 ///
 /// Example:
 /// @code
@@ -27,16 +30,80 @@
     friend auto operator<=>(const SocketAddress &, const SocketAddress &) = default;
 };
 
+/// @return "ip:port", with brackets around an IPv6 address.
+[[nodiscard]] std::string toString(const SocketAddress &address);
+
+/// @return the address in a text such as "127.0.0.1:8080" or "[::1]:8080", or nothing if the text is not one.
+[[nodiscard]] std::optional<SocketAddress> parseSocketAddress(std::string_view text);
+
+/// What an endpoint does.
+enum class EndpointKind : std::uint8_t {
+    Engine,  ///< Generates answers with a model.
+    Service, ///< A plain service.
+};
+
 /// One configured endpoint.
 struct EndpointSettings
 {
     EndpointId id;
     SocketAddress address;
-    ModelId model;
+    ModelId model; ///< Of an engine.
+    EndpointKind kind = EndpointKind::Engine;
+    ServiceId service; ///< Of a plain service.
+    ZoneId zone;
+    std::uint64_t memoryTokens = 0;    ///< Capacity of an engine, 0 until its first report tells it.
+    bool honoursFencing = true;        ///< Rejects orders with an outdated fencing number.
+    bool checksCaller = false;         ///< Verifies who sends it work.
+    std::string authorizationHeader{}; ///< Sent to an endpoint that checks its caller.
 
     friend auto operator<=>(const EndpointSettings &, const EndpointSettings &) = default;
 };
 
+/// Another VM.
+struct PeerSettings
+{
+    VmId vm;
+    SocketAddress address; ///< Where it listens for other VMs.
+    ZoneId zone;
+
+    friend auto operator<=>(const PeerSettings &, const PeerSettings &) = default;
+};
+
+/// Files for TLS in PEM format.
+struct TlsSettings
+{
+    std::string certificateFile;
+    std::string keyFile;
+    std::string authorityFile; ///< Certificates that peers must be signed by; unused towards callers.
+
+    friend auto operator<=>(const TlsSettings &, const TlsSettings &) = default;
+};
+
+/// Files with lists, for a daemon without a platform.
+struct ListFiles
+{
+    std::string plans;
+    std::string limits;
+    std::string sealKeys;
+
+    friend auto operator<=>(const ListFiles &, const ListFiles &) = default;
+};
+
+/// Bounds on what one caller can occupy.
+struct CallerBounds
+{
+    std::uint32_t headerBytes = 16384;
+    std::uint32_t bodyBytes = 1U << 20U;
+    std::uint32_t connections = 20000;
+    std::uint32_t bufferedBytes = 262144;       ///< Unsent bytes of one answer before its caller counts as too slow.
+    std::chrono::milliseconds headerTime{5000}; ///< For a whole header.
+    std::chrono::milliseconds bodyTime{10000};  ///< For a whole body.
+    std::chrono::milliseconds idleTime{60000};  ///< Between two requests on one connection.
+    std::chrono::milliseconds writeTime{10000}; ///< Until a caller has to accept further bytes.
+
+    friend auto operator<=>(const CallerBounds &, const CallerBounds &) = default;
+};
+
 /// Everything that a daemon learns at its start.
 struct Settings
 {
@@ -45,13 +112,26 @@
     SocketAddress listen; ///< Where callers connect.
     unsigned workers = 2; ///< Threads that run the event loop.
     std::vector<EndpointSettings> endpoints;
+    std::optional<SocketAddress> listenPeers; ///< Where other VMs connect.
+    std::vector<PeerSettings> peers;          ///< Without this VM; the platform's VM list adds to them.
+    std::optional<SocketAddress> platform;
+    ListFiles listFiles;
+    std::optional<TlsSettings> callerTls;
+    std::optional<TlsSettings> peerTls;
+    CallerBounds callers;
 
     friend auto operator<=>(const Settings &, const Settings &) = default;
 };
 
 /// Reads and checks a settings file.
 /// @param path of the file.
-/// @return the settings, or `InvalidDocument` with every fault found.
+/// @return the settings, or `InvalidDocument` with every fault found, one a line.
 [[nodiscard]] Result<Settings> readSettings(const std::string &path);
 
+/// Checks settings.
+/// @param text JSON with comments.
+/// @param fileName names the text in faults.
+/// @return as `readSettings`.
+[[nodiscard]] Result<Settings> parseSettings(const std::string &text, const std::string &fileName);
+
 } // namespace daisystream
