Take the scheduler's types from the library

Cause: daemon/controltypes.h declared them until the headers arrived. Alternatives: none, two definitions cannot coexist.

--- a/daemon/controltypes.h
+++ b/daemon/controltypes.h
@@ -3,6 +3,7 @@
 #include "daisystream/base/clock.h"
 #include "daisystream/base/ids.h"
 #include "daisystream/base/result.h"
+#include "daisystream/scheduler/scheduler.h"
 
 #include <cstdint>
 #include <functional>
@@ -83,44 +84,4 @@
     std::string changeId;
 };
 
-struct WorkRequest
-{
-    RequestId id;
-    TeamId team;
-    VmId entry;
-    Rank rank = Rank::Ordinary;
-    ModelId model;
-    std::uint32_t promptTokens = 0;
-    std::uint32_t maxOutputTokens = 0;
-    double weight = 1;
-    double paceTokensPerSecond = 0;
-    TimePoint firstTokenDeadline{};
-    TimePoint arrival{};
-    std::uint64_t prefixHash = 0;
-};
-
-struct DecisionFigures
-{
-};
-
-struct Assign
-{
-    RequestId request;
-    EndpointId endpoint;
-    std::uint8_t priority = 0;
-    DecisionFigures figures;
-};
-
-struct Cancel
-{
-    RequestId request;
-    EndpointId endpoint;
-};
-
-enum class FinishReason : std::uint8_t {
-    Complete,
-    Failed,
-    Cancelled,
-};
-
 } // namespace daisystream
--- /dev/null
+++ b/daemon/peer.capnp
@@ -0,0 +1,176 @@
+@0xd3c1a8f04b7e9256;
+# Messages between VMs. Each is packed and preceded by its length in bytes as four bytes, least significant first.
+# A change that an older daemon cannot read raises kPeerProtocolVersion in daemon/peermessage.h.
+# Durations count microseconds from the moment of sending, because VMs share no clock.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("daisystream::wire");
+
+struct Message {
+  union {
+    hello @0 :Hello;
+    heartbeat @1 :Heartbeat;
+    ack @2 :UInt64;               # Sequence of the heartbeat or ping; sent back on the same connection.
+    ping @3 :UInt64;
+    documentRequest @4 :UInt8;    # Kind of document.
+    document @5 :Document;
+    ask @6 :Work;
+    queued @7 :Reference;
+    assign @8 :Assign;
+    refuse @9 :Refuse;
+    withdraw @10 :Reference;
+    cancel @11 :Cancel;
+    firstToken @12 :Reference;
+    progress @13 :Progress;
+    done @14 :Done;
+    resync @15 :Resync;
+    shareRequest @16 :ShareRequest;
+    shareGrant @17 :ShareGrant;
+    order @18 :Order;
+    orderReply @19 :OrderReply;
+  }
+}
+
+struct Hello {
+  protocolVersion @0 :UInt32;
+  vm @1 :Text;
+  incarnation @2 :UInt64;
+  zone @3 :Text;
+}
+
+struct Heartbeat {
+  sequence @0 :UInt64;
+  versions @1 :List(UInt64);      # Of the documents, by kind.
+  stopping @2 :Bool;
+  cells @3 :List(CellDigest);     # Owned by the sender.
+  heard @4 :List(Heard);          # Forwarded heartbeats of other VMs.
+}
+
+struct CellDigest {
+  cell @0 :Text;
+  queuedUrgent @1 :UInt32;
+  queuedOrdinary @2 :UInt32;
+  running @3 :UInt32;
+}
+
+struct Heard {
+  vm @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+}
+
+struct Document {
+  kind @0 :UInt8;
+  number @1 :UInt64;
+  changeId @2 :Text;
+  text @3 :Data;
+}
+
+struct Work {
+  cell @0 :Text;
+  request @1 :Text;
+  team @2 :Text;
+  entry @3 :Text;
+  rank @4 :UInt8;
+  model @5 :Text;
+  promptTokens @6 :UInt32;
+  maxOutputTokens @7 :UInt32;
+  weight @8 :Float64;
+  pace @9 :Float64;
+  deadlineIn @10 :Int64;
+  age @11 :Int64;
+  prefixHash @12 :UInt64;
+}
+
+struct Reference {
+  cell @0 :Text;
+  request @1 :Text;
+}
+
+struct Assign {
+  cell @0 :Text;
+  request @1 :Text;
+  endpoint @2 :Text;
+  priority @3 :UInt8;
+}
+
+struct Refuse {
+  cell @0 :Text;
+  request @1 :Text;
+  code @2 :UInt16;
+  detail @3 :Text;
+  retryAfterMs @4 :Int64;         # -1: not known.
+}
+
+struct Cancel {
+  cell @0 :Text;
+  request @1 :Text;
+  endpoint @2 :Text;
+}
+
+struct Progress {
+  cell @0 :Text;
+  requests @1 :List(Text);
+  tokens @2 :List(UInt32);        # Generated in total, in the order of requests.
+}
+
+struct Done {
+  cell @0 :Text;
+  request @1 :Text;
+  tokens @2 :UInt32;
+  reason @3 :UInt8;
+}
+
+struct Resync {
+  cell @0 :Text;
+  running @1 :List(Running);
+}
+
+struct Running {
+  work @0 :Work;
+  endpoint @1 :Text;
+  tokens @2 :UInt32;
+  hasFirstToken @3 :Bool;
+}
+
+struct ShareRequest {
+  team @0 :Text;
+  concurrency @1 :UInt32;
+  tokensPerSecond @2 :Float64;
+  heldGrant @3 :UInt64;           # Number of the grant that the sender holds, 0 if none.
+}
+
+struct ShareGrant {
+  team @0 :Text;
+  grant @1 :UInt64;
+  concurrency @2 :UInt32;
+  tokensPerSecond @3 :Float64;
+  validFor @4 :Int64;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Order {
+  number @0 :UInt64;
+  incarnation @1 :UInt64;         # Of the VM that issued the ticket.
+  ticket @2 :Text;
+  team @3 :Text;
+  service @4 :Text;
+  method @5 :Text;
+  target @6 :Text;
+  headers @7 :List(Header);
+  body @8 :Data;
+}
+
+struct OrderReply {
+  number @0 :UInt64;
+  code @1 :UInt16;                # 0: status, headers and body are set.
+  detail @2 :Text;
+  retryAfterMs @3 :Int64;
+  status @4 :UInt32;
+  headers @5 :List(Header);
+  body @6 :Data;
+}
