--- a/daemon/peerlink.h
+++ b/daemon/peerlink.h
@@ -31,6 +31,8 @@
     std::string target;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+
+    friend auto operator<=>(const ForwardedOrder &, const ForwardedOrder &) = default;
 };
 
 /// The answer to a forwarded order.
@@ -39,6 +41,8 @@
     std::uint32_t status = 0;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+
+    friend auto operator<=>(const OrderReply &, const OrderReply &) = default;
 };
 
 /// What the data part needs of the links between VMs. Thread-safe.
--- /dev/null
+++ b/daemon/peermessage.cpp
@@ -0,0 +1,545 @@
+#include "daemon/peermessage.h"
+
+#include "daemon/listtable.h"
+#include "daemon/peer.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include <algorithm>
+
+namespace daisystream
+{
+namespace
+{
+
+using std::chrono::microseconds;
+
+// No message is more than a few levels deep; deeper nesting is malformed input.
+constexpr int kNestingLimit = 16;
+constexpr std::uint64_t kTraversalLimitWords = 2 * kMaxPeerMessageBytes / sizeof(capnp::word);
+// A work request that claims a longer deadline or age is malformed; it also keeps time arithmetic from overflowing.
+constexpr microseconds kLongestDuration = std::chrono::hours(24);
+
+microseconds toMicroseconds(Duration duration)
+{
+    return std::chrono::duration_cast<microseconds>(duration);
+}
+
+Duration readDuration(std::int64_t count)
+{
+    return std::clamp(microseconds(count), -kLongestDuration, kLongestDuration);
+}
+
+capnp::Text::Reader text(const std::string &value)
+{
+    return {value.c_str(), value.size()};
+}
+
+std::string string(capnp::Text::Reader value)
+{
+    return {value.begin(), value.size()};
+}
+
+capnp::Data::Reader data(const std::string &value)
+{
+    return {reinterpret_cast<const kj::byte *>(value.data()), value.size()};
+}
+
+std::string string(capnp::Data::Reader value)
+{
+    return {reinterpret_cast<const char *>(value.begin()), value.size()};
+}
+
+template<class Enum>
+Enum readEnum(unsigned value, Enum last)
+{
+    KJ_REQUIRE(value <= static_cast<unsigned>(last), "value outside its enumeration");
+    return static_cast<Enum>(value);
+}
+
+std::int64_t writeRetry(const std::optional<std::chrono::milliseconds> &retry)
+{
+    return retry ? retry->count() : -1;
+}
+
+std::optional<std::chrono::milliseconds> readRetry(std::int64_t count)
+{
+    if (count < 0) {
+        return std::nullopt;
+    }
+    return std::min(std::chrono::milliseconds(count), std::chrono::duration_cast<std::chrono::milliseconds>(kLongestDuration));
+}
+
+void write(wire::Work::Builder out, const CellId &cell, const WorkRequest &work, TimePoint now)
+{
+    out.setCell(text(cell.value()));
+    out.setRequest(text(work.id.value()));
+    out.setTeam(text(work.team.value()));
+    out.setEntry(text(work.entry.value()));
+    out.setRank(static_cast<std::uint8_t>(work.rank));
+    out.setModel(text(work.model.value()));
+    out.setPromptTokens(work.promptTokens);
+    out.setMaxOutputTokens(work.maxOutputTokens);
+    out.setWeight(work.weight);
+    out.setPace(work.paceTokensPerSecond);
+    out.setDeadlineIn(toMicroseconds(work.firstTokenDeadline - now).count());
+    out.setAge(toMicroseconds(now - work.arrival).count());
+    out.setPrefixHash(work.prefixHash);
+}
+
+WorkRequest read(wire::Work::Reader in, TimePoint now)
+{
+    WorkRequest work;
+    work.id = RequestId(string(in.getRequest()));
+    work.team = TeamId(string(in.getTeam()));
+    work.entry = VmId(string(in.getEntry()));
+    work.rank = readEnum(in.getRank(), Rank::Ordinary);
+    work.model = ModelId(string(in.getModel()));
+    work.promptTokens = in.getPromptTokens();
+    work.maxOutputTokens = in.getMaxOutputTokens();
+    KJ_REQUIRE(in.getWeight() > 0 && in.getWeight() < 1e9, "weight out of range");
+    KJ_REQUIRE(in.getPace() >= 0 && in.getPace() < 1e9, "pace out of range");
+    work.weight = in.getWeight();
+    work.paceTokensPerSecond = in.getPace();
+    work.firstTokenDeadline = now + readDuration(in.getDeadlineIn());
+    work.arrival = now - readDuration(in.getAge());
+    work.prefixHash = in.getPrefixHash();
+    return work;
+}
+
+template<class Builder, class Headers>
+void writeHeaders(Builder out, const Headers &headers)
+{
+    for (unsigned i = 0; i < headers.size(); ++i) {
+        out[i].setName(text(headers[i].first));
+        out[i].setValue(text(headers[i].second));
+    }
+}
+
+std::vector<std::pair<std::string, std::string>> readHeaders(capnp::List<wire::Header>::Reader in)
+{
+    std::vector<std::pair<std::string, std::string>> headers;
+    for (const auto header : in) {
+        headers.emplace_back(string(header.getName()), string(header.getValue()));
+    }
+    return headers;
+}
+
+template<class Message>
+void writeReference(wire::Reference::Builder out, const Message &message)
+{
+    out.setCell(text(message.cell.value()));
+    out.setRequest(text(message.request.value()));
+}
+
+template<class Message>
+Message readReference(wire::Reference::Reader in)
+{
+    return {.cell = CellId(string(in.getCell())), .request = RequestId(string(in.getRequest()))};
+}
+
+/// Writes one message of any kind.
+class Writer
+{
+public:
+    Writer(wire::Message::Builder root, TimePoint now)
+        : root_(root)
+        , now_(now)
+    {
+    }
+
+    void operator()(const HelloMessage &message)
+    {
+        auto out = root_.initHello();
+        out.setProtocolVersion(message.protocolVersion);
+        out.setVm(text(message.vm.value()));
+        out.setIncarnation(message.incarnation);
+        out.setZone(text(message.zone.value()));
+    }
+
+    void operator()(const HeartbeatMessage &message)
+    {
+        auto out = root_.initHeartbeat();
+        out.setSequence(message.sequence);
+        auto versions = out.initVersions(static_cast<unsigned>(message.versions.size()));
+        for (unsigned i = 0; i < message.versions.size(); ++i) {
+            versions.set(i, message.versions[i]);
+        }
+        out.setStopping(message.stopping);
+        auto cells = out.initCells(static_cast<unsigned>(message.cells.size()));
+        for (unsigned i = 0; i < message.cells.size(); ++i) {
+            cells[i].setCell(text(message.cells[i].cell.value()));
+            cells[i].setQueuedUrgent(message.cells[i].queuedUrgent);
+            cells[i].setQueuedOrdinary(message.cells[i].queuedOrdinary);
+            cells[i].setRunning(message.cells[i].running);
+        }
+        auto heard = out.initHeard(static_cast<unsigned>(message.heard.size()));
+        for (unsigned i = 0; i < message.heard.size(); ++i) {
+            heard[i].setVm(text(message.heard[i].vm.value()));
+            heard[i].setIncarnation(message.heard[i].incarnation);
+            heard[i].setSequence(message.heard[i].sequence);
+        }
+    }
+
+    void operator()(const AckMessage &message)
+    {
+        root_.setAck(message.sequence);
+    }
+
+    void operator()(const PingMessage &message)
+    {
+        root_.setPing(message.sequence);
+    }
+
+    void operator()(const DocumentRequestMessage &message)
+    {
+        root_.setDocumentRequest(message.kind);
+    }
+
+    void operator()(const DocumentMessage &message)
+    {
+        auto out = root_.initDocument();
+        out.setKind(message.kind);
+        out.setNumber(message.number);
+        out.setChangeId(text(message.changeId));
+        out.setText(data(message.text));
+    }
+
+    void operator()(const AskMessage &message)
+    {
+        write(root_.initAsk(), message.cell, message.work, now_);
+    }
+
+    void operator()(const QueuedMessage &message)
+    {
+        writeReference(root_.initQueued(), message);
+    }
+
+    void operator()(const AssignMessage &message)
+    {
+        auto out = root_.initAssign();
+        out.setCell(text(message.cell.value()));
+        out.setRequest(text(message.assign.request.value()));
+        out.setEndpoint(text(message.assign.endpoint.value()));
+        out.setPriority(message.assign.priority);
+    }
+
+    void operator()(const RefuseMessage &message)
+    {
+        auto out = root_.initRefuse();
+        out.setCell(text(message.cell.value()));
+        out.setRequest(text(message.refuse.request.value()));
+        out.setCode(static_cast<std::uint16_t>(message.refuse.error.code));
+        out.setDetail(text(message.refuse.error.detail));
+        out.setRetryAfterMs(writeRetry(message.refuse.error.retryAfter));
+    }
+
+    void operator()(const WithdrawMessage &message)
+    {
+        writeReference(root_.initWithdraw(), message);
+    }
+
+    void operator()(const CancelMessage &message)
+    {
+        auto out = root_.initCancel();
+        out.setCell(text(message.cell.value()));
+        out.setRequest(text(message.cancel.request.value()));
+        out.setEndpoint(text(message.cancel.endpoint.value()));
+    }
+
+    void operator()(const FirstTokenMessage &message)
+    {
+        writeReference(root_.initFirstToken(), message);
+    }
+
+    void operator()(const ProgressMessage &message)
+    {
+        auto out = root_.initProgress();
+        out.setCell(text(message.cell.value()));
+        const auto count = static_cast<unsigned>(message.requests.size());
+        auto requests = out.initRequests(count);
+        auto tokens = out.initTokens(count);
+        for (unsigned i = 0; i < count; ++i) {
+            requests.set(i, text(message.requests[i].request.value()));
+            tokens.set(i, message.requests[i].tokens);
+        }
+    }
+
+    void operator()(const DoneMessage &message)
+    {
+        auto out = root_.initDone();
+        out.setCell(text(message.cell.value()));
+        out.setRequest(text(message.request.value()));
+        out.setTokens(message.tokens);
+        out.setReason(static_cast<std::uint8_t>(message.reason));
+    }
+
+    void operator()(const ResyncMessage &message)
+    {
+        auto out = root_.initResync();
+        out.setCell(text(message.cell.value()));
+        auto running = out.initRunning(static_cast<unsigned>(message.running.size()));
+        for (unsigned i = 0; i < message.running.size(); ++i) {
+            write(running[i].initWork(), message.cell, message.running[i].work, now_);
+            running[i].setEndpoint(text(message.running[i].endpoint.value()));
+            running[i].setTokens(message.running[i].tokens);
+            running[i].setHasFirstToken(message.running[i].hasFirstToken);
+        }
+    }
+
+    void operator()(const ShareRequestMessage &message)
+    {
+        auto out = root_.initShareRequest();
+        out.setTeam(text(message.team.value()));
+        out.setConcurrency(message.concurrency);
+        out.setTokensPerSecond(message.tokensPerSecond);
+        out.setHeldGrant(message.heldGrant);
+    }
+
+    void operator()(const ShareGrantMessage &message)
+    {
+        auto out = root_.initShareGrant();
+        out.setTeam(text(message.team.value()));
+        out.setGrant(message.grant);
+        out.setConcurrency(message.concurrency);
+        out.setTokensPerSecond(message.tokensPerSecond);
+        out.setValidFor(message.validFor.count());
+    }
+
+    void operator()(const OrderMessage &message)
+    {
+        auto out = root_.initOrder();
+        out.setNumber(message.number);
+        out.setIncarnation(message.incarnation);
+        out.setTicket(text(message.order.ticket));
+        out.setTeam(text(message.order.team.value()));
+        out.setService(text(message.order.service.value()));
+        out.setMethod(text(message.order.method));
+        out.setTarget(text(message.order.target));
+        writeHeaders(out.initHeaders(static_cast<unsigned>(message.order.headers.size())), message.order.headers);
+        out.setBody(data(message.order.body));
+    }
+
+    void operator()(const OrderReplyMessage &message)
+    {
+        auto out = root_.initOrderReply();
+        out.setNumber(message.number);
+        if (const auto *error = std::get_if<Error>(&message.reply)) {
+            out.setCode(static_cast<std::uint16_t>(error->code));
+            out.setDetail(text(error->detail));
+            out.setRetryAfterMs(writeRetry(error->retryAfter));
+            return;
+        }
+        const auto &reply = std::get<OrderReply>(message.reply);
+        out.setStatus(reply.status);
+        writeHeaders(out.initHeaders(static_cast<unsigned>(reply.headers.size())), reply.headers);
+        out.setBody(data(reply.body));
+    }
+
+private:
+    wire::Message::Builder root_;
+    TimePoint now_;
+};
+
+HeartbeatMessage read(wire::Heartbeat::Reader in)
+{
+    HeartbeatMessage message{.sequence = in.getSequence(), .versions = {}, .stopping = in.getStopping(), .cells = {}, .heard = {}};
+    KJ_REQUIRE(in.getVersions().size() == kDocumentKinds, "wrong number of versions");
+    for (const auto version : in.getVersions()) {
+        message.versions.push_back(version);
+    }
+    for (const auto cell : in.getCells()) {
+        message.cells.push_back({.cell = CellId(string(cell.getCell())),
+                                 .queuedUrgent = cell.getQueuedUrgent(),
+                                 .queuedOrdinary = cell.getQueuedOrdinary(),
+                                 .running = cell.getRunning()});
+    }
+    for (const auto vm : in.getHeard()) {
+        message.heard.push_back({.vm = VmId(string(vm.getVm())), .incarnation = vm.getIncarnation(), .sequence = vm.getSequence()});
+    }
+    return message;
+}
+
+ProgressMessage read(wire::Progress::Reader in)
+{
+    ProgressMessage message{.cell = CellId(string(in.getCell())), .requests = {}};
+    const auto requests = in.getRequests();
+    const auto tokens = in.getTokens();
+    KJ_REQUIRE(requests.size() == tokens.size(), "lists of progress differ in length");
+    for (unsigned i = 0; i < requests.size(); ++i) {
+        message.requests.push_back({.request = RequestId(string(requests[i])), .tokens = tokens[i]});
+    }
+    return message;
+}
+
+ResyncMessage read(wire::Resync::Reader in, TimePoint now)
+{
+    ResyncMessage message{.cell = CellId(string(in.getCell())), .running = {}};
+    for (const auto running : in.getRunning()) {
+        message.running.push_back({.work = read(running.getWork(), now),
+                                   .endpoint = EndpointId(string(running.getEndpoint())),
+                                   .tokens = running.getTokens(),
+                                   .hasFirstToken = running.getHasFirstToken()});
+    }
+    return message;
+}
+
+OrderMessage read(wire::Order::Reader in)
+{
+    return {.number = in.getNumber(),
+            .incarnation = in.getIncarnation(),
+            .order = {.ticket = string(in.getTicket()),
+                      .team = TeamId(string(in.getTeam())),
+                      .service = ServiceId(string(in.getService())),
+                      .method = string(in.getMethod()),
+                      .target = string(in.getTarget()),
+                      .headers = readHeaders(in.getHeaders()),
+                      .body = string(in.getBody())}};
+}
+
+OrderReplyMessage read(wire::OrderReply::Reader in)
+{
+    OrderReplyMessage message{.number = in.getNumber(), .reply = OrderReply{}};
+    if (in.getCode() != 0) {
+        message.reply = Error{static_cast<ResultCode>(in.getCode()), string(in.getDetail()), readRetry(in.getRetryAfterMs())};
+        return message;
+    }
+    message.reply = OrderReply{.status = in.getStatus(), .headers = readHeaders(in.getHeaders()), .body = string(in.getBody())};
+    return message;
+}
+
+RefuseMessage read(wire::Refuse::Reader in)
+{
+    const Error error{static_cast<ResultCode>(in.getCode()), string(in.getDetail()), readRetry(in.getRetryAfterMs())};
+    return {.cell = CellId(string(in.getCell())), .refuse = {.request = RequestId(string(in.getRequest())), .error = error}};
+}
+
+ShareGrantMessage read(wire::ShareGrant::Reader in)
+{
+    KJ_REQUIRE(in.getTokensPerSecond() >= 0 && in.getTokensPerSecond() < 1e12, "share out of range");
+    return {.team = TeamId(string(in.getTeam())),
+            .grant = in.getGrant(),
+            .concurrency = in.getConcurrency(),
+            .tokensPerSecond = in.getTokensPerSecond(),
+            .validFor = std::chrono::duration_cast<microseconds>(readDuration(in.getValidFor()))};
+}
+
+ShareRequestMessage read(wire::ShareRequest::Reader in)
+{
+    KJ_REQUIRE(in.getTokensPerSecond() >= 0 && in.getTokensPerSecond() < 1e12, "demand out of range");
+    return {
+        .team = TeamId(string(in.getTeam())), .concurrency = in.getConcurrency(), .tokensPerSecond = in.getTokensPerSecond(), .heldGrant = in.getHeldGrant()};
+}
+
+DocumentMessage read(wire::Document::Reader in)
+{
+    KJ_REQUIRE(in.getKind() < kDocumentKinds, "unknown kind of document");
+    return {.kind = in.getKind(), .number = in.getNumber(), .changeId = string(in.getChangeId()), .text = string(in.getText())};
+}
+
+DoneMessage read(wire::Done::Reader in)
+{
+    return {.cell = CellId(string(in.getCell())),
+            .request = RequestId(string(in.getRequest())),
+            .tokens = in.getTokens(),
+            .reason = readEnum(in.getReason(), FinishReason::MovedAway)};
+}
+
+PeerMessage read(wire::Message::Reader in, TimePoint now)
+{
+    switch (in.which()) {
+    case wire::Message::HELLO: {
+        const auto hello = in.getHello();
+        return HelloMessage{.protocolVersion = hello.getProtocolVersion(),
+                            .vm = VmId(string(hello.getVm())),
+                            .incarnation = hello.getIncarnation(),
+                            .zone = ZoneId(string(hello.getZone()))};
+    }
+    case wire::Message::HEARTBEAT:
+        return read(in.getHeartbeat());
+    case wire::Message::ACK:
+        return AckMessage{in.getAck()};
+    case wire::Message::PING:
+        return PingMessage{in.getPing()};
+    case wire::Message::DOCUMENT_REQUEST:
+        KJ_REQUIRE(in.getDocumentRequest() < kDocumentKinds, "unknown kind of document");
+        return DocumentRequestMessage{in.getDocumentRequest()};
+    case wire::Message::DOCUMENT:
+        return read(in.getDocument());
+    case wire::Message::ASK:
+        return AskMessage{.cell = CellId(string(in.getAsk().getCell())), .work = read(in.getAsk(), now)};
+    case wire::Message::QUEUED:
+        return readReference<QueuedMessage>(in.getQueued());
+    case wire::Message::ASSIGN: {
+        const auto assign = in.getAssign();
+        return AssignMessage{
+            .cell = CellId(string(assign.getCell())),
+            .assign
+            = {.request = RequestId(string(assign.getRequest())), .endpoint = EndpointId(string(assign.getEndpoint())), .priority = assign.getPriority()}};
+    }
+    case wire::Message::REFUSE:
+        return read(in.getRefuse());
+    case wire::Message::WITHDRAW:
+        return readReference<WithdrawMessage>(in.getWithdraw());
+    case wire::Message::CANCEL: {
+        const auto cancel = in.getCancel();
+        return CancelMessage{.cell = CellId(string(cancel.getCell())),
+                             .cancel = {.request = RequestId(string(cancel.getRequest())), .endpoint = EndpointId(string(cancel.getEndpoint()))}};
+    }
+    case wire::Message::FIRST_TOKEN:
+        return readReference<FirstTokenMessage>(in.getFirstToken());
+    case wire::Message::PROGRESS:
+        return read(in.getProgress());
+    case wire::Message::DONE:
+        return read(in.getDone());
+    case wire::Message::RESYNC:
+        return read(in.getResync(), now);
+    case wire::Message::SHARE_REQUEST:
+        return read(in.getShareRequest());
+    case wire::Message::SHARE_GRANT:
+        return read(in.getShareGrant());
+    case wire::Message::ORDER:
+        return read(in.getOrder());
+    case wire::Message::ORDER_REPLY:
+        return read(in.getOrderReply());
+    }
+    kj::throwFatalException(KJ_EXCEPTION(FAILED, "unknown kind of message"));
+}
+
+} // namespace
+
+const char *kindOf(const PeerMessage &message)
+{
+    static constexpr std::array<const char *, std::variant_size_v<PeerMessage>> kNames{
+        "hello",  "heartbeat",  "ack",      "ping", "documentRequest", "document",     "ask",        "queued", "assign",     "refuse", "withdraw",
+        "cancel", "firstToken", "progress", "done", "resync",          "shareRequest", "shareGrant", "order",  "orderReply",
+    };
+    return kNames[message.index()];
+}
+
+std::string encodeMessage(const PeerMessage &message, TimePoint now)
+{
+    capnp::MallocMessageBuilder builder;
+    std::visit(Writer(builder.initRoot<wire::Message>(), now), message);
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, builder);
+    const auto bytes = out.getArray();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+Result<PeerMessage> decodeMessage(std::string_view bytes, TimePoint now)
+{
+    try {
+        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+        const capnp::ReaderOptions options{.traversalLimitInWords = kTraversalLimitWords, .nestingLimit = kNestingLimit};
+        capnp::PackedMessageReader reader(in, options);
+        return read(reader.getRoot<wire::Message>(), now);
+    } catch (const kj::Exception &fault) {
+        return Error{ResultCode::PeerMalformedMessage, fault.getDescription().cStr(), {}};
+    }
+}
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/peermessage_test.cpp
@@ -0,0 +1,89 @@
+#include "daemon/peermessage.h"
+
+#include "daisystream/base/random.h"
+
+#include <doctest/doctest.h>
+
+namespace daisystream
+{
+namespace
+{
+
+WorkRequest work(TimePoint now)
+{
+    WorkRequest request;
+    request.id = RequestId("r1");
+    request.team = TeamId("guides");
+    request.entry = VmId("vm1");
+    request.model = ModelId("assistant");
+    request.promptTokens = 30;
+    request.firstTokenDeadline = now + std::chrono::milliseconds(660);
+    request.arrival = now - std::chrono::milliseconds(2);
+    return request;
+}
+
+std::vector<PeerMessage> oneOfEach(TimePoint now)
+{
+    const CellId cell("assistant/0");
+    const RequestId request("r1");
+    const ForwardedOrder order{"ticket", TeamId("t"), ServiceId("booking"), "POST", "/seats", {{"content-type", "text/plain"}}, std::string("a\0b", 3)};
+    return {
+        HelloMessage{.vm = VmId("vm1"), .incarnation = 7, .zone = ZoneId("z1")},
+        HeartbeatMessage{.sequence = 3, .versions = {1, 2, 3, 4}, .stopping = true, .cells = {{cell, 1, 2, 3}}, .heard = {{VmId("vm2"), 8, 9}}},
+        AckMessage{3},
+        PingMessage{4},
+        DocumentRequestMessage{1},
+        DocumentMessage{.kind = 1, .number = 5, .changeId = "c", .text = "{}"},
+        AskMessage{cell, work(now)},
+        QueuedMessage{cell, request},
+        AssignMessage{cell, {request, EndpointId("e1"), 1}},
+        RefuseMessage{cell, {request, {ResultCode::NoEndpoint, "none", std::chrono::milliseconds(50)}}},
+        WithdrawMessage{cell, request},
+        CancelMessage{cell, {request, EndpointId("e1")}},
+        FirstTokenMessage{cell, request},
+        ProgressMessage{cell, {{request, 12}}},
+        DoneMessage{cell, request, 40, FinishReason::MovedAway},
+        ResyncMessage{cell, {{work(now), EndpointId("e1"), 5, true}}},
+        ShareRequestMessage{TeamId("t"), 3, 40.5, 2},
+        ShareGrantMessage{TeamId("t"), 2, 3, 40.5, std::chrono::milliseconds(2500)},
+        OrderMessage{.number = 1, .incarnation = 2, .order = order},
+        OrderReplyMessage{1, OrderReply{200, {{"a", "b"}}, "done"}},
+        OrderReplyMessage{2, Error{ResultCode::TicketIssuerGone, "gone", {}}},
+    };
+}
+
+// Guards against a field that is written but not read back, or read into another field.
+TEST_CASE("every kind of message survives encoding")
+{
+    const TimePoint now = ManualClock().now();
+    const auto messages = oneOfEach(now);
+    for (const PeerMessage &message : messages) {
+        CAPTURE(kindOf(message));
+        const auto decoded = decodeMessage(encodeMessage(message, now), now);
+        REQUIRE(std::holds_alternative<PeerMessage>(decoded));
+        CHECK(std::get<PeerMessage>(decoded) == message);
+    }
+}
+
+// Guards against input that crashes the process or is taken for a message: truncated and altered bytes must either
+// decode to some message or be reported as malformed.
+TEST_CASE("altered bytes never do more than fail to decode")
+{
+    const TimePoint now = ManualClock().now();
+    constexpr std::uint64_t kSeed = 11;
+    Random random(kSeed);
+    int malformed = 0;
+    for (const PeerMessage &message : oneOfEach(now)) {
+        const std::string bytes = encodeMessage(message, now);
+        for (int trial = 0; trial < 300; ++trial) {
+            std::string altered = bytes.substr(0, 1 + random.below(bytes.size()));
+            altered[random.below(altered.size())] = static_cast<char>(random.bits());
+            malformed += std::holds_alternative<Error>(decodeMessage(altered, now)) ? 1 : 0;
+        }
+    }
+    CHECK(malformed > 0);
+    CHECK(std::holds_alternative<Error>(decodeMessage("", now)));
+}
+
+} // namespace
+} // namespace daisystream
