Schedule by learnt lengths, forecast memory, pace and fair queueing

Cause: the first version placed work by outstanding requests and knew neither lengths, memory, ranks nor teams' shares. Change: LengthEstimator (hazard table by team and model, blended and aged), MemoryForecast (mean and variance at six distances), FairQueue (strict ranks with a floor, virtual time by generated tokens), EndpointHealth (slow, frozen, overdue, probe, slow start), PrefixIndex, WaitForecast and Pool, which ties them together for one model. Alternatives ruled out: charging whole answers at dispatch (lengths are unknown); a scan over endpoints for each decision (cost grows linearly); mixing ranks evenly on all engines (the step time of urgent work would follow the ordinary load), instead a changing set of engines is reserved for urgent work.

--- a/daisystream/cell/cellmap.cpp
+++ b/daisystream/cell/cellmap.cpp
@@ -78,23 +78,25 @@
     d_->byEndpoint.clear();
     std::map<ModelId, std::map<EndpointId, const EndpointInfo *>> models;
     for (const EndpointInfo &info : endpoints) {
-        if (info.state != EndpointState::Gone) {
-            models[info.model].insert_or_assign(info.id, &info);
-        }
+        models[info.model].insert_or_assign(info.id, &info);
     }
     for (const auto &[model, members] : models) {
         const std::size_t cellSize = std::max<std::size_t>(1, d_->options.cellSize);
-        const std::size_t count = (members.size() + cellSize - 1) / cellSize;
-        std::vector<VmId> names; // The cells of the model, as names for rendezvous hashing.
+        const std::size_t count = std::max<std::size_t>(1, (members.size() + cellSize - 1) / cellSize);
+        std::vector<CellId> &names = d_->byModel[model];
         for (std::size_t i = 0; i < count; ++i) {
-            d_->byModel[model].emplace_back(model.value() + "/" + std::to_string(i));
+            names.emplace_back(model.value() + "/" + std::to_string(i));
         }
+        // A Gone endpoint keeps its position, so that the loss of one endpoint does not move the others to other cells.
         std::size_t position = 0;
         for (const auto &[id, info] : members) {
-            const CellId &cell = d_->byModel[model][position++ % count];
-            d_->cells[cell].push_back(*info);
-            d_->byEndpoint.emplace(id, cell);
+            const CellId &cell = names[position++ % count];
+            if (info->state != EndpointState::Gone) {
+                d_->cells[cell].push_back(*info);
+                d_->byEndpoint.emplace(id, cell);
+            }
         }
+        std::erase_if(names, [&](const CellId &name) { return d_->cells.count(name) == 0; });
     }
 }
 
--- a/daisystream/endpoint/endpointinfo.h
+++ b/daisystream/endpoint/endpointinfo.h
@@ -49,6 +49,7 @@
     double perSequenceMilliseconds = 0.1;               ///< For each answer in the batch.
     double perThousandTokensMilliseconds = 0.02;        ///< For each thousand tokens held in memory.
     double prefillMillisecondsPerThousandTokens = 50.0; ///< For each thousand prompt tokens.
+    std::uint32_t prefillTokensPerStep = 512;           ///< Prompt tokens read in one step.
 
     friend auto operator<=>(const StepCost &, const StepCost &) = default;
 };
--- /dev/null
+++ b/daisystream/scheduler/pool.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "daisystream/admission/lengthestimator.h"
+#include "daisystream/base/clock.h"
+#include "daisystream/endpoint/endpointhealth.h"
+#include "daisystream/endpoint/endpointload.h"
+#include "daisystream/endpoint/prefixindex.h"
+#include "daisystream/fairness/fairqueue.h"
+#include "daisystream/scheduler/scheduler.h"
+#include "daisystream/scheduler/waitforecast.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+/// @file
+/// The endpoints and requests of one model: the policy behind `Scheduler`.
+///
+/// Endpoints are of two kinds, which change with demand. Reserved ones run urgent work with a short decode step, so that
+/// it is served at its pace whatever else arrives; general ones run ordinary work in large batches. Urgent work may
+/// use general endpoints and ordinary work may use what reserved ones can spare.
+
+namespace daisystream::internal
+{
+
+/// Thread-compatible.
+class Pool
+{
+public:
+    Pool(const SchedulerOptions &options, LengthEstimator &lengths, ModelId model);
+
+    /// Replaces the endpoints; all run the pool's model.
+    void setEndpoints(const std::vector<EndpointInfo> &endpoints, TimePoint now);
+
+    void submit(const WorkRequest &work, TimePoint now);
+    void withdraw(const RequestId &id, TimePoint now);
+    void onFirstToken(const RequestId &id, TimePoint now);
+    void onProgress(const RequestId &id, std::uint32_t generated, TimePoint now);
+    void onFinished(const RequestId &id, std::uint32_t generated, FinishReason reason, TimePoint now);
+    void onRunning(const WorkRequest &work, const EndpointId &endpoint, std::uint32_t generated, TimePoint now);
+    void onLoadReport(const LoadReport &report, TimePoint now);
+    void onCacheEvent(const CacheEvent &event);
+
+    void decide(TimePoint now, std::vector<Action> &actions);
+    [[nodiscard]] std::optional<TimePoint> nextWake() const;
+
+    [[nodiscard]] bool knows(const RequestId &id) const;
+    [[nodiscard]] bool hasEndpoint(const EndpointId &id) const;
+
+private:
+    using Slot = std::uint32_t;
+    using EndpointIndex = std::uint32_t;
+
+    enum class State : std::uint8_t {
+        Free,
+        Queued,
+        Held,      // Taken back from an endpoint; queued again when the first token can no longer cross the Cancel.
+        Assigned,  // Without first token.
+        Streaming, // With first token.
+    };
+
+    struct Request
+    {
+        WorkRequest work;
+        State state = State::Free;
+        FairQueue::Team team = 0;
+        FairQueue::Order order = 0;
+        LengthEstimator::Profile profile = 0;
+        EndpointIndex endpoint = 0;
+        bool wasAssigned = false;
+        std::optional<TimePoint> timer;
+        EndpointLoad::Work load;
+        double expected = 0; // Tokens still to come, as reserved in the fair queue.
+        std::uint32_t generated = 0;
+        TimePoint progressAt{};
+        TimePoint assignedAt{};
+    };
+
+    struct Endpoint
+    {
+        Endpoint(const EndpointInfo &info, const EndpointHealthOptions &options)
+            : load(info)
+            , health(options)
+        {
+        }
+
+        EndpointLoad load;
+        EndpointHealth health;
+        bool reserved = false;
+        bool indexed = false;
+        bool frozen = false;
+        double score = 0;
+        std::optional<TimePoint> timer;
+        std::set<Slot> requests; // Assigned or streaming here.
+        TimePoint tokenAt{};     // Last sign of progress.
+        // Own tokens of the present measuring window.
+        TimePoint windowBegin{};
+        double windowSeconds = 0;
+        double windowTokens = 0;
+    };
+
+    struct Choice
+    {
+        EndpointIndex endpoint = 0;
+        bool prefixCached = false;
+    };
+
+    using Index = std::set<std::pair<double, EndpointIndex>>;
+
+    // Requests.
+    Request *find(const RequestId &id);
+    Slot create(const WorkRequest &work);
+    void destroy(Slot slot);
+    void setTimer(Slot slot, std::optional<TimePoint> at);
+    [[nodiscard]] double lengthLimit(const WorkRequest &work) const;
+    void enqueue(Slot slot);
+    void dequeue(Slot slot);
+    void attach(Slot slot, EndpointIndex endpoint, TimePoint now);
+    void detach(Slot slot);
+    void takeBack(Slot slot, TimePoint now);
+    void refuse(Slot slot, ResultCode code, const char *detail, double wait, TimePoint now, std::vector<Action> &actions);
+
+    // Endpoints.
+    void addEndpoint(const EndpointInfo &info, TimePoint now);
+    void removeEndpoint(EndpointIndex index, TimePoint now);
+    void reindex(EndpointIndex index);
+    void setEndpointTimer(EndpointIndex index, std::optional<TimePoint> at);
+    void afterHealthChange(EndpointIndex index, TimePoint now);
+    void checkEndpoint(EndpointIndex index, TimePoint now, std::vector<Action> &actions);
+    void noteOwnPace(EndpointIndex index, double seconds, double tokens, TimePoint now);
+
+    // Decisions.
+    void runTimers(TimePoint now, std::vector<Action> &actions);
+    void runTimer(Slot slot, TimePoint now, std::vector<Action> &actions);
+    void resizeReserved(TimePoint now);
+    [[nodiscard]] std::size_t wantedReserved() const;
+    void changeReserved(bool grow);
+    void dispatch(TimePoint now, std::vector<Action> &actions);
+    bool dispatchHead(Rank rank, bool floorTurn, TimePoint now, std::vector<Action> &actions);
+    bool shedFor(Slot urgent, TimePoint now, std::vector<Action> &actions);
+    void refuseHopeless(TimePoint now, std::vector<Action> &actions);
+    bool refuseIfHopeless(const FairQueue::Item &item, TimePoint now, std::vector<Action> &actions);
+    [[nodiscard]] double waitOf(const Request &request, double position, TimePoint now) const;
+    [[nodiscard]] double slackOf(const Request &request, TimePoint now) const;
+    [[nodiscard]] std::optional<Choice> choose(const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const;
+    [[nodiscard]] std::optional<EndpointIndex>
+    chooseFrom(const Index &index, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const;
+    [[nodiscard]] bool
+    admits(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const;
+    [[nodiscard]] bool keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn) const;
+    [[nodiscard]] bool sparesUrgent(const Endpoint &endpoint, const WorkRequest &work) const;
+    void assign(Slot slot, const Choice &choice, const MemoryForecast::Contribution &memory, TimePoint now, std::vector<Action> &actions);
+
+    SchedulerOptions options_;
+    LengthEstimator &lengths_;
+    ModelId model_;
+    double deviations_;
+    FairQueue queue_;
+    WaitForecast waits_;
+    PrefixIndex prefixes_;
+
+    std::unordered_map<RequestId, Slot> requestIndex_;
+    std::deque<Request> requests_;
+    std::vector<Slot> freeSlots_;
+    std::set<std::pair<TimePoint, Slot>> timers_;
+    std::set<std::pair<TimePoint, Slot>> ordinaryAwaiting_; // Ordinary requests without first token, by assignment.
+    std::vector<Slot> fresh_;                               // Submitted since the last decision.
+    FairQueue::Order nextOrder_ = 0;
+    std::unordered_map<FairQueue::Team, TimePoint> retryAt_; // Latest retry time that the team was told.
+
+    std::unordered_map<EndpointId, EndpointIndex> endpointIndex_;
+    std::vector<std::unique_ptr<Endpoint>> endpoints_;
+    std::vector<EndpointIndex> freeEndpoints_;
+    Index reserved_; // Usable endpoints by load.
+    Index general_;
+    std::set<std::pair<TimePoint, EndpointIndex>> endpointTimers_;
+    std::size_t frozen_ = 0;
+    double typicalCalibration_ = 1.0;
+    std::uint64_t calibrationReports_ = 0;
+
+    double urgentPace_ = 0; // Promised tokens a second of the latest urgent request.
+    std::optional<TimePoint> urgentSeenAt_;
+    TimePoint resizedAt_{};
+    TimePoint shrinkAllowedAt_{};
+    double meanTokens_ = 256;     // Of recent answers.
+    std::vector<Action> pending_; // Actions that arose outside of `decide`.
+    TimePoint decidedAt_{};
+};
+
+} // namespace daisystream::internal
--- a/daisystream/scheduler/scheduler.cpp
+++ b/daisystream/scheduler/scheduler.cpp
@@ -1,52 +1,50 @@
 #include "daisystream/scheduler/scheduler.h"
 
+#include "daisystream/scheduler/pool.h"
+
 #include <algorithm>
-#include <deque>
 #include <map>
-#include <unordered_map>
 
 namespace daisystream
 {
 
-// First version: urgent work first, then by arrival, to the endpoint with the least outstanding work.
 class Scheduler::Private
 {
 public:
-    struct Running
+    explicit Private(const SchedulerOptions &given)
+        : options(given)
+        , lengths(LengthEstimatorOptions{})
     {
-        WorkRequest request;
-        EndpointId endpoint;
-    };
-
-    std::map<EndpointId, EndpointInfo> endpoints;
-    std::map<EndpointId, std::uint32_t> outstanding;
-    std::deque<WorkRequest> queues[2];
-    std::unordered_map<RequestId, Running> running;
+    }
 
-    void release(const RequestId &request)
+    internal::Pool &poolOf(const ModelId &model)
     {
-        const auto found = running.find(request);
-        if (found != running.end()) {
-            --outstanding[found->second.endpoint];
-            running.erase(found);
+        auto &pool = pools[model];
+        if (pool == nullptr) {
+            pool = std::make_unique<internal::Pool>(options, lengths, model);
         }
+        return *pool;
     }
 
-    EndpointInfo *choose(const WorkRequest &request)
+    internal::Pool *poolOf(const RequestId &request)
     {
-        EndpointInfo *best = nullptr;
-        for (auto &[id, info] : endpoints) {
-            const bool fits = info.model == request.model && info.state == EndpointState::InService && outstanding[id] < info.maxBatch;
-            if (fits && (best == nullptr || outstanding[id] < outstanding[best->id])) {
-                best = &info;
-            }
-        }
-        return best;
+        const auto found = std::find_if(pools.begin(), pools.end(), [&](const auto &entry) { return entry.second->knows(request); });
+        return found == pools.end() ? nullptr : found->second.get();
     }
+
+    internal::Pool *poolOf(const EndpointId &endpoint)
+    {
+        const auto found = std::find_if(pools.begin(), pools.end(), [&](const auto &entry) { return entry.second->hasEndpoint(endpoint); });
+        return found == pools.end() ? nullptr : found->second.get();
+    }
+
+    SchedulerOptions options;
+    LengthEstimator lengths;
+    std::map<ModelId, std::unique_ptr<internal::Pool>> pools; // Few models.
 };
 
-Scheduler::Scheduler(SchedulerOptions, Random)
-    : d_(std::make_unique<Private>())
+Scheduler::Scheduler(SchedulerOptions options, Random)
+    : d_(std::make_unique<Private>(options))
 {
 }
 
@@ -54,74 +52,79 @@
 Scheduler::Scheduler(Scheduler &&) noexcept = default;
 Scheduler &Scheduler::operator=(Scheduler &&) noexcept = default;
 
-void Scheduler::setEndpoints(const std::vector<EndpointInfo> &endpoints, TimePoint)
+void Scheduler::setEndpoints(const std::vector<EndpointInfo> &endpoints, TimePoint now)
 {
-    d_->endpoints.clear();
+    std::map<ModelId, std::vector<EndpointInfo>> byModel;
+    for (const auto &[model, pool] : d_->pools) {
+        byModel.try_emplace(model);
+    }
     for (const EndpointInfo &info : endpoints) {
-        d_->endpoints.emplace(info.id, info);
+        byModel[info.model].push_back(info);
+    }
+    for (const auto &[model, members] : byModel) {
+        d_->poolOf(model).setEndpoints(members, now);
     }
 }
 
-void Scheduler::submit(const WorkRequest &request, TimePoint)
+void Scheduler::submit(const WorkRequest &request, TimePoint now)
 {
-    d_->queues[static_cast<std::size_t>(request.rank)].push_back(request);
+    if (d_->poolOf(request.id) == nullptr) {
+        d_->poolOf(request.model).submit(request, now);
+    }
 }
 
-void Scheduler::withdraw(const RequestId &request, TimePoint)
+void Scheduler::withdraw(const RequestId &request, TimePoint now)
 {
-    for (auto &queue : d_->queues) {
-        std::erase_if(queue, [&](const WorkRequest &queued) { return queued.id == request; });
+    if (internal::Pool *pool = d_->poolOf(request)) {
+        pool->withdraw(request, now);
     }
-    d_->release(request);
 }
 
-void Scheduler::onFirstToken(const RequestId &, TimePoint)
+void Scheduler::onFirstToken(const RequestId &request, TimePoint now)
 {
+    if (internal::Pool *pool = d_->poolOf(request)) {
+        pool->onFirstToken(request, now);
+    }
 }
 
-void Scheduler::onProgress(const RequestId &, std::uint32_t, TimePoint)
+void Scheduler::onProgress(const RequestId &request, std::uint32_t generatedTokens, TimePoint now)
 {
+    if (internal::Pool *pool = d_->poolOf(request)) {
+        pool->onProgress(request, generatedTokens, now);
+    }
 }
 
-void Scheduler::onFinished(const RequestId &request, std::uint32_t, FinishReason, TimePoint)
+void Scheduler::onFinished(const RequestId &request, std::uint32_t generatedTokens, FinishReason reason, TimePoint now)
 {
-    d_->release(request);
+    if (internal::Pool *pool = d_->poolOf(request)) {
+        pool->onFinished(request, generatedTokens, reason, now);
+    }
 }
 
-void Scheduler::onRunning(const WorkRequest &request, const EndpointId &endpoint, std::uint32_t, TimePoint)
+void Scheduler::onRunning(const WorkRequest &request, const EndpointId &endpoint, std::uint32_t generatedTokens, TimePoint now)
 {
-    if (d_->running.emplace(request.id, Private::Running{request, endpoint}).second) {
-        ++d_->outstanding[endpoint];
-    }
+    d_->poolOf(request.model).onRunning(request, endpoint, generatedTokens, now);
 }
 
-void Scheduler::onLoadReport(const LoadReport &, TimePoint)
+void Scheduler::onLoadReport(const LoadReport &report, TimePoint now)
 {
+    if (internal::Pool *pool = d_->poolOf(report.endpoint)) {
+        pool->onLoadReport(report, now);
+    }
 }
 
-void Scheduler::onCacheEvent(const CacheEvent &, TimePoint)
+void Scheduler::onCacheEvent(const CacheEvent &event, TimePoint)
 {
+    if (internal::Pool *pool = d_->poolOf(event.endpoint)) {
+        pool->onCacheEvent(event);
+    }
 }
 
 std::vector<Action> Scheduler::decide(TimePoint now)
 {
     std::vector<Action> actions;
-    for (auto &queue : d_->queues) {
-        std::deque<WorkRequest> waiting;
-        for (WorkRequest &request : queue) {
-            if (const EndpointInfo *endpoint = d_->choose(request)) {
-                const auto priority = static_cast<std::uint8_t>(request.rank);
-                actions.emplace_back(Assign{request.id, endpoint->id, priority, {}});
-                ++d_->outstanding[endpoint->id];
-                d_->running.emplace(request.id, Private::Running{request, endpoint->id});
-            } else if (request.firstTokenDeadline <= now) {
-                const Error error{ResultCode::QueueDeadlinePassed, "no endpoint became free in time", std::chrono::milliseconds(1000)};
-                actions.emplace_back(Refuse{request.id, error});
-            } else {
-                waiting.push_back(std::move(request));
-            }
-        }
-        queue = std::move(waiting);
+    for (const auto &[model, pool] : d_->pools) {
+        pool->decide(now, actions);
     }
     return actions;
 }
@@ -129,9 +132,9 @@
 std::optional<TimePoint> Scheduler::nextWake() const
 {
     std::optional<TimePoint> wake;
-    for (const auto &queue : d_->queues) {
-        for (const WorkRequest &request : queue) {
-            wake = std::min(wake.value_or(request.firstTokenDeadline), request.firstTokenDeadline);
+    for (const auto &[model, pool] : d_->pools) {
+        if (const std::optional<TimePoint> at = pool->nextWake()) {
+            wake = wake ? std::min(*wake, *at) : at;
         }
     }
     return wake;
