Check the installed package with an example that embeds the scheduler

Cause: the library is meant to be embedded, and an install rule that nobody runs breaks unnoticed. Ruled out: building the example inside the tree, which does not test the package files.

--- /dev/null
+++ b/examples/checkpackage.cmake
@@ -0,0 +1,8 @@
+set(prefix ${BUILD_FOLDER}/package-check/prefix)
+function(run)
+    execute_process(COMMAND ${ARGN} COMMAND_ERROR_IS_FATAL ANY)
+endfunction()
+run(${CMAKE_COMMAND} --install ${BUILD_FOLDER} --prefix ${prefix})
+run(${CMAKE_COMMAND} -S ${SOURCE_FOLDER} -B ${BUILD_FOLDER}/package-check/build -G Ninja -DCMAKE_PREFIX_PATH=${prefix})
+run(${CMAKE_COMMAND} --build ${BUILD_FOLDER}/package-check/build)
+run(${BUILD_FOLDER}/package-check/build/embedding)
