--- a/daisystream/lists/document.cpp
+++ b/daisystream/lists/document.cpp
@@ -208,9 +208,10 @@
 class Document::Private
 {
 public:
-    Private() = default;
-    Private(const Private &) = delete;
-    Private &operator=(const Private &) = delete;
+    explicit Private(std::string name)
+        : fileName(std::move(name))
+    {
+    }
 
     std::string fileName;
     json root;
@@ -224,9 +225,8 @@
 };
 
 Document::Document(std::string_view text, std::string fileName)
-    : d_(std::make_unique<Private>())
+    : d_(std::make_unique<Private>(std::move(fileName)))
 {
-    d_->fileName = std::move(fileName);
     LineCounter counter;
     LineReader reader(counter);
     const char *end = text.data() + text.size();
