--- a/standins/enginemodel/enginemodel.h
+++ b/standins/enginemodel/enginemodel.h
@@ -52,7 +52,7 @@
 /// What the engine learns when an answer starts, and the length that only the model knows.
 struct StartRequest
 {
-    std::uint8_t priority = 0;         ///< Higher enters the batch first and is preempted last.
+    std::uint8_t priority = 0;         ///< Lower values enter the batch first and are preempted last, as in `Assign`.
     std::uint32_t promptTokens = 1;    ///< Length of the prompt.
     std::uint32_t maxOutputTokens = 0; ///< Limit given by the caller, 0: none.
     std::uint32_t outputTokens = 1;    ///< True length of the answer. The system under test must not see it.
