Connect VMs over TCP and call the platform

Cause: the control part needs links between VMs and the platform's tables, and the data part forwards orders. Conclusion: daemon/controltypes.h is gone.

--- a/daemon/dispatcher.h
+++ b/daemon/dispatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "daemon/controltypes.h"
 #include "daemon/settings.h"
+#include "daisystream/scheduler/scheduler.h"
 
 #include <functional>
 #include <memory>
--- a/daemon/listtable.cpp
+++ b/daemon/listtable.cpp
@@ -1,10 +1,20 @@
 #include "daemon/listtable.h"
 
+#include <glog/logging.h>
+
+#include <array>
 #include <mutex>
 
 namespace daisystream
 {
 
+namespace
+{
+
+constexpr auto kRetryWhileUnavailable = std::chrono::milliseconds(2000);
+
+} // namespace
+
 const char *toString(DocumentKind kind)
 {
     switch (kind) {
@@ -23,10 +33,16 @@
 class ListTable::Private
 {
 public:
+    [[nodiscard]] const SharedDocument &of(DocumentKind kind) const
+    {
+        return documents[static_cast<std::size_t>(kind)];
+    }
+
     mutable std::mutex mutex; // Lock order 1.
-    std::array<Document, kDocumentKinds> documents;
+    std::array<SharedDocument, kDocumentKinds> documents;
     std::shared_ptr<const PlanList> plans;
     std::shared_ptr<const LimitList> limits;
+    std::vector<ChangeHandler> handlers;
     bool stopping = false;
     bool isolated = false;
 };
@@ -52,46 +68,103 @@
 
 std::optional<Error> ListTable::admission() const
 {
-    using std::chrono::milliseconds;
     const std::lock_guard lock(d_->mutex);
     if (d_->stopping) {
-        return Error{ResultCode::Stopping, "this VM is shutting down", milliseconds(0)};
+        return Error{ResultCode::Stopping, "this VM is shutting down", std::chrono::milliseconds(0)};
     }
     if (!d_->plans || !d_->limits) {
-        return Error{ResultCode::NoLists, "no plans and limits could be obtained yet", milliseconds(2000)};
+        return Error{ResultCode::NoLists, "no plans and limits could be obtained yet", kRetryWhileUnavailable};
     }
     if (d_->isolated) {
-        return Error{ResultCode::Isolated, "this VM reaches neither the platform nor half of the other VMs", milliseconds(2000)};
+        return Error{ResultCode::Isolated, "this VM reaches neither the platform nor half of the other VMs", kRetryWhileUnavailable};
     }
     return std::nullopt;
 }
 
-Document ListTable::document(DocumentKind kind) const
+SharedDocument ListTable::document(DocumentKind kind) const
 {
     const std::lock_guard lock(d_->mutex);
-    return d_->documents[static_cast<std::size_t>(kind)];
+    return d_->of(kind);
 }
 
-bool ListTable::offer(DocumentKind kind, const ListVersion &version, const std::string &text)
+std::vector<std::uint64_t> ListTable::versions() const
 {
     const std::lock_guard lock(d_->mutex);
-    Document &document = d_->documents[static_cast<std::size_t>(kind)];
-    if (version.number <= document.version.number) {
+    std::vector<std::uint64_t> versions;
+    for (const auto &document : d_->documents) {
+        versions.push_back(document.version.number);
+    }
+    return versions;
+}
+
+bool ListTable::offer(DocumentKind kind, const ListVersion &version, const std::string &text)
+{
+    if (version.number <= document(kind).version.number) {
         return false;
     }
-    document = {.version = version, .text = text};
+    // Parsing takes milliseconds for a large list, so it happens without the lock.
+    std::shared_ptr<const PlanList> plans;
+    std::shared_ptr<const LimitList> limits;
+    std::optional<Error> fault;
+    const auto keep = [&fault]<class List>(Result<List> parsed, std::shared_ptr<const List> &target) {
+        if (const auto *error = std::get_if<Error>(&parsed)) {
+            fault = *error;
+        } else {
+            target = std::make_shared<const List>(std::move(std::get<List>(parsed)));
+        }
+    };
+    if (kind == DocumentKind::Plans) {
+        keep(PlanList::parse(text, toString(kind)), plans);
+    } else if (kind == DocumentKind::Limits) {
+        keep(LimitList::parse(text, toString(kind)), limits);
+    }
+    if (fault) {
+        LOG(ERROR) << "event=document_refused document=" << toString(kind) << " version=" << version.number << " reason=\"" << fault->detail << '"';
+        return false;
+    }
+    std::vector<ChangeHandler> handlers;
+    {
+        const std::lock_guard lock(d_->mutex);
+        SharedDocument &current = d_->documents[static_cast<std::size_t>(kind)];
+        if (version.number <= current.version.number) {
+            return false;
+        }
+        current = {.version = version, .text = text};
+        d_->plans = plans ? plans : d_->plans;
+        d_->limits = limits ? limits : d_->limits;
+        handlers = d_->handlers;
+    }
+    LOG(INFO) << "event=document_in_force document=" << toString(kind) << " version=" << version.number << " change=" << version.changeId;
+    for (const auto &handler : handlers) {
+        handler(kind);
+    }
     return true;
 }
 
+void ListTable::onChange(ChangeHandler handler)
+{
+    const std::lock_guard lock(d_->mutex);
+    d_->handlers.push_back(std::move(handler));
+}
+
 void ListTable::setStopping()
 {
     const std::lock_guard lock(d_->mutex);
     d_->stopping = true;
 }
 
+bool ListTable::isStopping() const
+{
+    const std::lock_guard lock(d_->mutex);
+    return d_->stopping;
+}
+
 void ListTable::setIsolated(bool isolated)
 {
     const std::lock_guard lock(d_->mutex);
+    if (isolated != d_->isolated) {
+        LOG(WARNING) << "event=isolation isolated=" << isolated;
+    }
     d_->isolated = isolated;
 }
 
--- a/daemon/listtable.h
+++ b/daemon/listtable.h
@@ -1,13 +1,15 @@
 #pragma once
 
-#include "daemon/controltypes.h"
-#include "daemon/settings.h"
+#include "daisystream/lists/limitlist.h"
+#include "daisystream/lists/listkeeper.h"
+#include "daisystream/lists/planlist.h"
 
-#include <array>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// @file
 /// The documents that operators and the VMs share through the platform: plans, limits, endpoint states and sealing
@@ -38,7 +40,7 @@
 [[nodiscard]] const char *toString(DocumentKind kind);
 
 /// One version of a shared document.
-struct Document
+struct SharedDocument
 {
     ListVersion version;
     std::string text;
@@ -48,6 +50,8 @@
 class ListTable
 {
 public:
+    using ChangeHandler = std::function<void(DocumentKind)>;
+
     ListTable();
     ~ListTable();
 
@@ -61,15 +65,23 @@
     [[nodiscard]] std::optional<Error> admission() const;
 
     /// @return the document in force with its version; number 0 means that there is none.
-    [[nodiscard]] Document document(DocumentKind kind) const;
+    [[nodiscard]] SharedDocument document(DocumentKind kind) const;
 
     /// Takes a document if its version is higher than the one in force and its text is valid.
     /// @return true if it is now in force.
     bool offer(DocumentKind kind, const ListVersion &version, const std::string &text);
 
+    /// @return the version numbers in force, by kind.
+    [[nodiscard]] std::vector<std::uint64_t> versions() const;
+
+    /// Adds a handler that runs after each change, on the thread that offered it and without locks.
+    void onChange(ChangeHandler handler);
+
     /// From now on `admission` returns `Stopping`.
     void setStopping();
 
+    [[nodiscard]] bool isStopping() const;
+
     /// Records whether the VM is cut off from the platform and from half of the other VMs.
     void setIsolated(bool isolated);
 
--- a/daemon/peerlink.h
+++ b/daemon/peerlink.h
@@ -1,72 +1,92 @@
 #pragma once
 
+#include "daemon/metrics.h"
+#include "daemon/orderforwarding.h"
+#include "daemon/peermessage.h"
 #include "daemon/settings.h"
-#include "daisystream/base/ids.h"
-#include "daisystream/base/result.h"
+#include "daisystream/base/clock.h"
+
+#include <boost/asio/io_context.hpp>
 
-#include <cstdint>
 #include <functional>
-#include <string>
-#include <utility>
-#include <vector>
+#include <memory>
+#include <optional>
 
 /// @file
-/// Connections to the other VMs.
+/// TCP connections between VMs, one for each pair and direction. Messages are packed and preceded by their length.
 ///
 /// Example:
 /// @code
-///   peers.forwardOrder(issuer, order, [](Result<OrderReply> reply) { ... });
+///   PeerLink link(io, identity, clock, metrics, PeerLinkOptions{});
+///   link.setMessageHandler([](const VmId &from, const PeerMessage &message) { ... });
+///   link.start(settings.listenPeers, settings.peerTls);
+///   link.setPeers(settings.peers);
+///   link.send(VmId("vm2"), message);
 /// @endcode
 
 namespace daisystream
 {
 
-/// An order with a ticket, on its way to the VM that issued the ticket.
-struct ForwardedOrder
+/// Who this VM is, towards others.
+struct PeerIdentity
 {
-    std::string ticket;
-    TeamId team; ///< Already authenticated by the entry VM.
-    ServiceId service;
-    std::string method;
-    std::string target;
-    std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
-
-    friend auto operator<=>(const ForwardedOrder &, const ForwardedOrder &) = default;
+    VmId vm;
+    ZoneId zone;
+    std::uint64_t incarnation = 0;
 };
 
-/// The answer to a forwarded order.
-struct OrderReply
+struct PeerLinkOptions
 {
-    std::uint32_t status = 0;
-    std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
-
-    friend auto operator<=>(const OrderReply &, const OrderReply &) = default;
+    std::chrono::milliseconds silence{1500};    ///< Without an acknowledgement, an open connection counts as dead.
+    std::chrono::milliseconds checkEvery{250};  ///< Between checks for silence and between attempts to connect.
+    std::chrono::milliseconds pingEvery{2000};  ///< A connection without heartbeats is probed this often.
+    std::chrono::milliseconds orderTime{30000}; ///< For the reply to a forwarded order.
+    std::uint32_t protocolVersion = kPeerProtocolVersion;
 };
 
-/// What the data part needs of the links between VMs. Thread-safe.
-class OrderForwarding
+/// Links to all other VMs. Thread-safe.
+class PeerLink : public OrderForwarding
 {
 public:
-    using ReplyHandler = std::function<void(Result<OrderReply>)>;
-    using OrderHandler = std::function<void(const ForwardedOrder &, ReplyHandler)>;
+    using MessageHandler = std::function<void(const VmId &from, std::uint64_t incarnation, const PeerMessage &)>;
+
+    PeerLink(boost::asio::io_context &io, const PeerIdentity &identity, const Clock &clock, Metrics &metrics, PeerLinkOptions options);
+    ~PeerLink() override;
+
+    /// Sets who receives every message that does not concern the connection itself or forwarded orders. Set it before
+    /// `start`. It runs on a thread of the event loop without locks.
+    void setMessageHandler(MessageHandler handler);
+
+    /// Listens for other VMs.
+    /// @param listen nothing: this VM does not listen.
+    /// @param tls nothing: plain TCP in both directions.
+    /// @return nothing, or why the address or the TLS files cannot be used.
+    [[nodiscard]] std::optional<Error> start(const std::optional<SocketAddress> &listen, const std::optional<TlsSettings> &tls);
+
+    /// @return the port on which other VMs reach this one.
+    [[nodiscard]] std::uint16_t port() const;
+
+    /// Replaces the set of VMs to connect to.
+    void setPeers(const std::vector<PeerSettings> &peers);
 
-    virtual ~OrderForwarding() = default;
+    /// @return the VMs to connect to.
+    [[nodiscard]] std::vector<PeerSettings> peers() const;
 
-    /// @return this VM.
-    [[nodiscard]] virtual const VmId &self() const = 0;
+    /// Sends a message.
+    /// @return false if the VM is unknown or not connected; true does not prove that it arrives.
+    bool send(const VmId &to, const PeerMessage &message);
 
-    /// @return a number that differs between two runs of the daemon at the same VM.
-    [[nodiscard]] virtual std::uint64_t incarnation() const = 0;
+    /// Closes all connections and stops listening.
+    void stop();
 
-    /// Sends an order to the VM that issued its ticket.
-    /// @param handler called exactly once: the reply; `TicketIssuerGone` or `PeerUnreachable` if the order certainly did
-    ///     not reach that VM's incarnation; `OrderOutcomeUnknown` if it may have.
-    virtual void forwardOrder(const VmId &issuer, std::uint64_t incarnation, const ForwardedOrder &order, ReplyHandler handler) = 0;
+    [[nodiscard]] const VmId &self() const override;
+    [[nodiscard]] std::uint64_t incarnation() const override;
+    void forwardOrder(const VmId &issuer, std::uint64_t incarnation, const ForwardedOrder &order, ReplyHandler handler) override;
+    void setOrderHandler(OrderHandler handler) override;
 
-    /// Sets who runs orders that other VMs forward to this one.
-    virtual void setOrderHandler(OrderHandler handler) = 0;
+private:
+    class Private;
+    std::shared_ptr<Private> d_;
 };
 
 } // namespace daisystream
--- a/daemon/peermessage.h
+++ b/daemon/peermessage.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "daemon/controltypes.h"
-#include "daemon/peerlink.h"
+#include "daemon/orderforwarding.h"
 #include "daisystream/cell/cellmap.h"
+#include "daisystream/scheduler/scheduler.h"
 
 #include <array>
 #include <cstdint>
--- a/daemon/platformclient.h
+++ b/daemon/platformclient.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 /// @file
@@ -61,6 +62,9 @@
     PlatformClient(boost::asio::io_context &io, std::optional<SocketAddress> address);
     ~PlatformClient();
 
+    /// @return whether an address is set.
+    [[nodiscard]] bool isConfigured() const;
+
     /// @return the row, nothing if it does not exist, or `PlatformUnavailable`.
     [[nodiscard]] Result<std::optional<Row>> getRow(const std::string &table, const std::string &key, boost::asio::yield_context yield);
 
