Route requests by cells between VMs

Cause: ranks and fairness hold over the fleet only if one VM sees the whole queue of a cell. Change: CellDispatcher is entry VM and cell owner: asks with time-outs through AskTracker, a Scheduler for each owned cell, resync on owner change, drains, cancellations that cross a first token, one log line for each decision. Alternatives: delivering messages under the lock was ruled out; one thread at a time empties an outbox, so that messages keep their order.

--- /dev/null
+++ b/daemon/celldispatcher.cpp
@@ -0,0 +1,1103 @@
+#include "daemon/celldispatcher.h"
+
+#include "daisystream/cell/asktracker.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <set>
+#include <unordered_map>
+
+namespace daisystream
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto kProgressInterval = std::chrono::seconds(1);
+// A scheduler that this VM ran on behalf of a silent owner is dropped when nobody has used it for so long.
+constexpr auto kBorrowedCellTime = std::chrono::seconds(30);
+// The data part asks anew right after a cancellation. If it never does, the place in the queue is given up.
+constexpr auto kTakenBackTime = std::chrono::seconds(5);
+// Bounds the pause between two looks at the clock, for timers that the library does not report.
+constexpr auto kLongestSleep = std::chrono::milliseconds(250);
+
+template<class... Handlers>
+struct Overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template<class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+/// A request of this VM's callers.
+struct LocalRequest
+{
+    enum class State : std::uint8_t {
+        Asked,     ///< An owner was asked.
+        Alone,     ///< This VM decides without an owner.
+        Assigned,  ///< It has an endpoint.
+        TakenBack, ///< The owner cancelled the assignment, the data part has not asked anew yet.
+    };
+
+    WorkRequest work;
+    CellId cell;
+    State state = State::Asked;
+    Dispatcher::AskHandler handler;
+    VmId owner; ///< Who is told about progress, once assigned.
+    EndpointId endpoint;
+    std::uint32_t tokens = 0;
+    std::uint32_t tokensTold = 0;
+    bool hasFirstToken = false;
+    TimePoint takenBackAt{};
+    std::optional<Result<Assign>> early; ///< Arrived after the cancellation, before the data part asked anew.
+};
+
+/// What the owner of a cell knows of a request beside its scheduler.
+struct TrackedRequest
+{
+    VmId entry;
+    TeamId team;
+    Rank rank = Rank::Ordinary;
+    EndpointId endpoint; ///< Empty while queued.
+};
+
+/// A cell that this VM decides for.
+struct OwnedCell
+{
+    OwnedCell(SchedulerOptions options, Random random)
+        : scheduler(options, random)
+    {
+    }
+
+    Scheduler scheduler;
+    std::map<RequestId, TrackedRequest> requests;
+    TimePoint lastUsed{};
+};
+
+/// What is to be done once the lock is released, in order.
+struct Outbox
+{
+    std::vector<std::pair<VmId, PeerMessage>> messages;
+    std::vector<std::function<void()>> calls;
+
+    [[nodiscard]] bool empty() const
+    {
+        return messages.empty() && calls.empty();
+    }
+};
+
+EndpointState parseState(const std::string &text)
+{
+    if (text == "draining") {
+        return EndpointState::Draining;
+    }
+    return text == "gone" ? EndpointState::Gone : EndpointState::InService;
+}
+
+} // namespace
+
+class CellDispatcher::Private : public std::enable_shared_from_this<CellDispatcher::Private>
+{
+public:
+    Private(asio::io_context &loop, const Settings &settings, const Clock &source, Metrics &metrics, Sender send, std::uint64_t seed)
+        : io(loop)
+        , self(settings.vm)
+        , endpoints(settings.endpoints)
+        , clock(source)
+        , sender(std::move(send))
+        , assigned(metrics.counter("daisystream_assigned_total", "Requests of this VM's callers that got an endpoint."))
+        , decidedAlone(metrics.counter("daisystream_decided_alone_total", "Requests for which no owner replied."))
+        , resyncs(metrics.counter("daisystream_resync_total", "Answers reported to a new owner of their cell."))
+        , metrics(metrics)
+        , random(seed)
+        , cells(CellMapOptions{})
+        , asks(AskTrackerOptions{})
+        , vms{settings.vm}
+        , timer(asio::make_strand(loop))
+    {
+        cells.setVms(vms);
+        applyEndpoints();
+    }
+
+    /// Runs a change under the lock, then sends what it left in the outbox.
+    template<class Change>
+    void apply(Change change)
+    {
+        {
+            const std::lock_guard lock(mutex);
+            change(clock.now());
+        }
+        flush();
+    }
+
+    /// Only one thread delivers at a time, so that messages keep their order.
+    void flush()
+    {
+        for (;;) {
+            Outbox taken;
+            {
+                const std::lock_guard lock(mutex);
+                if (delivering || outbox.empty()) {
+                    return;
+                }
+                delivering = true;
+                std::swap(taken, outbox);
+            }
+            for (const auto &[to, message] : taken.messages) {
+                sender(to, message);
+            }
+            for (auto &call : taken.calls) {
+                asio::post(io, std::move(call));
+            }
+            const std::lock_guard lock(mutex);
+            delivering = false;
+        }
+    }
+
+    // Everything below runs under the lock.
+
+    void applyEndpoints()
+    {
+        const auto now = clock.now();
+        std::vector<EndpointInfo> infos;
+        for (const auto &endpoint : endpoints) {
+            if (endpoint.kind != EndpointKind::Engine) {
+                continue;
+            }
+            EndpointInfo info;
+            info.id = endpoint.id;
+            info.model = endpoint.model;
+            info.zone = endpoint.zone;
+            info.memoryCapacityTokens = endpoint.memoryTokens;
+            info.state = stateOf(endpoint.id);
+            infos.push_back(std::move(info));
+        }
+        cells.setEndpoints(infos);
+        for (auto &[id, cell] : owned) {
+            cell.scheduler.setEndpoints(cells.endpointsOf(id), now);
+        }
+        decideAll(now);
+    }
+
+    [[nodiscard]] EndpointState stateOf(const EndpointId &endpoint) const
+    {
+        const auto found = states.find(endpoint);
+        const auto state = found == states.end() ? EndpointState::InService : found->second;
+        return state == EndpointState::InService && leaving.contains(endpoint) ? EndpointState::Draining : state;
+    }
+
+    OwnedCell &cellFor(const CellId &id, TimePoint now)
+    {
+        auto found = owned.find(id);
+        if (found == owned.end()) {
+            found = owned.try_emplace(id, SchedulerOptions{}, Random(random.bits())).first;
+            found->second.scheduler.setEndpoints(cells.endpointsOf(id), now);
+        }
+        found->second.lastUsed = now;
+        return found->second;
+    }
+
+    [[nodiscard]] bool isOwner(const CellId &cell) const
+    {
+        const auto &owners = cells.owners(cell);
+        return !owners.empty() && owners.front() == self;
+    }
+
+    void tell(const VmId &to, PeerMessage message)
+    {
+        outbox.messages.emplace_back(to, std::move(message));
+    }
+
+    void submit(const CellId &id, const WorkRequest &work, TimePoint now)
+    {
+        OwnedCell &cell = cellFor(id, now);
+        cell.requests[work.id] = {.entry = work.entry, .team = work.team, .rank = work.rank, .endpoint = {}};
+        cell.scheduler.submit(work, now);
+        decide(id, now);
+    }
+
+    [[nodiscard]] bool isQueued(const CellId &id, const RequestId &request) const
+    {
+        const auto cell = owned.find(id);
+        if (cell == owned.end()) {
+            return false;
+        }
+        const auto found = cell->second.requests.find(request);
+        return found != cell->second.requests.end() && found->second.endpoint.empty();
+    }
+
+    void decideAll(TimePoint now)
+    {
+        std::vector<CellId> ids;
+        for (const auto &entry : owned) {
+            ids.push_back(entry.first);
+        }
+        for (const auto &id : ids) {
+            decide(id, now);
+        }
+    }
+
+    void decide(const CellId &id, TimePoint now)
+    {
+        const auto found = owned.find(id);
+        if (found == owned.end()) {
+            return;
+        }
+        for (const Action &action : found->second.scheduler.decide(now)) {
+            std::visit([&](const auto &chosen) { carryOut(id, found->second, chosen, now); }, action);
+        }
+    }
+
+    void carryOut(const CellId &id, OwnedCell &cell, const Assign &assign, TimePoint now)
+    {
+        const auto found = cell.requests.find(assign.request);
+        if (found == cell.requests.end()) {
+            return;
+        }
+        found->second.endpoint = assign.endpoint;
+        const VmId entry = found->second.entry;
+        LOG(INFO) << "decision=assign request=" << assign.request << " team=" << found->second.team << " rank=" << toString(found->second.rank)
+                  << " choice=" << assign.endpoint << " reason=" << (isOwner(id) ? "owner" : "stand_in") << " cell=" << id << " entry=" << entry
+                  << " priority=" << static_cast<int>(assign.priority) << " queued_urgent=" << assign.figures.queuedUrgent
+                  << " queued_ordinary=" << assign.figures.queuedOrdinary << " running=" << assign.figures.running
+                  << " forecast_memory=" << assign.figures.forecastMemory << " step_ms=" << assign.figures.stepMilliseconds
+                  << " waited_us=" << assign.figures.waited.count() << " first_token_us=" << assign.figures.firstTokenIn.count()
+                  << " expected_tokens=" << assign.figures.expectedTokens << " prefix=" << assign.figures.prefixCached;
+        if (entry == self) {
+            onAssign(id, self, assign, now);
+        } else {
+            tell(entry, AssignMessage{.cell = id, .assign = assign});
+        }
+    }
+
+    void carryOut(const CellId &id, OwnedCell &cell, const Refuse &refuse, TimePoint now)
+    {
+        const auto found = cell.requests.find(refuse.request);
+        if (found == cell.requests.end()) {
+            return;
+        }
+        const TrackedRequest request = found->second;
+        cell.requests.erase(found);
+        LOG(INFO) << "decision=refuse request=" << refuse.request << " team=" << request.team << " rank=" << toString(request.rank)
+                  << " choice=none reason=" << toString(refuse.error.code) << " cell=" << id << " entry=" << request.entry
+                  << " retry_ms=" << (refuse.error.retryAfter ? refuse.error.retryAfter->count() : -1);
+        if (request.entry == self) {
+            onRefuse(id, self, refuse, now);
+        } else {
+            tell(request.entry, RefuseMessage{.cell = id, .refuse = refuse});
+        }
+    }
+
+    void carryOut(const CellId &id, OwnedCell &cell, const Cancel &cancel, TimePoint /*now*/)
+    {
+        const auto found = cell.requests.find(cancel.request);
+        if (found == cell.requests.end()) {
+            return;
+        }
+        found->second.endpoint = {};
+        LOG(INFO) << "decision=cancel request=" << cancel.request << " team=" << found->second.team << " rank=" << toString(found->second.rank)
+                  << " choice=" << cancel.endpoint << " reason=before_first_token cell=" << id << " entry=" << found->second.entry;
+        if (found->second.entry == self) {
+            onCancel(cancel);
+        } else {
+            tell(found->second.entry, CancelMessage{.cell = id, .cancel = cancel});
+        }
+    }
+
+    void carryOut(const CellId &id, OwnedCell & /*cell*/, const Probe &probe, TimePoint /*now*/)
+    {
+        // Every engine of the cell is polled all the time, so that the next report is the probe's answer.
+        LOG(INFO) << "decision=probe choice=" << probe.endpoint << " reason=slow_or_frozen cell=" << id;
+    }
+
+    // The entry VM's side.
+
+    void carryOut(const std::vector<AskAction> &actions, TimePoint now)
+    {
+        for (const AskAction &action : actions) {
+            std::visit(
+                Overloaded{
+                    [&](const SendAsk &ask) { sendAsk(ask, now); },
+                    [&](const SendWithdraw &ask) { toOwner(ask.owner, WithdrawMessage{.cell = ask.cell, .request = ask.request}, now); },
+                    [&](const SendUnused &unused) {
+                        toOwner(unused.owner, DoneMessage{.cell = unused.cell, .request = unused.request, .tokens = 0, .reason = FinishReason::MovedAway}, now);
+                    },
+                    [&](const DecideAlone &alone) { decideAlone(alone, now); },
+                    [&](const Settle &settled) { settle(settled, now); },
+                },
+                action);
+        }
+    }
+
+    void sendAsk(const SendAsk &ask, TimePoint now)
+    {
+        if (ask.owner != self) {
+            tell(ask.owner, AskMessage{.cell = ask.cell, .work = ask.request});
+            return;
+        }
+        submit(ask.cell, ask.request, now);
+        if (isQueued(ask.cell, ask.request.id)) {
+            asks.onQueued(self, ask.request.id, now);
+        }
+    }
+
+    /// Sends a message to the owner, which can be this VM.
+    void toOwner(const VmId &owner, const PeerMessage &message, TimePoint now)
+    {
+        if (owner.empty()) {
+            return;
+        }
+        if (owner != self) {
+            tell(owner, message);
+            return;
+        }
+        std::visit([&](const auto &content) { handleAsOwner(self, content, now); }, message);
+    }
+
+    void decideAlone(const DecideAlone &alone, TimePoint now)
+    {
+        decidedAlone.add(1);
+        const auto found = local.find(alone.request.id);
+        if (found == local.end()) {
+            return;
+        }
+        found->second.state = LocalRequest::State::Alone;
+        LOG(WARNING) << "decision=alone request=" << alone.request.id << " team=" << alone.request.team << " rank=" << toString(alone.request.rank)
+                     << " choice=none reason=no_owner_replied cell=" << alone.cell;
+        submit(alone.cell, alone.request, now);
+    }
+
+    void settle(const Settle &settled, TimePoint now)
+    {
+        const auto found = local.find(settled.request);
+        if (found == local.end()) {
+            if (std::holds_alternative<Assign>(settled.answer)) {
+                toOwner(settled.owner, DoneMessage{.cell = {}, .request = settled.request, .tokens = 0, .reason = FinishReason::MovedAway}, now);
+            }
+            return;
+        }
+        answer(found, settled.owner, settled.answer);
+    }
+
+    void answer(std::map<RequestId, LocalRequest>::iterator found, const VmId &owner, const Result<Assign> &result)
+    {
+        LocalRequest &request = found->second;
+        AskHandler handler = std::move(request.handler);
+        request.handler = nullptr;
+        if (const auto *assign = std::get_if<Assign>(&result)) {
+            request.state = LocalRequest::State::Assigned;
+            request.owner = owner;
+            request.endpoint = assign->endpoint;
+            assigned.add(1);
+        } else {
+            countRefusal(std::get<Error>(result));
+            local.erase(found);
+        }
+        if (handler) {
+            outbox.calls.emplace_back([handler = std::move(handler), result] { handler(result); });
+        }
+    }
+
+    void countRefusal(const Error &error)
+    {
+        metrics.counter("daisystream_refused_total", "Requests of this VM's callers that got no endpoint.", {{"code", toString(error.code)}}).add(1);
+    }
+
+    void onAssign(const CellId &cell, const VmId &from, const Assign &assign, TimePoint now)
+    {
+        const auto found = local.find(assign.request);
+        if (found != local.end() && found->second.state == LocalRequest::State::TakenBack && found->second.owner == from) {
+            found->second.early = assign;
+            return;
+        }
+        if (found != local.end() && found->second.state == LocalRequest::State::Alone && from == self) {
+            answer(found, self, assign);
+            return;
+        }
+        auto actions = asks.onAssign(from, assign, now);
+        for (auto &action : actions) {
+            if (auto *unused = std::get_if<SendUnused>(&action)) {
+                unused->cell = cell; // The tracker may have forgotten it.
+            }
+        }
+        carryOut(actions, now);
+    }
+
+    void onRefuse(const CellId & /*cell*/, const VmId &from, const Refuse &refuse, TimePoint now)
+    {
+        const auto found = local.find(refuse.request);
+        if (found != local.end() && found->second.state == LocalRequest::State::TakenBack && found->second.owner == from) {
+            found->second.early = refuse.error;
+            return;
+        }
+        if (found != local.end() && found->second.state == LocalRequest::State::Alone && from == self) {
+            answer(found, self, refuse.error);
+            return;
+        }
+        carryOut(asks.onRefuse(from, refuse, now), now);
+    }
+
+    void onCancel(const Cancel &cancel)
+    {
+        const auto found = local.find(cancel.request);
+        const bool concernsAttempt = found != local.end() && found->second.state == LocalRequest::State::Assigned && found->second.endpoint == cancel.endpoint;
+        if (!concernsAttempt || found->second.hasFirstToken) {
+            return; // The first token crossed the cancellation; the owner learns of it from FirstToken.
+        }
+        found->second.state = LocalRequest::State::TakenBack;
+        found->second.takenBackAt = clock.now();
+        if (cancelHandler) {
+            outbox.calls.emplace_back([handler = cancelHandler, cancel] { handler(cancel); });
+        }
+    }
+
+    void askAnew(std::map<RequestId, LocalRequest>::iterator found, AskHandler handler, TimePoint now)
+    {
+        LocalRequest &request = found->second;
+        request.handler = std::move(handler);
+        if (request.early) {
+            const auto early = *request.early;
+            request.early.reset();
+            answer(found, request.owner, early);
+            return;
+        }
+        request.state = LocalRequest::State::Asked;
+        asks.onCancelled(request.work, request.cell, request.owner, cells.owners(request.cell), now);
+    }
+
+    CellId chooseCell(const ModelId &model)
+    {
+        const auto candidates = cells.cellsOf(model);
+        if (candidates.empty()) {
+            return {};
+        }
+        const CellId &first = candidates[random.below(candidates.size())];
+        const CellId &second = candidates[random.below(candidates.size())];
+        return loadOf(second) < loadOf(first) ? second : first;
+    }
+
+    [[nodiscard]] std::uint64_t loadOf(const CellId &cell) const
+    {
+        const auto found = cellLoads.find(cell);
+        return found == cellLoads.end() ? 0 : std::uint64_t{found->second.queuedUrgent} + found->second.queuedOrdinary + found->second.running;
+    }
+
+    void finish(const RequestId &request, std::uint32_t tokens, FinishReason reason, TimePoint now)
+    {
+        const auto found = local.find(request);
+        if (found == local.end()) {
+            return;
+        }
+        const LocalRequest ended = std::move(found->second);
+        local.erase(found);
+        switch (ended.state) {
+        case LocalRequest::State::Asked:
+            carryOut(asks.withdraw(request, now), now);
+            break;
+        case LocalRequest::State::Alone:
+            toOwner(self, WithdrawMessage{.cell = ended.cell, .request = request}, now);
+            break;
+        case LocalRequest::State::Assigned:
+            toOwner(ended.owner, DoneMessage{.cell = ended.cell, .request = request, .tokens = tokens, .reason = reason}, now);
+            break;
+        case LocalRequest::State::TakenBack:
+            toOwner(ended.owner, WithdrawMessage{.cell = ended.cell, .request = request}, now);
+            break;
+        }
+    }
+
+    void sendProgress(TimePoint now)
+    {
+        if (now - lastProgress < kProgressInterval) {
+            return;
+        }
+        lastProgress = now;
+        std::map<std::pair<VmId, CellId>, ProgressMessage> groups;
+        for (auto &[id, request] : local) {
+            if (request.state == LocalRequest::State::Assigned && request.tokens != request.tokensTold) {
+                request.tokensTold = request.tokens;
+                groups[{request.owner, request.cell}].requests.push_back({.request = id, .tokens = request.tokens});
+            }
+        }
+        for (auto &[key, message] : groups) {
+            message.cell = key.second;
+            toOwner(key.first, message, now);
+        }
+    }
+
+    /// Tells new owners which answers of their cells run at this VM, and the former ones that they can forget them.
+    void resync(TimePoint now)
+    {
+        std::map<std::pair<VmId, CellId>, ResyncMessage> groups;
+        for (auto &[id, request] : local) {
+            const auto &owners = cells.owners(request.cell);
+            if (request.state != LocalRequest::State::Assigned || owners.empty() || owners.front() == request.owner) {
+                continue;
+            }
+            toOwner(request.owner, DoneMessage{.cell = request.cell, .request = id, .tokens = request.tokens, .reason = FinishReason::MovedAway}, now);
+            request.owner = owners.front();
+            request.tokensTold = request.tokens;
+            resyncs.add(1);
+            groups[{request.owner, request.cell}].running.push_back(
+                {.work = request.work, .endpoint = request.endpoint, .tokens = request.tokens, .hasFirstToken = request.hasFirstToken});
+        }
+        for (auto &[key, message] : groups) {
+            message.cell = key.second;
+            toOwner(key.first, message, now);
+        }
+    }
+
+    // The owner's side.
+
+    template<class Other>
+    void handleAsOwner(const VmId & /*from*/, const Other & /*message*/, TimePoint /*now*/)
+    {
+    }
+
+    void handleAsOwner(const VmId &from, const AskMessage &ask, TimePoint now)
+    {
+        WorkRequest work = ask.work;
+        work.entry = from;
+        if (cells.endpointsOf(ask.cell).empty()) {
+            const Error error{ResultCode::NoEndpoint, "this VM knows no endpoint of cell " + ask.cell.value(), std::chrono::milliseconds(1000)};
+            tell(from, RefuseMessage{.cell = ask.cell, .refuse = {.request = work.id, .error = error}});
+            return;
+        }
+        submit(ask.cell, work, now);
+        if (isQueued(ask.cell, work.id)) {
+            tell(from, QueuedMessage{.cell = ask.cell, .request = work.id});
+        }
+    }
+
+    /// @return the request if it came from this VM, so that no VM can end another's request.
+    std::optional<std::map<RequestId, TrackedRequest>::iterator> trackedFrom(const VmId &from, const CellId &cell, const RequestId &request)
+    {
+        const auto found = owned.find(cell);
+        if (found == owned.end()) {
+            return std::nullopt;
+        }
+        const auto tracked = found->second.requests.find(request);
+        if (tracked == found->second.requests.end() || tracked->second.entry != from) {
+            return std::nullopt;
+        }
+        return tracked;
+    }
+
+    void handleAsOwner(const VmId &from, const WithdrawMessage &message, TimePoint now)
+    {
+        if (const auto tracked = trackedFrom(from, message.cell, message.request)) {
+            OwnedCell &cell = owned.at(message.cell);
+            cell.requests.erase(*tracked);
+            cell.scheduler.withdraw(message.request, now);
+            decide(message.cell, now);
+        }
+    }
+
+    void handleAsOwner(const VmId &from, const FirstTokenMessage &message, TimePoint now)
+    {
+        if (trackedFrom(from, message.cell, message.request)) {
+            owned.at(message.cell).scheduler.onFirstToken(message.request, now);
+            decide(message.cell, now);
+        }
+    }
+
+    void handleAsOwner(const VmId &from, const ProgressMessage &message, TimePoint now)
+    {
+        for (const auto &progress : message.requests) {
+            if (trackedFrom(from, message.cell, progress.request)) {
+                owned.at(message.cell).scheduler.onProgress(progress.request, progress.tokens, now);
+            }
+        }
+        decide(message.cell, now);
+    }
+
+    void handleAsOwner(const VmId &from, const DoneMessage &message, TimePoint now)
+    {
+        if (const auto tracked = trackedFrom(from, message.cell, message.request)) {
+            OwnedCell &cell = owned.at(message.cell);
+            cell.requests.erase(*tracked);
+            cell.scheduler.onFinished(message.request, message.tokens, message.reason, now);
+            decide(message.cell, now);
+        }
+    }
+
+    void handleAsOwner(const VmId &from, const ResyncMessage &message, TimePoint now)
+    {
+        if (cells.endpointsOf(message.cell).empty()) {
+            return;
+        }
+        OwnedCell &cell = cellFor(message.cell, now);
+        for (const auto &running : message.running) {
+            WorkRequest work = running.work;
+            work.entry = from;
+            cell.requests[work.id] = {.entry = from, .team = work.team, .rank = work.rank, .endpoint = running.endpoint};
+            cell.scheduler.onRunning(work, running.endpoint, running.tokens, now);
+            if (running.hasFirstToken) {
+                cell.scheduler.onFirstToken(work.id, now);
+            }
+        }
+        decide(message.cell, now);
+    }
+
+    // Messages from an owner to this VM.
+
+    template<class Other>
+    void handleAsEntry(const VmId & /*from*/, const Other & /*message*/, TimePoint /*now*/)
+    {
+    }
+
+    void handleAsEntry(const VmId &from, const QueuedMessage &message, TimePoint now)
+    {
+        asks.onQueued(from, message.request, now);
+    }
+
+    void handleAsEntry(const VmId &from, const AssignMessage &message, TimePoint now)
+    {
+        onAssign(message.cell, from, message.assign, now);
+    }
+
+    void handleAsEntry(const VmId &from, const RefuseMessage &message, TimePoint now)
+    {
+        onRefuse(message.cell, from, message.refuse, now);
+    }
+
+    void handleAsEntry(const VmId &from, const CancelMessage &message, TimePoint /*now*/)
+    {
+        const auto found = local.find(message.cancel.request);
+        if (found != local.end() && found->second.owner == from) {
+            onCancel(message.cancel);
+        }
+    }
+
+    void forgetDeadEntries(const std::vector<VmId> &dead, TimePoint now)
+    {
+        const std::set<VmId> gone(dead.begin(), dead.end());
+        for (auto &[id, cell] : owned) {
+            for (auto request = cell.requests.begin(); request != cell.requests.end();) {
+                if (!gone.contains(request->second.entry)) {
+                    ++request;
+                    continue;
+                }
+                // The engine ends the answers of a dead VM by itself, because their connections are closed.
+                if (request->second.endpoint.empty()) {
+                    cell.scheduler.withdraw(request->first, now);
+                } else {
+                    cell.scheduler.onFinished(request->first, 0, FinishReason::Failed, now);
+                }
+                request = cell.requests.erase(request);
+            }
+        }
+    }
+
+    void dropIdleCells(TimePoint now)
+    {
+        for (auto cell = owned.begin(); cell != owned.end();) {
+            const bool unused = !isOwner(cell->first) && cell->second.requests.empty() && now - cell->second.lastUsed > kBorrowedCellTime;
+            cell = unused ? owned.erase(cell) : std::next(cell);
+        }
+    }
+
+    void takeOwnership(TimePoint now)
+    {
+        for (const auto &cell : cells.ownedBy(self)) {
+            cellFor(cell, now);
+        }
+    }
+
+    void giveUpTakenBack(TimePoint now)
+    {
+        std::vector<RequestId> abandoned;
+        for (const auto &[id, request] : local) {
+            if (request.state == LocalRequest::State::TakenBack && now - request.takenBackAt > kTakenBackTime) {
+                abandoned.push_back(id);
+            }
+        }
+        for (const auto &id : abandoned) {
+            finish(id, 0, FinishReason::Cancelled, now);
+        }
+    }
+
+    void advance(TimePoint now)
+    {
+        carryOut(asks.expire(now), now);
+        giveUpTakenBack(now);
+        sendProgress(now);
+        decideAll(now);
+        dropIdleCells(now);
+    }
+
+    [[nodiscard]] TimePoint nextWake(TimePoint now) const
+    {
+        TimePoint wake = now + kLongestSleep;
+        if (const auto next = asks.nextWake()) {
+            wake = std::min(wake, *next);
+        }
+        for (const auto &[id, cell] : owned) {
+            if (const auto next = cell.scheduler.nextWake()) {
+                wake = std::min(wake, *next);
+            }
+        }
+        return wake;
+    }
+
+    /// Runs the timer until the dispatcher is destroyed.
+    void sleep()
+    {
+        const auto now = clock.now();
+        TimePoint wake;
+        {
+            const std::lock_guard lock(mutex);
+            wake = nextWake(now);
+        }
+        // A wake time in the past must not keep a thread busy.
+        timer.expires_after(std::max<Duration>(wake - now, std::chrono::milliseconds(1)));
+        timer.async_wait([weak = weak_from_this()](const boost::system::error_code &cancelled) {
+            const auto alive = weak.lock();
+            if (cancelled || !alive) {
+                return;
+            }
+            alive->apply([&](TimePoint at) { alive->advance(at); });
+            alive->sleep();
+        });
+    }
+
+    asio::io_context &io;
+    const VmId self;
+    const std::vector<EndpointSettings> endpoints;
+    const Clock &clock;
+    const Sender sender;
+    Counter &assigned;
+    Counter &decidedAlone;
+    Counter &resyncs;
+    Metrics &metrics;
+
+    mutable std::mutex mutex; // Lock order 4.
+    Random random;
+    CellMap cells;
+    AskTracker asks;
+    std::vector<VmId> vms;
+    std::map<EndpointId, EndpointState> states;
+    std::set<EndpointId> leaving;
+    std::map<CellId, OwnedCell> owned;
+    std::map<CellId, CellDigest> cellLoads;
+    std::map<RequestId, LocalRequest> local;
+    TimePoint lastProgress{};
+    CancelHandler cancelHandler;
+    Outbox outbox;
+    bool delivering = false;
+    asio::steady_timer timer;
+};
+
+CellDispatcher::CellDispatcher(asio::io_context &io, const Settings &settings, const Clock &clock, Metrics &metrics, Sender sender, std::uint64_t seed)
+    : d_(std::make_shared<Private>(io, settings, clock, metrics, std::move(sender), seed))
+{
+    d_->apply([this](TimePoint now) { d_->takeOwnership(now); });
+    d_->sleep();
+}
+
+CellDispatcher::~CellDispatcher()
+{
+    asio::post(d_->timer.get_executor(), [d = d_] { d->timer.cancel(); });
+}
+
+void CellDispatcher::ask(const WorkRequest &work, AskHandler handler)
+{
+    d_->apply([&](TimePoint now) {
+        const auto found = d_->local.find(work.id);
+        if (found != d_->local.end() && found->second.state == LocalRequest::State::TakenBack) {
+            d_->askAnew(found, std::move(handler), now);
+            return;
+        }
+        const CellId cell = d_->chooseCell(work.model);
+        if (cell.empty() || found != d_->local.end()) {
+            const Error error = cell.empty() ? Error{ResultCode::NoEndpoint, "no engine runs model " + work.model.value(), std::chrono::milliseconds(1000)}
+                                             : Error{ResultCode::MalformedRequest, "the request id is in use", {}};
+            d_->countRefusal(error);
+            d_->outbox.calls.emplace_back([handler = std::move(handler), error] { handler(error); });
+            return;
+        }
+        LocalRequest request;
+        request.work = work;
+        request.work.entry = d_->self;
+        request.cell = cell;
+        request.handler = std::move(handler);
+        const WorkRequest asked = request.work;
+        d_->local.emplace(work.id, std::move(request));
+        d_->carryOut(d_->asks.ask(asked, cell, d_->cells.owners(cell), now), now);
+    });
+}
+
+void CellDispatcher::setCancelHandler(CancelHandler handler)
+{
+    const std::lock_guard lock(d_->mutex);
+    d_->cancelHandler = std::move(handler);
+}
+
+void CellDispatcher::withdraw(const RequestId &request)
+{
+    d_->apply([&](TimePoint now) { d_->finish(request, 0, FinishReason::Cancelled, now); });
+}
+
+void CellDispatcher::onResumed(const WorkRequest &work, const EndpointId &endpoint, std::uint32_t tokens)
+{
+    d_->apply([&](TimePoint now) {
+        const CellId cell = d_->cells.cellOf(endpoint);
+        if (cell.empty()) {
+            return;
+        }
+        LocalRequest request;
+        request.work = work;
+        request.work.entry = d_->self;
+        request.cell = cell;
+        request.state = LocalRequest::State::Assigned;
+        request.endpoint = endpoint;
+        request.tokens = tokens;
+        request.hasFirstToken = true;
+        // The owner is empty until resync names it.
+        if (d_->local.emplace(work.id, std::move(request)).second) {
+            d_->resync(now);
+        }
+    });
+}
+
+void CellDispatcher::onFirstToken(const RequestId &request)
+{
+    d_->apply([&](TimePoint now) {
+        const auto found = d_->local.find(request);
+        if (found == d_->local.end()) {
+            return;
+        }
+        LocalRequest &running = found->second;
+        if (running.state == LocalRequest::State::TakenBack) {
+            // The token crossed the cancellation: the answer goes on, and a new assignment is not used.
+            running.early.reset();
+            running.state = LocalRequest::State::Assigned;
+        }
+        if (running.state == LocalRequest::State::Assigned && !running.hasFirstToken) {
+            running.hasFirstToken = true;
+            d_->toOwner(running.owner, FirstTokenMessage{.cell = running.cell, .request = request}, now);
+        }
+    });
+}
+
+void CellDispatcher::onProgress(const RequestId &request, std::uint32_t tokens)
+{
+    const std::lock_guard lock(d_->mutex);
+    const auto found = d_->local.find(request);
+    if (found != d_->local.end()) {
+        found->second.tokens = std::max(found->second.tokens, tokens);
+    }
+}
+
+void CellDispatcher::onFinished(const RequestId &request, std::uint32_t tokens, FinishReason reason)
+{
+    d_->apply([&](TimePoint now) {
+        const auto found = d_->local.find(request);
+        const bool asksAnew = found != d_->local.end() && found->second.state == LocalRequest::State::TakenBack && reason == FinishReason::MovedAway;
+        if (!asksAnew) {
+            d_->finish(request, tokens, reason, now);
+        }
+    });
+}
+
+std::vector<EndpointSettings> CellDispatcher::serviceEndpoints(const ServiceId &service) const
+{
+    const std::lock_guard lock(d_->mutex);
+    std::vector<EndpointSettings> found;
+    for (const auto &endpoint : d_->endpoints) {
+        const bool matches = endpoint.kind == EndpointKind::Service && endpoint.service == service;
+        if (matches && d_->stateOf(endpoint.id) == EndpointState::InService) {
+            found.push_back(endpoint);
+        }
+    }
+    return found;
+}
+
+std::optional<EndpointSettings> CellDispatcher::findEndpoint(const EndpointId &endpoint) const
+{
+    const std::lock_guard lock(d_->mutex);
+    for (const auto &candidate : d_->endpoints) {
+        if (candidate.id == endpoint && d_->stateOf(endpoint) != EndpointState::Gone) {
+            return candidate;
+        }
+    }
+    return std::nullopt;
+}
+
+void CellDispatcher::setVms(const std::vector<VmId> &live, const std::vector<VmId> &dead)
+{
+    d_->apply([&](TimePoint now) {
+        std::vector<VmId> lost;
+        for (const auto &vm : d_->vms) {
+            if (std::find(live.begin(), live.end(), vm) == live.end()) {
+                lost.push_back(vm);
+            }
+        }
+        d_->vms = live;
+        d_->cells.setVms(live);
+        d_->takeOwnership(now);
+        for (const auto &vm : lost) {
+            d_->carryOut(d_->asks.onVmLost(vm, now), now);
+        }
+        d_->forgetDeadEntries(dead, now);
+        d_->resync(now);
+        d_->decideAll(now);
+    });
+}
+
+void CellDispatcher::setEndpointStates(const std::string &text)
+{
+    const auto document = nlohmann::json::parse(text, nullptr, false, true);
+    if (!document.is_object() || !document.contains("endpoints") || !document["endpoints"].is_object()) {
+        LOG(ERROR) << "event=document_refused document=endpoints/state reason=malformed";
+        return;
+    }
+    std::map<EndpointId, EndpointState> states;
+    for (const auto &[id, state] : document["endpoints"].items()) {
+        states[EndpointId(id)] = parseState(state.is_string() ? state.get<std::string>() : "");
+    }
+    d_->apply([&](TimePoint /*now*/) {
+        d_->states = states;
+        d_->applyEndpoints();
+    });
+}
+
+void CellDispatcher::setLeavingEndpoints(const std::vector<EndpointId> &endpoints)
+{
+    d_->apply([&](TimePoint /*now*/) {
+        std::set<EndpointId> leaving(endpoints.begin(), endpoints.end());
+        if (leaving != d_->leaving) {
+            d_->leaving = std::move(leaving);
+            d_->applyEndpoints();
+        }
+    });
+}
+
+void CellDispatcher::onMessage(const VmId &from, const PeerMessage &message)
+{
+    d_->apply([&](TimePoint now) {
+        std::visit(
+            [&](const auto &content) {
+                d_->handleAsOwner(from, content, now);
+                d_->handleAsEntry(from, content, now);
+            },
+            message);
+    });
+}
+
+void CellDispatcher::onLoadReport(const LoadReport &report)
+{
+    d_->apply([&](TimePoint now) {
+        const CellId id = d_->cells.cellOf(report.endpoint);
+        const auto found = d_->owned.find(id);
+        if (found != d_->owned.end()) {
+            found->second.scheduler.onLoadReport(report, now);
+            d_->decide(id, now);
+        }
+    });
+}
+
+void CellDispatcher::onCacheEvent(const CacheEvent &event)
+{
+    d_->apply([&](TimePoint now) {
+        const auto found = d_->owned.find(d_->cells.cellOf(event.endpoint));
+        if (found != d_->owned.end()) {
+            found->second.scheduler.onCacheEvent(event, now);
+        }
+    });
+}
+
+std::vector<EndpointSettings> CellDispatcher::enginesToPoll() const
+{
+    const std::lock_guard lock(d_->mutex);
+    std::vector<EndpointSettings> engines;
+    for (const auto &endpoint : d_->endpoints) {
+        if (endpoint.kind == EndpointKind::Engine && d_->owned.contains(d_->cells.cellOf(endpoint.id))) {
+            engines.push_back(endpoint);
+        }
+    }
+    return engines;
+}
+
+std::vector<CellDigest> CellDispatcher::digests() const
+{
+    const std::lock_guard lock(d_->mutex);
+    std::vector<CellDigest> digests;
+    for (const auto &[id, cell] : d_->owned) {
+        if (!d_->isOwner(id)) {
+            continue;
+        }
+        CellDigest digest{.cell = id};
+        for (const auto &[request, tracked] : cell.requests) {
+            auto &count = !tracked.endpoint.empty() ? digest.running : tracked.rank == Rank::Urgent ? digest.queuedUrgent : digest.queuedOrdinary;
+            ++count;
+        }
+        digests.push_back(digest);
+    }
+    return digests;
+}
+
+void CellDispatcher::onDigest(const VmId &owner, const CellDigest &digest)
+{
+    const std::lock_guard lock(d_->mutex);
+    const auto &owners = d_->cells.owners(digest.cell);
+    if (!owners.empty() && owners.front() == owner) {
+        d_->cellLoads[digest.cell] = digest;
+    }
+}
+
+void CellDispatcher::advance()
+{
+    d_->apply([this](TimePoint now) { d_->advance(now); });
+}
+
+std::size_t CellDispatcher::running() const
+{
+    const std::lock_guard lock(d_->mutex);
+    return d_->local.size();
+}
+
+nlohmann::json CellDispatcher::status() const
+{
+    const std::lock_guard lock(d_->mutex);
+    nlohmann::json status{{"cells", nlohmann::json::array()}, {"endpoints", nlohmann::json::array()}, {"load", nlohmann::json::array()}};
+    std::set<CellId> ids;
+    for (const auto &endpoint : d_->endpoints) {
+        const CellId cell = d_->cells.cellOf(endpoint.id);
+        const bool isEngine = endpoint.kind == EndpointKind::Engine;
+        status["endpoints"].push_back({{"id", endpoint.id.value()},
+                                       {"kind", isEngine ? "engine" : "service"},
+                                       {"runs", isEngine ? endpoint.model.value() : endpoint.service.value()},
+                                       {"state", toString(d_->stateOf(endpoint.id))},
+                                       {"cell", cell.value()}});
+        if (!cell.empty()) {
+            ids.insert(cell);
+        }
+    }
+    for (const auto &id : ids) {
+        const auto &owners = d_->cells.owners(id);
+        status["cells"].push_back({{"cell", id.value()}, {"owner", owners.empty() ? "" : owners.front().value()}});
+    }
+    std::map<std::pair<std::string, std::string>, std::pair<unsigned, unsigned>> load;
+    for (const auto &[id, cell] : d_->owned) {
+        for (const auto &[request, tracked] : cell.requests) {
+            auto &[queued, running] = load[{toString(tracked.rank), tracked.team.value()}];
+            ++(tracked.endpoint.empty() ? queued : running);
+        }
+    }
+    for (const auto &[key, counts] : load) {
+        status["load"].push_back({{"rank", key.first}, {"team", key.second}, {"queued", counts.first}, {"running", counts.second}});
+    }
+    return status;
+}
+
+} // namespace daisystream
--- a/daemon/dispatcher.h
+++ b/daemon/dispatcher.h
@@ -37,13 +37,20 @@
     /// @param handler called exactly once, with the choice or the refusal (then the request was not run).
     virtual void ask(const WorkRequest &work, AskHandler handler) = 0;
 
-    /// Sets who moves a request away from its endpoint before its first token. The handler must stop the attempt at the
-    /// endpoint and, if no token has arrived meanwhile, report `onFinished` and ask anew.
+    /// Sets who moves a request away from its endpoint before its first token. If a token has arrived meanwhile, the
+    /// handler does nothing. Otherwise it stops the attempt at the endpoint and calls `ask` again with the same request,
+    /// which still has its place in the owner's queue; or `onFinished` if the caller has left.
     virtual void setCancelHandler(CancelHandler handler) = 0;
 
     /// Gives up a request that was asked for. Its handler is not called any more unless it runs already.
     virtual void withdraw(const RequestId &request) = 0;
 
+    /// Reports an answer that another VM began and this one resumed. Afterwards it counts as assigned.
+    /// @param tokens generated so far.
+    virtual void onResumed(const WorkRequest & /*work*/, const EndpointId & /*endpoint*/, std::uint32_t /*tokens*/)
+    {
+    }
+
     /// Reports the first token of an assigned request.
     virtual void onFirstToken(const RequestId &request) = 0;
 
