Serve callers, relay answers and route orders in the data part

Cause: the first version relayed bytes of one connection without keys, bounds, resume or order safety. Change: a connection with bounds on every wait, routing of paths, authentication, an answer relay that checks each event and seals a resume id for it, a client of engines, and an order router over tickets and records. The program does not start the front end until the control part provides a dispatcher.

--- /dev/null
+++ b/daemon/completionrequest.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "daemon/callerauth.h"
+
+#include <cstdint>
+#include <string>
+
+/// @file
+/// The body of a completion request, checked, and what is sent to the engine for it.
+///
+/// Example:
+/// @code
+///   const auto parsed = parseCompletion(request.body(), chat, grant);
+/// @endcode
+
+namespace daisystream
+{
+
+/// A checked completion request.
+struct CompletionRequest
+{
+    ModelId model;
+    bool chat = false;
+    bool stream = false;
+    std::uint32_t promptTokens = 0;    ///< Estimated.
+    std::uint32_t maxOutputTokens = 0; ///< The smaller of the caller's and the plan's limit; 0: no limit.
+    std::uint64_t prefixHash = 0;      ///< Of the first block of the prompt; 0 if the prompt is shorter than a block.
+    std::string engineBody;            ///< JSON for the engine.
+};
+
+/// Checks a body.
+/// @return the request; `MalformedRequest` with the field at fault; `ModelNotAllowed`.
+[[nodiscard]] Result<CompletionRequest> parseCompletion(const std::string &body, bool chat, const CallerGrant &grant);
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/endpointclient.cpp
@@ -0,0 +1,262 @@
+#include "daemon/endpointclient.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace daisystream
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr std::uint64_t kRefusalLimitBytes = 64 * 1024;
+
+asio::ip::tcp::endpoint toTcp(const SocketAddress &address)
+{
+    error_code error;
+    return {asio::ip::make_address(address.ip, error), address.port};
+}
+
+Error malformed(const std::string &detail)
+{
+    return {ResultCode::EndpointProtocol, "malformed event: " + detail, {}};
+}
+
+template<class Message>
+void setCommonFields(Message &request, const EndpointSettings &endpoint)
+{
+    request.set(http::field::host, toString(endpoint.address));
+    if (!endpoint.authorizationHeader.empty()) {
+        request.set(http::field::authorization, endpoint.authorizationHeader);
+    }
+}
+
+// A status that an engine sends only before it has queued the request.
+bool provesNotRun(http::status status)
+{
+    return http::to_status_class(status) == http::status_class::client_error || status == http::status::service_unavailable;
+}
+
+std::optional<std::chrono::milliseconds> retryAfterOf(std::string_view header)
+{
+    unsigned seconds = 0;
+    if (header.empty() || std::from_chars(header.data(), header.data() + header.size(), seconds).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+// Splits "GENERATION/SEQUENCE".
+bool parseEventId(std::string_view id, StreamEvent &event)
+{
+    const auto slash = id.rfind('/');
+    if (slash == std::string_view::npos || slash == 0 || slash + 1 == id.size()) {
+        return false;
+    }
+    const char *end = id.data() + id.size();
+    const auto parsed = std::from_chars(id.data() + slash + 1, end, event.sequence);
+    event.generation = GenerationId(std::string(id.substr(0, slash)));
+    return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
+} // namespace
+
+Result<EngineEvent> parseEngineEvent(const SseEvent &event)
+{
+    EngineEvent parsed;
+    if (!parseEventId(event.id, parsed.event)) {
+        return malformed("its id is not GENERATION/SEQUENCE");
+    }
+    const auto data = nlohmann::json::parse(event.data, nullptr, false);
+    const auto choices = data.is_object() ? data.find("choices") : data.end();
+    if (!data.is_object() || choices == data.end() || !choices->is_array() || choices->empty() || !choices->front().is_object()) {
+        return malformed("its data has no choice");
+    }
+    const auto &choice = choices->front();
+    const auto text = choice.find("text");
+    if (text == choice.end() || !text->is_string()) {
+        return malformed("its choice has no text");
+    }
+    parsed.event.text = text->get_ref<const std::string &>();
+    const auto reason = choice.find("finish_reason");
+    if (reason != choice.end() && reason->is_string()) {
+        parsed.finishReason = reason->get<std::string>();
+    }
+    return parsed;
+}
+
+EndpointStream::EndpointStream(const asio::any_io_executor &executor, EndpointSettings endpoint, const FrontendOptions &options)
+    : endpoint_(std::move(endpoint))
+    , options_(options)
+    , stream_(executor)
+{
+    parser_.body_limit(boost::none);
+    parser_.eager(true);
+}
+
+Error EndpointStream::failure(const error_code &error, const char *during) const
+{
+    const auto code = error == beast::error::timeout ? ResultCode::EndpointSilent : ResultCode::EndpointUnreachable;
+    return {code, "endpoint " + endpoint_.id.value() + " " + during + ": " + error.message(), {}};
+}
+
+std::optional<Error> EndpointStream::start(const EngineCall &call, asio::yield_context yield)
+{
+    Request request(http::verb::post, "/v1/completions", 11);
+    setCommonFields(request, endpoint_);
+    request.set(http::field::content_type, "application/json");
+    request.set("X-Request-Id", call.attempt.value());
+    request.set("X-Priority", std::to_string(call.priority));
+    request.set("X-Reader", call.reader);
+    request.body() = call.body;
+    if (auto error = open(std::move(request), yield)) {
+        return error;
+    }
+    const auto echoed = parser_.get().find("X-Request-Id");
+    if (echoed != parser_.get().end() && echoed->value() != call.attempt.value()) {
+        return Error{ResultCode::EndpointProtocol, "endpoint " + endpoint_.id.value() + " answered another request", {}};
+    }
+    return std::nullopt;
+}
+
+std::optional<Error> EndpointStream::resume(const GenerationId &generation, std::uint64_t offset, const std::string &reader, asio::yield_context yield)
+{
+    Request request(http::verb::get, "/v1/generations/" + generation.value() + "?offset=" + std::to_string(offset), 11);
+    setCommonFields(request, endpoint_);
+    if (!reader.empty()) {
+        request.set("X-Reader", reader);
+    }
+    auto error = open(std::move(request), yield);
+    const auto status = parser_.is_header_done() ? parser_.get().result() : http::status::ok;
+    if (error && (status == http::status::not_found || status == http::status::gone)) {
+        error->code = ResultCode::GenerationLost;
+    }
+    return error;
+}
+
+std::optional<Error> EndpointStream::open(Request request, asio::yield_context yield)
+{
+    error_code error;
+    request.prepare_payload();
+    stream_.expires_after(options_.endpointConnectTimeout);
+    stream_.async_connect(toTcp(endpoint_.address), yield[error]);
+    if (error || aborted_) {
+        return Error{ResultCode::EndpointUnreachable, "endpoint " + endpoint_.id.value() + ": " + error.message(), {}};
+    }
+    error_code ignored;
+    stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    stream_.expires_after(options_.endpointSilenceTimeout);
+    const std::size_t sent = http::async_write(stream_, request, yield[error]);
+    bytesSent_ = sent > 0;
+    if (error) {
+        return failure(error, "does not take the request");
+    }
+    stream_.expires_after(options_.endpointSilenceTimeout);
+    http::async_read_header(stream_, buffer_, parser_, yield[error]);
+    if (error) {
+        return failure(error, "does not answer");
+    }
+    if (parser_.get().result() != http::status::ok) {
+        return refusal(yield);
+    }
+    generation_ = GenerationId(std::string(parser_.get()["X-Generation-Id"]));
+    return std::nullopt;
+}
+
+std::optional<Error> EndpointStream::refusal(asio::yield_context yield)
+{
+    provenNotRun_ = provesNotRun(parser_.get().result());
+    error_code error;
+    stream_.expires_after(options_.endpointSilenceTimeout);
+    while (!error && !parser_.is_done() && parser_.get().body().size() < kRefusalLimitBytes) {
+        http::async_read_some(stream_, buffer_, parser_, yield[error]);
+    }
+    const auto retryAfter = retryAfterOf(std::string(parser_.get()[http::field::retry_after]));
+    return Error{
+        ResultCode::EndpointRefused, "endpoint " + endpoint_.id.value() + " answered with status " + std::to_string(parser_.get().result_int()), retryAfter};
+}
+
+Result<std::vector<EngineEvent>> EndpointStream::read(asio::yield_context yield)
+{
+    if (pendingError_) {
+        return *pendingError_;
+    }
+    if (parser_.is_done()) {
+        return Error{ResultCode::EndpointUnreachable, "endpoint " + endpoint_.id.value() + " ended the stream early", {}};
+    }
+    error_code error;
+    stream_.expires_after(options_.endpointSilenceTimeout);
+    http::async_read_some(stream_, buffer_, parser_, yield[error]);
+    auto &body = parser_.get().body();
+    reader_.feed(body);
+    body.clear();
+    if (error) {
+        pendingError_ = failure(error, "stopped sending");
+    }
+    std::vector<EngineEvent> batch;
+    while (const auto event = reader_.next()) {
+        if (event->data == "[DONE]") {
+            continue;
+        }
+        auto parsed = parseEngineEvent(*event);
+        if (const auto *fault = std::get_if<Error>(&parsed)) {
+            pendingError_ = *fault;
+            break;
+        }
+        batch.push_back(std::move(std::get<EngineEvent>(parsed)));
+    }
+    if (reader_.failed()) {
+        pendingError_ = malformed("it is too large");
+    }
+    if (batch.empty() && pendingError_) {
+        return *pendingError_;
+    }
+    return batch;
+}
+
+void EndpointStream::abort()
+{
+    aborted_ = true;
+    stream_.close();
+}
+
+CancelOutcome cancelGeneration(
+    const EndpointSettings &endpoint, const std::string &name, const std::string &onlyReader, const FrontendOptions &options, asio::yield_context yield)
+{
+    error_code error;
+    beast::tcp_stream stream(yield.get_executor());
+    stream.expires_after(options.endpointConnectTimeout);
+    stream.async_connect(toTcp(endpoint.address), yield[error]);
+    if (error) {
+        return CancelOutcome::Unknown;
+    }
+    http::request<http::empty_body> request(http::verb::delete_, "/v1/generations/" + name, 11);
+    setCommonFields(request, endpoint);
+    request.keep_alive(false);
+    if (!onlyReader.empty()) {
+        request.set("X-Reader", onlyReader);
+    }
+    stream.expires_after(options.endpointSilenceTimeout);
+    http::async_write(stream, request, yield[error]);
+    if (error) {
+        return CancelOutcome::Unknown;
+    }
+    beast::flat_buffer buffer;
+    http::response<http::string_body> response;
+    http::async_read(stream, buffer, response, yield[error]);
+    if (error) {
+        return CancelOutcome::Unknown;
+    }
+    return response.result() == http::status::conflict ? CancelOutcome::TakenOver : CancelOutcome::Cancelled;
+}
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/frontendcontext.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "daemon/httpfrontend.h"
+#include "daisystream/answer/sealer.h"
+#include "daisystream/orders/orderledger.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+/// @file
+/// What the parts of the front end share.
+///
+/// Example:
+/// @code
+///   FrontendContext context(io, options, parts);
+///   const RequestId id = context.newRequestId();
+/// @endcode
+
+namespace daisystream
+{
+
+/// Reads the row `keys/seal`: `{"keys": [{"number": 1, "key": "64 hexadecimal digits"}]}`.
+/// @return the keys, none if the text is not such a document.
+[[nodiscard]] std::vector<SealingKey> parseSealingKeys(const std::string &text);
+
+/// Shared state of the front end. Thread-safe. Its locks belong to level 7 (connections) and nothing is called while one
+/// is held.
+class FrontendContext
+{
+public:
+    FrontendContext(boost::asio::io_context &io, const FrontendOptions &options, const FrontendParts &parts);
+    ~FrontendContext();
+
+    FrontendContext(const FrontendContext &) = delete;
+    FrontendContext &operator=(const FrontendContext &) = delete;
+
+    boost::asio::io_context &io;
+    const FrontendOptions options;
+    const FrontendParts parts;
+
+    /// @return an id that no other request of any VM has.
+    [[nodiscard]] RequestId newRequestId();
+
+    /// @return a number in [0, 1).
+    [[nodiscard]] double uniform();
+
+    /// Counts a new request of a team, which the retry budget grows with.
+    void countRequest(const TeamId &team);
+
+    /// @return true if one more attempt for this team stays within the retry budget.
+    [[nodiscard]] bool takeRetry(const TeamId &team);
+
+    /// @return the sealed id; empty while no key is known.
+    [[nodiscard]] std::string sealResume(const ResumePoint &point);
+
+    /// @return as `ResumeSealer::open`.
+    [[nodiscard]] Result<ResumePoint> openResume(std::string_view id, const TeamId &team);
+
+    /// Registers who stops the attempt of a request when the scheduler takes it back.
+    void setCancel(const RequestId &request, std::function<void()> cancel);
+
+    /// Undoes `setCancel`.
+    void clearCancel(const RequestId &request);
+
+    /// Starts a coroutine that counts as running until it ends.
+    void spawn(std::function<void(boost::asio::yield_context)> function);
+
+    /// Requests in progress.
+    std::atomic<std::size_t> running{0};
+
+private:
+    class Sealers;
+
+    void onCancel(const Cancel &cancel);
+
+    std::mutex mutex_;
+    Random random_;
+    std::uint64_t serial_ = 0;
+    std::string idPrefix_;
+    std::unordered_map<RequestId, std::function<void()>> cancels_;
+    std::unique_ptr<Sealers> sealers_;
+};
+
+/// Counts a request as running while it lives.
+class RunningGuard
+{
+public:
+    explicit RunningGuard(FrontendContext &context)
+        : context_(context)
+    {
+        ++context_.running;
+    }
+    ~RunningGuard()
+    {
+        --context_.running;
+    }
+    RunningGuard(const RunningGuard &) = delete;
+    RunningGuard &operator=(const RunningGuard &) = delete;
+
+private:
+    FrontendContext &context_;
+};
+
+/// @return the wall-clock time; only for expiry times that callers carry between VMs.
+[[nodiscard]] std::chrono::sys_seconds wallClock();
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/httpconnection.cpp
@@ -0,0 +1,226 @@
+#include "daemon/httpconnection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <charconv>
+
+namespace daisystream
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace
+{
+
+// A connection over which nothing is acknowledged for this long counts as gone (design 2.8).
+constexpr int kUserTimeoutMilliseconds = 10'000;
+// After a refusal the rest of the request is read and dropped for a while: closing with unread bytes would reset the
+// connection and the caller might never see the refusal.
+constexpr auto kLingerTimeout = std::chrono::seconds(1);
+constexpr std::size_t kLingerBytes = 8 * 1024 * 1024;
+constexpr std::string_view kEventsHeader = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n";
+
+std::variant<beast::tcp_stream, beast::ssl_stream<beast::tcp_stream>> makeStream(HttpConnection::Socket socket, const std::shared_ptr<asio::ssl::context> &tls)
+{
+    if (tls) {
+        return beast::ssl_stream<beast::tcp_stream>(beast::tcp_stream(std::move(socket)), *tls);
+    }
+    return beast::tcp_stream(std::move(socket));
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(Socket socket, std::shared_ptr<asio::ssl::context> tls, const FrontendOptions &options)
+    : options_(options)
+    , tls_(std::move(tls))
+    , stream_(makeStream(std::move(socket), tls_))
+{
+    error_code ignored;
+    tcp().socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    const int timeout = kUserTimeoutMilliseconds;
+    ::setsockopt(tcp().socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+HttpConnection::Plain &HttpConnection::tcp()
+{
+    if (auto *plain = std::get_if<Plain>(&stream_)) {
+        return *plain;
+    }
+    return std::get<Tls>(stream_).next_layer();
+}
+
+template<class Function>
+auto HttpConnection::with(Function &&function)
+{
+    if (auto *plain = std::get_if<Plain>(&stream_)) {
+        return function(*plain);
+    }
+    return function(std::get<Tls>(stream_));
+}
+
+HttpConnection::Socket::executor_type HttpConnection::executor()
+{
+    return tcp().socket().get_executor();
+}
+
+bool HttpConnection::handshake(asio::yield_context yield)
+{
+    auto *tls = std::get_if<Tls>(&stream_);
+    if (tls == nullptr) {
+        return true;
+    }
+    error_code error;
+    tcp().expires_after(options_.headerTimeout);
+    tls->async_handshake(asio::ssl::stream_base::server, yield[error]);
+    broken_ = static_cast<bool>(error);
+    return !broken_;
+}
+
+bool HttpConnection::waitForRequest(asio::yield_context yield)
+{
+    if (buffer_.size() > 0) {
+        return true;
+    }
+    error_code error;
+    tcp().expires_after(options_.idleTimeout);
+    const std::size_t count = with([&](auto &stream) { return stream.async_read_some(buffer_.prepare(options_.headerLimitBytes), yield[error]); });
+    buffer_.commit(count);
+    return !error;
+}
+
+std::optional<HttpRequest> HttpConnection::read(asio::yield_context yield)
+{
+    if (broken_ || !keepAlive_ || !waitForRequest(yield)) {
+        return std::nullopt;
+    }
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(options_.headerLimitBytes));
+    parser.body_limit(options_.bodyLimitBytes);
+    error_code error;
+    tcp().expires_after(options_.headerTimeout);
+    with([&](auto &stream) { return http::async_read_header(stream, buffer_, parser, yield[error]); });
+    if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        writeRaw("HTTP/1.1 100 Continue\r\n\r\n", {}, {}, yield);
+    }
+    if (!error) {
+        tcp().expires_after(options_.bodyTimeout);
+        with([&](auto &stream) { return http::async_read(stream, buffer_, parser, yield[error]); });
+    }
+    if (error) {
+        refuse(error, yield);
+        return std::nullopt;
+    }
+    auto request = parser.release();
+    version_ = request.version();
+    keepAlive_ = request.keep_alive();
+    return request;
+}
+
+void HttpConnection::refuse(const error_code &error, asio::yield_context yield)
+{
+    keepAlive_ = false;
+    if (error == http::error::end_of_stream || error == beast::error::timeout || error.category() == asio::error::get_system_category()) {
+        broken_ = true; // Nobody is there to read a refusal, or the time-out has closed the socket.
+        return;
+    }
+    Error refusal{ResultCode::MalformedRequest, "the request is malformed: " + error.message(), {}};
+    if (error == http::error::header_limit) {
+        refusal = {ResultCode::HeaderTooLarge, "the header is larger than " + std::to_string(options_.headerLimitBytes) + " bytes", {}};
+    } else if (error == http::error::body_limit) {
+        refusal = {ResultCode::RequestTooLarge, "the body is larger than " + std::to_string(options_.bodyLimitBytes) + " bytes", {}};
+    }
+    write(errorReply(refusal, FinalState::NotRun), yield);
+}
+
+bool HttpConnection::write(HttpResponse response, asio::yield_context yield)
+{
+    if (broken_) {
+        return false;
+    }
+    response.version(version_);
+    response.keep_alive(keepAlive_);
+    response.prepare_payload();
+    error_code error;
+    tcp().expires_after(options_.writeTimeout);
+    with([&](auto &stream) { return http::async_write(stream, response, yield[error]); });
+    broken_ = static_cast<bool>(error);
+    return !broken_;
+}
+
+bool HttpConnection::writeRaw(std::string_view first, std::string_view second, std::string_view third, asio::yield_context yield)
+{
+    if (broken_) {
+        return false;
+    }
+    const std::array<asio::const_buffer, 3> parts = {asio::buffer(first), asio::buffer(second), asio::buffer(third)};
+    error_code error;
+    tcp().expires_after(options_.writeTimeout);
+    with([&](auto &stream) { return asio::async_write(stream, parts, yield[error]); });
+    broken_ = static_cast<bool>(error);
+    return !broken_;
+}
+
+bool HttpConnection::startEvents(asio::yield_context yield)
+{
+    // HTTP/1.0 has no chunks: the end of the connection is the end of the answer.
+    keepAlive_ = keepAlive_ && version_ == 11;
+    const std::string_view framing = version_ == 11 ? "Transfer-Encoding: chunked\r\n" : "";
+    return writeRaw(kEventsHeader, framing, keepAlive_ ? "\r\n" : "Connection: close\r\n\r\n", yield);
+}
+
+bool HttpConnection::writeEvents(std::string_view bytes, asio::yield_context yield)
+{
+    if (version_ != 11) {
+        return writeRaw(bytes, {}, {}, yield);
+    }
+    std::array<char, 20> size{};
+    char *end = std::to_chars(size.data(), size.data() + 16, bytes.size(), 16).ptr;
+    *end++ = '\r';
+    *end++ = '\n';
+    return writeRaw({size.data(), static_cast<std::size_t>(end - size.data())}, bytes, "\r\n", yield);
+}
+
+void HttpConnection::endEvents(asio::yield_context yield)
+{
+    if (version_ == 11) {
+        writeRaw("0\r\n\r\n", {}, {}, yield);
+    }
+}
+
+bool HttpConnection::peerClosed()
+{
+    if (broken_) {
+        return true;
+    }
+    char byte = 0;
+    return ::recv(tcp().socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+void HttpConnection::close(asio::yield_context yield)
+{
+    error_code error;
+    if (!broken_) {
+        tcp().expires_after(kLingerTimeout);
+        if (auto *tls = std::get_if<Tls>(&stream_)) {
+            tls->async_shutdown(yield[error]);
+        }
+        tcp().socket().shutdown(Socket::shutdown_send, error);
+        std::array<char, 16384> dropped{};
+        for (std::size_t total = 0; !error && total < kLingerBytes;) {
+            total += tcp().async_read_some(asio::buffer(dropped), yield[error]);
+        }
+    }
+    tcp().socket().close(error);
+}
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/httpconnection.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "daemon/frontendoptions.h"
+#include "daemon/httpreply.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/ssl/ssl_stream.hpp>
+
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <variant>
+
+/// @file
+/// One connection of a caller: bounded reads, bounded writes, streamed responses.
+///
+/// Example:
+/// @code
+///   HttpConnection connection(std::move(socket), nullptr, options);
+///   while (const auto request = connection.read(yield)) { connection.write(reply(*request), yield); }
+/// @endcode
+
+namespace daisystream
+{
+
+/// A caller's connection. Use it from one strand only.
+class HttpConnection
+{
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    /// @param tls null for plain TCP.
+    HttpConnection(Socket socket, std::shared_ptr<boost::asio::ssl::context> tls, const FrontendOptions &options);
+
+    /// Performs the TLS handshake, if there is one.
+    /// @return false if the connection is of no use.
+    [[nodiscard]] bool handshake(boost::asio::yield_context yield);
+
+    /// Reads the next request. Requests that are malformed, too large or too slow are answered here.
+    /// @return the request, or nothing when the connection is at its end.
+    [[nodiscard]] std::optional<HttpRequest> read(boost::asio::yield_context yield);
+
+    /// Writes a whole response.
+    /// @return false if the caller has gone away.
+    bool write(HttpResponse response, boost::asio::yield_context yield);
+
+    /// Writes the header of a streamed response with server-sent events.
+    /// @return false if the caller has gone away.
+    bool startEvents(boost::asio::yield_context yield);
+
+    /// Writes a part of a streamed response.
+    /// @param bytes not empty.
+    /// @return false if the caller has gone away or does not read.
+    bool writeEvents(std::string_view bytes, boost::asio::yield_context yield);
+
+    /// Ends a streamed response.
+    void endEvents(boost::asio::yield_context yield);
+
+    /// @return true if the caller has closed at least its side of the connection.
+    [[nodiscard]] bool peerClosed();
+
+    /// Ends the connection. The peer gets the chance to read what was written before.
+    void close(boost::asio::yield_context yield);
+
+    [[nodiscard]] Socket::executor_type executor();
+
+private:
+    using Plain = boost::beast::tcp_stream;
+    using Tls = boost::beast::ssl_stream<boost::beast::tcp_stream>;
+
+    [[nodiscard]] Plain &tcp();
+    template<class Function>
+    auto with(Function &&function);
+    [[nodiscard]] bool waitForRequest(boost::asio::yield_context yield);
+    void refuse(const boost::system::error_code &error, boost::asio::yield_context yield);
+    bool writeRaw(std::string_view first, std::string_view second, std::string_view third, boost::asio::yield_context yield);
+
+    FrontendOptions options_;
+    std::shared_ptr<boost::asio::ssl::context> tls_;
+    std::variant<Plain, Tls> stream_;
+    boost::beast::flat_buffer buffer_;
+    unsigned version_ = 11;
+    bool keepAlive_ = true;
+    bool broken_ = false; ///< A read or write failed: only an abrupt end is possible.
+};
+
+} // namespace daisystream
--- a/daemon/httpfrontend.cpp
+++ b/daemon/httpfrontend.cpp
@@ -1,11 +1,16 @@
 #include "daemon/httpfrontend.h"
 
+#include "daemon/frontendcontext.h"
+#include "daemon/httpconnection.h"
+#include "daemon/orderrouter.h"
+#include "daemon/requesthandler.h"
+
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 #include <glog/logging.h>
 
 #include <atomic>
@@ -14,127 +19,144 @@
 {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 using boost::system::error_code;
 
 namespace
 {
 
-constexpr std::size_t kRelayBufferBytes = 16384;
-
-tcp::endpoint toTcp(const SocketAddress &address)
-{
-    return {asio::ip::make_address(address.ip), address.port};
-}
+// Pause after a failed accept: without file descriptors the failure would repeat at once.
+constexpr auto kAcceptPause = std::chrono::milliseconds(100);
 
 } // namespace
 
 class HttpFrontend::Private : public std::enable_shared_from_this<HttpFrontend::Private>
 {
 public:
-    Private(asio::io_context &io, const Settings &settings)
-        : io_(io)
-        , settings_(settings)
-        , acceptor_(io)
+    Private(asio::io_context &io, SocketAddress listen, const FrontendOptions &options, const FrontendParts &parts)
+        : listen_(std::move(listen))
+        , context_(io, options, parts)
+        , orders_(std::make_shared<OrderRouter>(context_))
+        , handler_(context_, *orders_)
+        , acceptor_(asio::make_strand(io))
     {
     }
 
     void accept(asio::yield_context yield)
     {
-        for (;;) {
+        while (acceptor_.is_open()) {
             error_code error;
-            tcp::socket socket(asio::make_strand(io_));
+            tcp::socket socket(asio::make_strand(context_.io));
             acceptor_.async_accept(socket, yield[error]);
-            if (error) {
+            if (error == asio::error::operation_aborted) {
                 return;
             }
-            auto executor = socket.get_executor();
-            asio::spawn(
-                executor,
-                [self = shared_from_this(), stream = std::make_shared<beast::tcp_stream>(std::move(socket))](asio::yield_context inner) {
-                    self->serve(*stream, inner);
-                },
-                asio::detached);
+            if (error) {
+                LOG(WARNING) << "accepting a connection failed: " << error.message();
+                asio::steady_timer timer(yield.get_executor(), kAcceptPause);
+                timer.async_wait(yield[error]);
+                continue;
+            }
+            if (connections_ >= context_.options.maxConnections) {
+                continue; // Closes the socket.
+            }
+            startConnection(std::move(socket));
         }
     }
 
-    void serve(beast::tcp_stream &caller, asio::yield_context yield)
+    void startConnection(tcp::socket socket)
     {
-        error_code error;
-        beast::flat_buffer buffer;
-        http::request<http::string_body> request;
-        http::async_read(caller, buffer, request, yield[error]);
-        if (error) {
-            return;
-        }
-        if (request.method() == http::verb::post && request.target() == "/v1/completions") {
-            relay(caller, request, yield);
-        } else {
-            respond(caller, http::status::not_found, yield);
-        }
-        caller.socket().shutdown(tcp::socket::shutdown_send, error);
+        ++connections_;
+        auto executor = socket.get_executor();
+        auto tls = std::atomic_load(&tls_);
+        auto connection = std::make_shared<HttpConnection>(std::move(socket), std::move(tls), context_.options);
+        asio::spawn(
+            executor,
+            [self = shared_from_this(), connection](asio::yield_context yield) {
+                self->serve(*connection, yield);
+                --self->connections_;
+            },
+            asio::detached);
     }
 
-    void relay(beast::tcp_stream &caller, http::request<http::string_body> &request, asio::yield_context yield)
+    void serve(HttpConnection &connection, asio::yield_context yield)
     {
-        error_code error;
-        const auto &choice = settings_.endpoints[next_++ % settings_.endpoints.size()];
-        LOG(INFO) << "decision=assign choice=" << choice.id << " reason=round_robin";
-        beast::tcp_stream engine(caller.get_executor());
-        engine.async_connect(toTcp(choice.address), yield[error]);
-        if (error) {
-            respond(caller, http::status::service_unavailable, yield);
+        if (!connection.handshake(yield)) {
             return;
         }
-        http::async_write(engine, request, yield[error]);
-        std::array<char, kRelayBufferBytes> bytes{};
-        while (!error) {
-            const std::size_t count = engine.async_read_some(asio::buffer(bytes), yield[error]);
-            if (count > 0) {
-                asio::async_write(caller, asio::buffer(bytes.data(), count), yield[error]);
-            }
+        while (const auto request = connection.read(yield)) {
+            handler_.serve(connection, *request, yield);
         }
+        connection.close(yield);
     }
 
-    static void respond(beast::tcp_stream &caller, http::status status, asio::yield_context yield)
-    {
-        error_code error;
-        http::response<http::string_body> response(status, 11);
-        response.prepare_payload();
-        http::async_write(caller, response, yield[error]);
-    }
-
-    asio::io_context &io_;
-    const Settings settings_;
+    const SocketAddress listen_;
+    FrontendContext context_;
+    std::shared_ptr<OrderRouter> orders_;
+    RequestHandler handler_;
     tcp::acceptor acceptor_;
-    std::atomic<std::size_t> next_{0};
+    std::shared_ptr<asio::ssl::context> tls_;
+    std::atomic<std::size_t> connections_{0};
+    std::uint16_t port_ = 0;
 };
 
-HttpFrontend::HttpFrontend(asio::io_context &io, const Settings &settings)
-    : d_(std::make_shared<Private>(io, settings))
+HttpFrontend::HttpFrontend(asio::io_context &io, const SocketAddress &listen, const FrontendOptions &options, const FrontendParts &parts)
+    : d_(std::make_shared<Private>(io, listen, options, parts))
 {
 }
 
-HttpFrontend::~HttpFrontend() = default;
+HttpFrontend::~HttpFrontend()
+{
+    close();
+}
 
 std::optional<Error> HttpFrontend::start()
 {
     error_code error;
-    const auto address = toTcp(d_->settings_.listen);
-    d_->acceptor_.open(address.protocol(), error);
-    d_->acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-    d_->acceptor_.bind(address, error);
+    const auto ip = asio::ip::make_address(d_->listen_.ip, error);
+    const tcp::endpoint address(ip, d_->listen_.port);
+    auto &acceptor = d_->acceptor_;
     if (!error) {
-        d_->acceptor_.listen(asio::socket_base::max_listen_connections, error);
+        acceptor.open(address.protocol(), error);
+    }
+    if (!error) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        acceptor.bind(address, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
     if (error) {
-        return Error{ResultCode::MalformedRequest, "cannot listen on " + d_->settings_.listen.ip + ": " + error.message(), {}};
+        return Error{ResultCode::MalformedRequest, "cannot listen on " + toString(d_->listen_) + ": " + error.message(), {}};
     }
+    d_->port_ = acceptor.local_endpoint().port();
+    d_->orders_->start();
     asio::spawn(
-        d_->io_, [self = d_](asio::yield_context yield) { self->accept(yield); }, asio::detached);
+        acceptor.get_executor(), [self = d_](asio::yield_context yield) { self->accept(yield); }, asio::detached);
     return std::nullopt;
 }
 
+void HttpFrontend::setTls(std::shared_ptr<asio::ssl::context> tls)
+{
+    std::atomic_store(&d_->tls_, std::move(tls));
+}
+
+std::uint16_t HttpFrontend::port() const
+{
+    return d_->port_;
+}
+
+std::size_t HttpFrontend::running() const
+{
+    return d_->context_.running;
+}
+
+void HttpFrontend::close()
+{
+    asio::post(d_->acceptor_.get_executor(), [self = d_] {
+        error_code ignored;
+        self->acceptor_.close(ignored);
+    });
+}
+
 } // namespace daisystream
--- a/daemon/httpfrontend.h
+++ b/daemon/httpfrontend.h
@@ -1,9 +1,18 @@
 #pragma once
 
+#include "daemon/dispatcher.h"
+#include "daemon/frontendoptions.h"
+#include "daemon/listtable.h"
+#include "daemon/metrics.h"
+#include "daemon/orderrecords.h"
+#include "daemon/peerlink.h"
 #include "daemon/settings.h"
+#include "daisystream/base/clock.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ssl/context.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -12,25 +21,55 @@
 ///
 /// Example:
 /// @code
-///   HttpFrontend frontend(io, settings);
-///   frontend.start();
+///   HttpFrontend frontend(io, settings.listen, {}, {lists, dispatcher, peers, records, metrics, clock});
+///   if (const auto error = frontend.start()) { ... }
 ///   io.run();
 /// @endcode
 
 namespace daisystream
 {
 
-/// Accepts callers' connections and relays answers from endpoints. Thread-safe.
+/// The parts of the daemon that the front end needs. All of them must outlive the event loop.
+struct FrontendParts
+{
+    ListTable &lists;       ///< Plans, limits and sealing keys.
+    Dispatcher &dispatcher; ///< Chooses endpoints. The front end sets its cancel handler.
+    OrderForwarding &peers; ///< Forwards orders with a ticket to its issuer. The front end sets its order handler.
+    OrderRecords &records;  ///< Records of orders with a caller's own key.
+    Metrics &metrics;       ///< Shown at `/metrics`.
+    const Clock &clock;     ///< Time of deadlines.
+    std::uint64_t seed = 1; ///< Of request ids and jitter; must differ between two runs.
+};
+
+/// Accepts callers' connections, relays answers from engines and routes orders to plain services. Thread-safe.
 class HttpFrontend
 {
 public:
-    HttpFrontend(boost::asio::io_context &io, const Settings &settings);
+    HttpFrontend(boost::asio::io_context &io, const SocketAddress &listen, const FrontendOptions &options, const FrontendParts &parts);
     ~HttpFrontend();
 
+    HttpFrontend(const HttpFrontend &) = delete;
+    HttpFrontend &operator=(const HttpFrontend &) = delete;
+
     /// Starts to listen.
     /// @return nothing, or `MalformedRequest` with the reason why the address cannot be bound.
     [[nodiscard]] std::optional<Error> start();
 
+    /// Serves connections that are accepted from now on over TLS; running connections keep their certificate. Call it again
+    /// to put a renewed certificate in force.
+    /// @param tls null for plain TCP.
+    void setTls(std::shared_ptr<boost::asio::ssl::context> tls);
+
+    /// @return the port that callers connect to; differs from the setting if that was 0.
+    [[nodiscard]] std::uint16_t port() const;
+
+    /// @return requests in progress, including answers whose caller may still resume. A graceful shutdown ends when the
+    ///     lists refuse new work as `Stopping` and this is 0.
+    [[nodiscard]] std::size_t running() const;
+
+    /// Stops to accept connections.
+    void close();
+
 private:
     class Private;
     std::shared_ptr<Private> d_;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,4 +1,4 @@
-#include "daemon/httpfrontend.h"
+#include "daemon/settings.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
@@ -15,7 +15,6 @@
 {
 
 constexpr int kExitInvalidSettings = 2;
-constexpr int kExitCannotListen = 3;
 
 } // namespace
 
@@ -37,11 +36,6 @@
     boost::asio::io_context io;
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&io](const boost::system::error_code &, int) { io.stop(); });
-    daisystream::HttpFrontend frontend(io, settings);
-    if (const auto error = frontend.start()) {
-        LOG(ERROR) << error->detail;
-        return kExitCannotListen;
-    }
     std::vector<std::jthread> workers;
     for (unsigned i = 0; i < settings.workers; ++i) {
         workers.emplace_back([&io] { io.run(); });
--- /dev/null
+++ b/daemon/requesthandler.cpp
@@ -0,0 +1,150 @@
+#include "daemon/requesthandler.h"
+
+#include "daemon/answerrelay.h"
+#include "daemon/callerauth.h"
+#include "daemon/completionrequest.h"
+
+#include <nlohmann/json.hpp>
+
+namespace daisystream
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr const char *kLastEventId = "Last-Event-ID";
+
+HttpResponse wrongMethod(const char *allowed)
+{
+    auto response = errorReply({ResultCode::MalformedRequest, std::string("this path takes ") + allowed, {}}, FinalState::NotRun);
+    response.result(http::status::method_not_allowed);
+    response.set(http::field::allow, allowed);
+    return response;
+}
+
+HttpResponse modelsReply(const CallerGrant &grant)
+{
+    auto models = nlohmann::json::array();
+    for (const auto &model : grant.limit.models) {
+        models.push_back({{"id", model.value()}, {"object", "model"}, {"owned_by", "daisystream"}});
+    }
+    return jsonReply(nlohmann::json{{"object", "list"}, {"data", models}}.dump());
+}
+
+const ServiceId *serviceOf(const Route &route)
+{
+    if (const auto *ticket = std::get_if<TicketRoute>(&route)) {
+        return &ticket->service;
+    }
+    if (const auto *query = std::get_if<OrderQueryRoute>(&route)) {
+        return &query->service;
+    }
+    if (const auto *call = std::get_if<ServiceCall>(&route)) {
+        return &call->service;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+RequestHandler::RequestHandler(FrontendContext &context, OrderRouter &orders)
+    : context_(context)
+    , orders_(orders)
+{
+}
+
+HttpResponse RequestHandler::readiness() const
+{
+    if (const auto refusal = context_.parts.lists.admission()) {
+        return textReply(http::status::service_unavailable, std::string(toString(refusal->code)) + "\n");
+    }
+    return textReply(http::status::ok, "ready\n");
+}
+
+void RequestHandler::serve(HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield)
+{
+    const auto route = routeOf({request.target().data(), request.target().size()});
+    if (std::holds_alternative<HealthRoute>(route)) {
+        connection.write(textReply(http::status::ok, "ok\n"), yield);
+    } else if (std::holds_alternative<ReadyRoute>(route)) {
+        connection.write(readiness(), yield);
+    } else if (std::holds_alternative<MetricsRoute>(route)) {
+        connection.write(textReply(http::status::ok, context_.parts.metrics.text()), yield);
+    } else if (std::holds_alternative<UnknownRoute>(route)) {
+        connection.write(errorReply({ResultCode::UnknownPath, "there is nothing at this path", {}}, FinalState::NotRun), yield);
+    } else {
+        const RunningGuard guard(context_);
+        const auto grant = authorize(context_.parts.lists, request);
+        if (const auto *error = std::get_if<Error>(&grant)) {
+            connection.write(errorReply(*error, FinalState::NotRun), yield);
+        } else {
+            serveGranted(route, std::get<CallerGrant>(grant), connection, request, yield);
+        }
+    }
+}
+
+void RequestHandler::serveGranted(
+    const Route &route, const CallerGrant &grant, HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield)
+{
+    if (const auto *completion = std::get_if<CompletionRoute>(&route)) {
+        if (request.count(kLastEventId) > 0 && (request.method() == http::verb::get || request.method() == http::verb::post)) {
+            resume(completion->chat, grant, connection, request, yield);
+        } else if (request.method() == http::verb::post) {
+            complete(completion->chat, grant, connection, request, yield);
+        } else {
+            connection.write(wrongMethod("POST"), yield);
+        }
+    } else if (std::holds_alternative<ModelsRoute>(route)) {
+        connection.write(request.method() == http::verb::get ? modelsReply(grant) : wrongMethod("GET"), yield);
+    } else {
+        connection.write(serviceReply(route, grant, request, yield), yield);
+    }
+}
+
+void RequestHandler::complete(bool chat, const CallerGrant &grant, HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield)
+{
+    const auto parsed = parseCompletion(request.body(), chat, grant);
+    if (const auto *error = std::get_if<Error>(&parsed)) {
+        connection.write(errorReply(*error, FinalState::NotRun), yield);
+        return;
+    }
+    if (const auto refusal = context_.parts.lists.admission()) {
+        connection.write(errorReply(*refusal, FinalState::NotRun), yield);
+        return;
+    }
+    AnswerRelay(context_, connection, grant).run(std::get<CompletionRequest>(parsed), yield);
+}
+
+void RequestHandler::resume(bool chat, const CallerGrant &grant, HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield)
+{
+    const auto id = request[kLastEventId];
+    const auto point = context_.openResume({id.data(), id.size()}, grant.team);
+    if (const auto *error = std::get_if<Error>(&point)) {
+        // The id names no answer of this team, so nothing can be said about how an answer ended.
+        connection.write(errorReply(*error, FinalState::OutcomeUnknown), yield);
+        return;
+    }
+    AnswerRelay(context_, connection, grant).resume(std::get<ResumePoint>(point), chat, yield);
+}
+
+HttpResponse RequestHandler::serviceReply(const Route &route, const CallerGrant &grant, const HttpRequest &request, boost::asio::yield_context yield)
+{
+    if (const auto refusal = checkService(grant, *serviceOf(route))) {
+        return errorReply(*refusal, FinalState::NotRun);
+    }
+    if (const auto *ticket = std::get_if<TicketRoute>(&route)) {
+        if (request.method() != http::verb::post) {
+            return wrongMethod("POST");
+        }
+        const auto refusal = context_.parts.lists.admission();
+        return refusal ? errorReply(*refusal, FinalState::NotRun) : orders_.issueTicket(grant, ticket->service);
+    }
+    if (const auto *query = std::get_if<OrderQueryRoute>(&route)) {
+        return request.method() == http::verb::get ? orders_.query(grant, query->service, query->key, yield) : wrongMethod("GET");
+    }
+    return orders_.call(grant, *serviceOf(route), request, yield);
+}
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/serviceclient.cpp
@@ -0,0 +1,58 @@
+#include "daemon/serviceclient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace daisystream
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+ServiceResult callService(const EndpointSettings &endpoint, HttpRequest request, const FrontendOptions &options, asio::yield_context yield)
+{
+    ServiceResult result;
+    error_code error;
+    const auto fail = [&](const char *during) {
+        const auto code = error == beast::error::timeout && result.bytesSent ? ResultCode::EndpointSilent : ResultCode::EndpointUnreachable;
+        result.error = {code, "service instance " + endpoint.id.value() + " " + during + ": " + error.message(), {}};
+        return result;
+    };
+    request.version(11);
+    request.keep_alive(false);
+    request.set(http::field::host, toString(endpoint.address));
+    if (!endpoint.authorizationHeader.empty()) {
+        request.set(http::field::authorization, endpoint.authorizationHeader);
+    }
+    request.prepare_payload();
+
+    beast::tcp_stream stream(yield.get_executor());
+    const auto ip = asio::ip::make_address(endpoint.address.ip, error);
+    stream.expires_after(options.endpointConnectTimeout);
+    if (!error) {
+        stream.async_connect(asio::ip::tcp::endpoint(ip, endpoint.address.port), yield[error]);
+    }
+    if (error) {
+        return fail("is unreachable");
+    }
+    stream.expires_after(options.serviceTimeout);
+    const std::size_t sent = http::async_write(stream, request, yield[error]);
+    result.bytesSent = sent > 0;
+    if (error) {
+        return fail("does not take the request");
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(options.bodyLimitBytes);
+    http::async_read(stream, buffer, parser, yield[error]);
+    if (error) {
+        return fail("gave no whole response");
+    }
+    result.response = parser.release();
+    return result;
+}
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/ssereader.cpp
@@ -0,0 +1,78 @@
+#include "daemon/ssereader.h"
+
+#include <utility>
+
+namespace daisystream
+{
+namespace
+{
+
+// An engine that never ends an event must not fill the memory of the VM.
+constexpr std::size_t kEventLimitBytes = 256 * 1024;
+
+} // namespace
+
+void SseReader::feed(std::string_view bytes)
+{
+    if (consumed_ == buffer_.size()) {
+        buffer_.clear();
+    } else if (consumed_ > 0) {
+        buffer_.erase(0, consumed_);
+    }
+    consumed_ = 0;
+    buffer_.append(bytes);
+}
+
+std::optional<std::string_view> SseReader::takeLine()
+{
+    const auto end = buffer_.find('\n', consumed_);
+    if (end == std::string::npos) {
+        failed_ = failed_ || buffer_.size() - consumed_ > kEventLimitBytes;
+        return std::nullopt;
+    }
+    std::string_view line(buffer_.data() + consumed_, end - consumed_);
+    consumed_ = end + 1;
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    return line;
+}
+
+std::optional<SseEvent> SseReader::next()
+{
+    while (!failed_) {
+        const auto line = takeLine();
+        if (!line) {
+            return std::nullopt;
+        }
+        if (line->empty()) {
+            if (std::exchange(hasFields_, false)) {
+                return std::exchange(current_, SseEvent());
+            }
+            continue;
+        }
+        const auto colon = line->find(':');
+        const auto name = line->substr(0, colon);
+        auto value = colon == std::string_view::npos ? std::string_view() : line->substr(colon + 1);
+        if (value.starts_with(' ')) {
+            value.remove_prefix(1);
+        }
+        if (name == "id") {
+            current_.id = value;
+            hasFields_ = true;
+        } else if (name == "event") {
+            current_.event = value;
+            hasFields_ = true;
+        } else if (name == "data") {
+            if (!current_.data.empty()) {
+                current_.data += '\n';
+            }
+            current_.data += value;
+            hasFields_ = true;
+        }
+        failed_ = current_.data.size() > kEventLimitBytes;
+    }
+    return std::nullopt;
+}
+
+} // namespace daisystream
