--- a/daisystream/answer/sealer.cpp
+++ b/daisystream/answer/sealer.cpp
@@ -1,5 +1,7 @@
 #include "daisystream/answer/sealer.h"
 
+#include "daisystream/answer/base64.h"
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -46,38 +48,6 @@
     }
 }
 
-std::string toBase64(const std::string &bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    text.resize(static_cast<std::size_t>(EVP_EncodeBlock(bytesOf(text), bytesOf(std::string_view(bytes)), static_cast<int>(bytes.size()))));
-    while (text.ends_with('=')) {
-        text.pop_back();
-    }
-    std::replace(text.begin(), text.end(), '+', '-');
-    std::replace(text.begin(), text.end(), '/', '_');
-    return text;
-}
-
-std::optional<std::string> fromBase64(std::string_view text)
-{
-    std::string padded(text);
-    // Only our own spelling is accepted, so that a text has one form.
-    if (padded.find_first_of("+/=") != std::string::npos) {
-        return std::nullopt;
-    }
-    std::replace(padded.begin(), padded.end(), '-', '+');
-    std::replace(padded.begin(), padded.end(), '_', '/');
-    const std::size_t padding = (4 - padded.size() % 4) % 4;
-    padded.append(padding, '=');
-    std::string bytes(padded.size() / 4 * 3 + 1, '\0');
-    const int size = EVP_DecodeBlock(bytesOf(bytes), bytesOf(std::string_view(padded)), static_cast<int>(padded.size()));
-    if (size < static_cast<int>(padding) || padding == 3) {
-        return std::nullopt;
-    }
-    bytes.resize(static_cast<std::size_t>(size) - padding);
-    return bytes;
-}
-
 } // namespace
 
 class Sealer::Private
@@ -131,7 +101,7 @@
         && EVP_EncryptUpdate(context, nullptr, &size, bytesOf(purpose), static_cast<int>(purpose.size())) == 1
         && EVP_EncryptUpdate(context, body, &size, bytesOf(plain), static_cast<int>(plain.size())) == 1 && EVP_EncryptFinal_ex(context, body + size, &size) == 1
         && EVP_CIPHER_CTX_ctrl(context, EVP_CTRL_GCM_GET_TAG, kTagBytes, body + plain.size()) == 1;
-    return done ? toBase64(sealed) : std::string();
+    return done ? internal::toBase64(sealed) : std::string();
 }
 
 std::optional<std::string> Sealer::open(std::string_view sealed, std::string_view purpose) const
@@ -139,7 +109,7 @@
     if (sealed.size() > kLongestSealed) {
         return std::nullopt;
     }
-    std::optional<std::string> bytes = fromBase64(sealed);
+    std::optional<std::string> bytes = internal::fromBase64(sealed);
     if (!bytes || bytes->size() < kHeaderBytes + kTagBytes) {
         return std::nullopt;
     }
--- /dev/null
+++ b/daisystream/lease/lease_test.cpp
@@ -0,0 +1,58 @@
+#include "daisystream/lease/leaseholder.h"
+
+#include <doctest/doctest.h>
+
+namespace daisystream
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const TimePoint kStart(1h);
+
+std::string acquire(LeaseHolder &lease, TimePoint at)
+{
+    CHECK(std::holds_alternative<TableRead>(lease.poll(at).value()));
+    lease.onReply(RowAbsent{}, at);
+    const auto write = std::get<TableWrite>(lease.poll(at).value());
+    lease.onReply(RowWritten{.number = 1}, at + 4s);
+    return write.value;
+}
+
+// Guards against a lease that is counted from the reply, and against a holder that resumes after a pause and acts.
+TEST_CASE("validity counts from before the request and ends during a pause")
+{
+    LeaseHolder lease("placement", VmId("a"), 1);
+    acquire(lease, kStart);
+    CHECK(lease.fencingNumber(kStart + 5s) == 1);
+    CHECK_FALSE(lease.fencingNumber(kStart + 6s).has_value());
+    CHECK_FALSE(lease.fencingNumberForUnfenced(kStart + 2s).has_value());
+    CHECK(lease.fencingNumberForUnfenced(kStart + 3s) == 1);
+    CHECK(std::get<TableWrite>(lease.poll(kStart + 60s).value()).ifNumber == 1);
+    lease.onReply(RowConflict{}, kStart + 60s);
+    CHECK_FALSE(lease.fencingNumber(kStart + 60s).has_value());
+}
+
+// Guards against a contender that takes the lease while the holder may still act, or without a higher number.
+TEST_CASE("a contender waits for the whole duration and then raises the fencing number")
+{
+    LeaseHolder holder("placement", VmId("a"), 1);
+    const std::string row = acquire(holder, kStart);
+    LeaseHolder contender("placement", VmId("b"), 1);
+    for (auto after = 0s; after <= 6s; after += 2s) {
+        CHECK(std::holds_alternative<TableRead>(contender.poll(kStart + after).value()));
+        contender.onReply(RowFound{.number = 1, .value = row}, kStart + after);
+    }
+    const auto takeOver = std::get<TableWrite>(contender.poll(kStart + 8s).value());
+    CHECK(takeOver.ifNumber == 1);
+    contender.onReply(TableLost{}, kStart + 10s);
+    CHECK_FALSE(contender.fencingNumber(kStart + 10s).has_value());
+    CHECK(std::holds_alternative<TableRead>(contender.poll(kStart + 11s).value()));
+    contender.onReply(RowFound{.number = 2, .value = takeOver.value}, kStart + 11s);
+    CHECK(contender.fencingNumber(kStart + 11s) == 2);
+    CHECK_FALSE(contender.fencingNumber(kStart + 14s).has_value());
+}
+
+} // namespace
+} // namespace daisystream
--- /dev/null
+++ b/daisystream/lists/freshness.cpp
@@ -0,0 +1,91 @@
+#include "daisystream/lists/freshness.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisystream
+{
+namespace
+{
+
+constexpr std::chrono::milliseconds kRetryAfter{1000}; // One or two contacts later.
+
+} // namespace
+
+ListFreshness::ListFreshness(FreshnessOptions options)
+    : options_(options)
+{
+}
+
+void ListFreshness::stop()
+{
+    stopping_ = true;
+}
+
+void ListFreshness::setListsKnown(bool complete)
+{
+    listsKnown_ = complete;
+}
+
+void ListFreshness::onPlatformContact(TimePoint sentAt)
+{
+    platformContact_ = std::max(platformContact_.value_or(sentAt), sentAt);
+}
+
+void ListFreshness::onPeerContact(const VmId &peer, TimePoint asOf)
+{
+    // A peer outside the quorum is not counted; setPeers() adds it.
+    if (const auto found = peers_.find(peer); found != peers_.end()) {
+        found->second = std::max(found->second.value_or(asOf), asOf);
+    }
+}
+
+void ListFreshness::setPeers(const std::vector<VmId> &peers)
+{
+    std::map<VmId, std::optional<TimePoint>> kept;
+    for (const VmId &peer : peers) {
+        const auto found = peers_.find(peer);
+        kept[peer] = found == peers_.end() ? std::nullopt : found->second;
+    }
+    peers_ = std::move(kept);
+}
+
+void ListFreshness::setBehind(bool newerKnown, TimePoint now)
+{
+    if (!newerKnown) {
+        behindSince_.reset();
+    } else if (!behindSince_) {
+        behindSince_ = now;
+    }
+}
+
+bool ListFreshness::inContact(TimePoint now) const
+{
+    const auto fresh = [&](const std::optional<TimePoint> &contact) {
+        return contact && now - *contact < options_.contactLimit;
+    };
+    if (fresh(platformContact_)) {
+        return true;
+    }
+    const auto reached = std::count_if(peers_.begin(), peers_.end(), [&](const auto &peer) { return fresh(peer.second); });
+    return 2 * static_cast<std::size_t>(reached) >= peers_.size();
+}
+
+std::optional<Error> ListFreshness::admission(TimePoint now) const
+{
+    if (stopping_) {
+        return Error{ResultCode::Stopping, "this VM is shutting down", std::chrono::milliseconds(0)};
+    }
+    if (!listsKnown_) {
+        return Error{ResultCode::NoLists, "no plans and limits have been obtained yet", kRetryAfter};
+    }
+    if (!inContact(now) && !options_.faults.neverIsolated) {
+        return Error{ResultCode::Isolated, "neither the platform nor half of the other VMs are reached", kRetryAfter};
+    }
+    if (behindSince_ && now - *behindSince_ >= options_.behindLimit && !options_.faults.ignoreBehind) {
+        return Error{ResultCode::Isolated, "a newer version of the lists is in force and cannot be fetched", kRetryAfter};
+    }
+    return std::nullopt;
+}
+
+} // namespace daisystream
--- /dev/null
+++ b/daisystream/lists/freshness.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "daisystream/base/clock.h"
+#include "daisystream/base/ids.h"
+#include "daisystream/base/result.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+/// @file
+/// Decides whether this VM may admit new work: a VM that cannot know that its lists are still in force must not.
+///
+/// Example:
+/// @code
+///   ListFreshness freshness;
+///   freshness.onPlatformContact(sentAt);
+///   if (auto error = freshness.admission(now)) {
+///       refuse(*error); // As not run.
+///   }
+/// @endcode
+
+namespace daisystream
+{
+
+namespace internal
+{
+
+/// Deliberate breaks for the schedules, which must notice each of them. None in the product.
+struct FreshnessFaults
+{
+    bool neverIsolated = false;
+    bool ignoreBehind = false;
+};
+
+} // namespace internal
+
+struct FreshnessOptions
+{
+    /// A VM without contact for this long refuses work. The bound that is promised is 5 s; half a second of it is left for
+    /// replies of the platform that are not the newest.
+    Duration contactLimit = std::chrono::milliseconds(4500);
+    /// A VM that knows of a newer version for this long without having got it refuses work.
+    Duration behindLimit = std::chrono::seconds(2);
+    internal::FreshnessFaults faults;
+};
+
+/// Contact of this VM with the platform and its peers. Thread-compatible.
+class ListFreshness
+{
+public:
+    explicit ListFreshness(FreshnessOptions options = {});
+
+    /// The graceful shutdown has begun.
+    void stop();
+    /// @param complete whether both lists are known.
+    void setListsKnown(bool complete);
+    /// A poll of both lists got a reply.
+    /// @param sentAt when the poll was sent: the reply can be that old.
+    void onPlatformContact(TimePoint sentAt);
+    /// A peer was heard.
+    /// @param asOf when this VM sent the heartbeat that the peer's confirms, so that bytes which waited while this VM was
+    ///     paused do not count as fresh.
+    void onPeerContact(const VmId &peer, TimePoint asOf);
+    /// @param peers VmTable::quorumPeers().
+    void setPeers(const std::vector<VmId> &peers);
+    /// @param newerKnown whether a peer announced a version above the one held here.
+    void setBehind(bool newerKnown, TimePoint now);
+
+    /// @return nothing if new work is admitted; else `Stopping`, `NoLists` or `Isolated`.
+    [[nodiscard]] std::optional<Error> admission(TimePoint now) const;
+
+private:
+    [[nodiscard]] bool inContact(TimePoint now) const;
+
+    FreshnessOptions options_;
+    bool stopping_ = false;
+    bool listsKnown_ = false;
+    std::optional<TimePoint> platformContact_;
+    std::map<VmId, std::optional<TimePoint>> peers_;
+    std::optional<TimePoint> behindSince_;
+};
+
+} // namespace daisystream
--- /dev/null
+++ b/daisystream/membership/membership_test.cpp
@@ -0,0 +1,68 @@
+#include "daisystream/membership/rendezvous.h"
+#include "daisystream/membership/vmtable.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace daisystream
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const TimePoint kStart(1h);
+
+// Guards against a VM that counts as live after its silence, or as gone because the platform's list lags.
+TEST_CASE("silence makes a VM suspected and then dead")
+{
+    VmTable table(VmId("a"));
+    const VmId b("b");
+    CHECK(table.onHeartbeat({.vm = b, .incarnation = 2, .sequence = 1}, kStart));
+    CHECK_FALSE(table.onHeartbeat({.vm = b, .incarnation = 2, .sequence = 1}, kStart + 1s));
+    CHECK_FALSE(table.onHeartbeat({.vm = b, .incarnation = 1, .sequence = 9}, kStart + 1s));
+    table.onPlatformList({}, kStart + 1s);
+    CHECK((table.state(b, kStart + 1400ms) == VmState::Live));
+    CHECK((table.state(b, kStart + 1500ms) == VmState::Suspected));
+    CHECK(table.live(kStart + 1500ms) == std::vector<VmId>{VmId("a")});
+    CHECK((table.state(b, kStart + 5s) == VmState::Dead));
+    CHECK(table.quorumPeers() == std::vector<VmId>{b});
+    CHECK(table.incarnationGone(b, 1, kStart));
+    CHECK_FALSE(table.incarnationGone(b, 2, kStart));
+    table.onPlatformList({}, kStart + 6s);
+    CHECK(table.quorumPeers().empty());
+}
+
+// Guards against new work for a VM that is leaving.
+TEST_CASE("a leaving VM owns nothing")
+{
+    VmTable table(VmId("a"));
+    table.onPlatformList({{VmId("a"), false}, {VmId("b"), true}, {VmId("c"), false}}, kStart);
+    CHECK((table.state(VmId("b"), kStart) == VmState::Leaving));
+    CHECK(table.live(kStart) == std::vector<VmId>{VmId("a"), VmId("c")});
+    CHECK(table.onHeartbeat({.vm = VmId("c"), .incarnation = 1, .sequence = 1, .leaving = true}, kStart));
+    table.setSelfLeaving();
+    CHECK(table.live(kStart).empty());
+}
+
+// Guards against an owner that depends on the order of the list, and against names that move without need.
+TEST_CASE("rendezvous order is stable and the loss of a VM moves only its names")
+{
+    const std::vector<VmId> vms{VmId("a"), VmId("b"), VmId("c"), VmId("d")};
+    const std::vector<VmId> without{VmId("d"), VmId("b"), VmId("a")};
+    int owned = 0;
+    for (int i = 0; i < 400; ++i) {
+        const std::string name = "cell/" + std::to_string(i);
+        auto order = rendezvousOrder(name, vms);
+        owned += order.front() == VmId("c") ? 1 : 0;
+        std::erase(order, VmId("c"));
+        CHECK(order == rendezvousOrder(name, without));
+    }
+    CHECK(owned > 60);
+    CHECK(owned < 140);
+    CHECK_FALSE(rendezvousOwner("x", {}).has_value());
+}
+
+} // namespace
+} // namespace daisystream
