--- a/daemon/platformclient.cpp
+++ b/daemon/platformclient.cpp
@@ -296,13 +296,13 @@
     return failedWrite(exchange);
 }
 
-Result<std::vector<PlatformVm>> PlatformClient::listVms(asio::yield_context yield)
+Result<std::vector<ListedVm>> PlatformClient::listVms(asio::yield_context yield)
 {
     const auto exchange = d_->call(Request(http::verb::get, "/v1/vms", 11), yield);
     if (!exchange.response || exchange.response->result() != http::status::ok) {
         return unavailable(exchange.response ? "status " + std::to_string(exchange.response->result_int()) : exchange.reason);
     }
-    std::vector<PlatformVm> vms;
+    std::vector<ListedVm> vms;
     try {
         for (const auto &entry : nlohmann::json::parse(exchange.response->body())) {
             const auto peerAddress = parseSocketAddress(entry.at("peerAddress").get<std::string>());
--- a/daemon/platformclient.h
+++ b/daemon/platformclient.h
@@ -46,7 +46,7 @@
 using RowCondition = std::variant<IfMatch, IfNoneMatch>;
 
 /// A VM in the platform's list.
-struct PlatformVm
+struct ListedVm
 {
     VmId vm;
     ZoneId zone;
@@ -84,7 +84,7 @@
     [[nodiscard]] std::optional<Error> putObject(const std::string &key, const std::string &content, boost::asio::yield_context yield);
 
     /// @return the VMs that the platform knows, or `PlatformUnavailable`.
-    [[nodiscard]] Result<std::vector<PlatformVm>> listVms(boost::asio::yield_context yield);
+    [[nodiscard]] Result<std::vector<ListedVm>> listVms(boost::asio::yield_context yield);
 
 private:
     class Private;
