--- a/daisystream/cell/cellmap.h
+++ b/daisystream/cell/cellmap.h
@@ -2,10 +2,10 @@
 
 #include "daisystream/base/ids.h"
 #include "daisystream/endpoint/endpointinfo.h"
+#include "daisystream/membership/rendezvous.h"
 
 #include <cstdint>
 #include <memory>
-#include <string_view>
 #include <vector>
 
 /// @file
@@ -33,9 +33,6 @@
     std::uint32_t cellSize = 64;
 };
 
-/// @return the VMs in the order in which rendezvous hashing prefers them for the name; the same on every VM.
-[[nodiscard]] std::vector<VmId> rendezvousOrder(std::string_view name, const std::vector<VmId> &vms);
-
 /// Assignment of endpoints to cells and of cells to VMs. Thread-compatible.
 class CellMap
 {
--- a/daisystream/membership/rendezvous.cpp
+++ b/daisystream/membership/rendezvous.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <functional>
 #include <string>
 #include <utility>
 
@@ -13,35 +12,37 @@
 namespace
 {
 
-std::uint64_t score(std::string_view name, const VmId &vm)
+// SHA-256, because every VM must compute the same number whatever its build, which std::hash does not promise.
+std::uint64_t rendezvousWeight(std::string_view name, std::string_view vm)
 {
-    // The length separates name and VM, so that no two pairs hash the same bytes.
-    std::string text = std::to_string(name.size()) + ":";
-    text += name;
-    text += vm.value();
+    std::string text;
+    text.reserve(name.size() + vm.size() + 1);
+    text.append(name).append(1, '\0').append(vm);
     std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
     SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
-    std::uint64_t value = 0;
-    for (std::size_t i = 0; i < sizeof(value); ++i) {
-        value = (value << 8U) | digest[i];
+    std::uint64_t weight = 0;
+    for (std::size_t i = 0; i < sizeof(weight); ++i) {
+        weight = weight << 8U | digest[i];
     }
-    return value;
+    return weight;
 }
 
 } // namespace
 
 std::vector<VmId> rendezvousOrder(std::string_view name, const std::vector<VmId> &vms)
 {
-    std::vector<std::pair<std::uint64_t, VmId>> scored;
-    scored.reserve(vms.size());
+    std::vector<std::pair<std::uint64_t, const VmId *>> weighted;
+    weighted.reserve(vms.size());
     for (const VmId &vm : vms) {
-        scored.emplace_back(score(name, vm), vm);
+        weighted.emplace_back(rendezvousWeight(name, vm.value()), &vm);
     }
-    std::sort(scored.begin(), scored.end(), std::greater<>());
+    std::sort(weighted.begin(), weighted.end(), [](const auto &left, const auto &right) {
+        return left.first != right.first ? left.first > right.first : *left.second < *right.second;
+    });
     std::vector<VmId> order;
-    order.reserve(scored.size());
-    for (auto &[unused, vm] : scored) {
-        order.push_back(std::move(vm));
+    order.reserve(weighted.size());
+    for (const auto &[weight, vm] : weighted) {
+        order.push_back(*vm);
     }
     return order;
 }
