Add engine and service stand-ins and tests of the data part

Cause: the data part had no tests, and the stand-in engine knew neither resume, cancel nor faults. Change: standins/engine serves the protocol over EngineModel with fault switches, standins/service counts orders; tests run two VMs, two engines and a service in one process on free loopback ports. Retries are counted per VM and team until the library's retry budget exists.

--- a/daemon/completionrequest.cpp
+++ b/daemon/completionrequest.cpp
@@ -80,6 +80,11 @@
 
 } // namespace
 
+std::uint64_t prefixHashOf(std::string_view prompt)
+{
+    return prompt.size() < kPrefixBlockBytes ? 0 : fnv1a(prompt.substr(0, kPrefixBlockBytes));
+}
+
 Result<CompletionRequest> parseCompletion(const std::string &body, bool chat, const CallerGrant &grant)
 {
     auto document = json::parse(body, nullptr, false);
@@ -112,9 +117,7 @@
     const auto &text = std::get<std::string>(prompt);
     request.maxOutputTokens = std::get<std::uint32_t>(maxTokens);
     request.promptTokens = static_cast<std::uint32_t>(text.size() / kBytesPerToken + 1);
-    if (text.size() >= kPrefixBlockBytes) {
-        request.prefixHash = fnv1a(std::string_view(text).substr(0, kPrefixBlockBytes));
-    }
+    request.prefixHash = prefixHashOf(text);
     document.erase("messages");
     document.erase("max_completion_tokens");
     document["prompt"] = text;
--- a/daemon/completionrequest.h
+++ b/daemon/completionrequest.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 /// @file
 /// The body of a completion request, checked, and what is sent to the engine for it.
@@ -28,6 +29,10 @@
     std::string engineBody;            ///< JSON for the engine.
 };
 
+/// @return the hash of the prompt's first block; 0 if the prompt is shorter. The stand-in engine's cache events carry the same
+///     hash.
+[[nodiscard]] std::uint64_t prefixHashOf(std::string_view prompt);
+
 /// Checks a body.
 /// @return the request; `MalformedRequest` with the field at fault; `ModelNotAllowed`.
 [[nodiscard]] Result<CompletionRequest> parseCompletion(const std::string &body, bool chat, const CallerGrant &grant);
--- a/daemon/frontendcontext.h
+++ b/daemon/frontendcontext.h
@@ -72,12 +72,23 @@
     /// Starts a coroutine that counts as running until it ends.
     void spawn(std::function<void(boost::asio::yield_context)> function);
 
-    /// Requests in progress.
-    std::atomic<std::size_t> running{0};
+    /// Requests in progress. Shared, because a guard may outlive the front end when the event loop is torn down.
+    const std::shared_ptr<std::atomic<std::size_t>> running = std::make_shared<std::atomic<std::size_t>>(0);
 
 private:
     class Sealers;
 
+    /// Recent requests and retries, halved every ten seconds.
+    struct RetryCount
+    {
+        double requests = 0;
+        double retries = 0;
+        TimePoint since{};
+
+        void age(TimePoint now);
+        [[nodiscard]] bool allows() const;
+    };
+
     void onCancel(const Cancel &cancel);
 
     std::mutex mutex_;
@@ -85,6 +96,8 @@
     std::uint64_t serial_ = 0;
     std::string idPrefix_;
     std::unordered_map<RequestId, std::function<void()>> cancels_;
+    RetryCount retries_;                                   ///< Of this VM.
+    std::unordered_map<TeamId, RetryCount> retriesOfTeam_; ///< As many as the list has teams.
     std::unique_ptr<Sealers> sealers_;
 };
 
@@ -92,20 +105,20 @@
 class RunningGuard
 {
 public:
-    explicit RunningGuard(FrontendContext &context)
-        : context_(context)
+    explicit RunningGuard(const FrontendContext &context)
+        : running_(context.running)
     {
-        ++context_.running;
+        ++*running_;
     }
     ~RunningGuard()
     {
-        --context_.running;
+        --*running_;
     }
     RunningGuard(const RunningGuard &) = delete;
     RunningGuard &operator=(const RunningGuard &) = delete;
 
 private:
-    FrontendContext &context_;
+    std::shared_ptr<std::atomic<std::size_t>> running_;
 };
 
 /// @return the wall-clock time; only for expiry times that callers carry between VMs.
--- a/daemon/httpfrontend.cpp
+++ b/daemon/httpfrontend.cpp
@@ -148,7 +148,7 @@
 
 std::size_t HttpFrontend::running() const
 {
-    return d_->context_.running;
+    return *d_->context_.running;
 }
 
 void HttpFrontend::close()
--- /dev/null
+++ b/daemon/httpfrontend_test.cpp
@@ -0,0 +1,200 @@
+#include "daemon/frontendfixture_test.h"
+
+#include "daemon/decisionlog.h"
+#include "daemon/httprouter.h"
+
+namespace daisystream::frontendtest
+{
+namespace
+{
+
+const char *const kCompletions = "/v1/completions";
+
+FrontendOptions shortOptions()
+{
+    FrontendOptions options;
+    options.headerLimitBytes = 2048;
+    options.bodyLimitBytes = 4096;
+    options.idleTimeout = std::chrono::milliseconds(300);
+    options.headerTimeout = std::chrono::milliseconds(300);
+    options.bodyTimeout = std::chrono::milliseconds(300);
+    return options;
+}
+
+// Guards against work for callers without a key, and against a message that tells which part of a key was wrong.
+TEST_CASE("a missing or unknown key gets 401")
+{
+    Fleet fleet;
+    const auto body = completion(1).dump();
+    const auto missing = request(fleet.vm1->port(), http::verb::post, kCompletions, {}, body);
+    CHECK(missing.status == 401);
+    CHECK(missing.code() == 101);
+    CHECK(missing.state() == "notRun");
+    const auto wrongSecret = request(fleet.vm1->port(), http::verb::post, kCompletions, {{"Authorization", "Bearer ds_k1_wrong"}}, body);
+    const auto wrongId = request(fleet.vm1->port(), http::verb::post, kCompletions, {{"Authorization", "Bearer ds_k9_wrong"}}, body);
+    CHECK(wrongSecret.status == 401);
+    CHECK(wrongSecret.code() == 102);
+    CHECK(wrongSecret.body == wrongId.body);
+    CHECK(fleet.engine1->started() + fleet.engine2->started() == 0);
+}
+
+// Guards against a plan that reaches models or services that it was not given.
+TEST_CASE("a model or service outside the plan gets 403")
+{
+    Fleet fleet;
+    json body = completion(1);
+    body["model"] = "other";
+    const auto model = request(fleet.vm1->port(), http::verb::post, kCompletions, kNorth, body.dump());
+    CHECK(model.status == 403);
+    CHECK(model.code() == 103);
+    const auto service = request(fleet.vm1->port(), http::verb::post, "/v1/services/booking/tickets", kSouth);
+    CHECK(service.status == 403);
+    CHECK(service.code() == 104);
+}
+
+// Guards against bodies that reach an engine or end the daemon although they mean nothing.
+TEST_CASE("malformed bodies get 400")
+{
+    Fleet fleet;
+    for (const char *body : {"",
+                             "{",
+                             "[]",
+                             "null",
+                             R"({"model":1,"prompt":"x"})",
+                             R"({"model":"assistant"})",
+                             R"({"model":"assistant","prompt":7})",
+                             R"({"model":"assistant","prompt":"x","stream":"yes"})",
+                             R"({"model":"assistant","prompt":"x","max_tokens":-1})",
+                             R"({"model":"assistant","prompt":"x","max_tokens":1e40})",
+                             "{\"model\":\"assistant\",\"prompt\":\"\xFF\"}"}) {
+        CAPTURE(body);
+        const auto reply = request(fleet.vm1->port(), http::verb::post, kCompletions, kNorth, body);
+        CHECK(reply.status == 400);
+        CHECK(reply.code() == 105);
+    }
+    for (const char *body :
+         {R"({"model":"assistant","messages":[]})", R"({"model":"assistant","messages":[{"role":"user"}]})", R"({"model":"assistant","messages":[3]})"}) {
+        CHECK(request(fleet.vm1->port(), http::verb::post, "/v1/chat/completions", kNorth, body).status == 400);
+    }
+    CHECK(fleet.engine1->started() + fleet.engine2->started() == 0);
+}
+
+// Guards against a caller that fills the memory of the VM with a header or a body.
+TEST_CASE("oversized headers get 431 and oversized bodies get 413")
+{
+    Fleet fleet(shortOptions());
+    const auto header = request(fleet.vm1->port(), http::verb::post, kCompletions, with(kNorth, "X-Long", std::string(3000, 'x')), "{}");
+    CHECK(header.status == 431);
+    CHECK(header.code() == 107);
+    const auto body = request(fleet.vm1->port(), http::verb::post, kCompletions, kNorth, std::string(100000, ' '));
+    CHECK(body.status == 413);
+    CHECK(body.code() == 106);
+    Caller chunked(fleet.vm1->port());
+    chunked.send("POST /v1/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n" + std::string(5000, ' ') + "\r\n");
+    CHECK(chunked.receive().status == 413);
+}
+
+// Guards against connections that are held for ever by callers that send slowly, stop half way or close one side.
+TEST_CASE("slow and half-closed callers are closed after a bound")
+{
+    Fleet fleet(shortOptions());
+    const std::string head = "POST /v1/completions HTTP/1.1\r\nContent-Length: 100\r\n";
+    for (const std::string &bytes : {std::string(), std::string("POST"), head, head + "\r\n{\"model\""}) {
+        Caller silent(fleet.vm1->port());
+        silent.send(bytes);
+        CHECK(silent.closedByPeer());
+        Caller halfClosed(fleet.vm1->port());
+        halfClosed.send(bytes);
+        halfClosed.socket().shutdown(tcp::socket::shutdown_send);
+        if (bytes.size() > head.size() || bytes == head || bytes == "POST") {
+            // The end in the middle of a request may be answered before the connection ends.
+            boost::system::error_code error;
+            std::string rest;
+            asio::read(halfClosed.socket(), asio::dynamic_buffer(rest), error);
+            CHECK((rest.empty() || rest.starts_with("HTTP/1.1 400")));
+        } else {
+            CHECK(halfClosed.closedByPeer());
+        }
+    }
+    CHECK(request(fleet.vm1->port(), http::verb::get, "/healthz").status == 200);
+}
+
+// Guards against a parser that takes what is not HTTP, or two requests that are read as one.
+TEST_CASE("what is not HTTP gets 400 and the connection ends")
+{
+    Fleet fleet;
+    for (const char *bytes : {"\x16\x03\x01\x02\r\n\r\n", "GET\r\n\r\n", "GET / HTTP/1.1\r\nContent-Length: a\r\n\r\n"}) {
+        Caller caller(fleet.vm1->port());
+        caller.send(bytes);
+        CHECK(caller.receive().status == 400);
+        CHECK(caller.closedByPeer());
+    }
+}
+
+// Guards against a connection that serves only one request, and against a refusal that breaks those after it.
+TEST_CASE("a connection serves several requests, pipelined ones too")
+{
+    Fleet fleet;
+    Caller caller(fleet.vm1->port());
+    caller.send("GET /healthz HTTP/1.1\r\n\r\nGET /nothing HTTP/1.1\r\n\r\nGET /readyz HTTP/1.1\r\n\r\n");
+    CHECK(caller.receive().status == 200);
+    const auto unknown = caller.receive();
+    CHECK(unknown.status == 404);
+    CHECK(unknown.code() == 113);
+    CHECK(caller.receive().status == 200);
+    caller.send(http::verb::post, kCompletions, kNorth, "{}");
+    CHECK(caller.receive().status == 400);
+    caller.send(http::verb::get, "/v1/models", kNorth);
+    const auto models = caller.receive().parsed();
+    CHECK(models.at("data").at(0).at("id") == "assistant");
+    caller.send(http::verb::get, "/v1/completions", kNorth);
+    CHECK(caller.receive().status == 405);
+}
+
+// Guards against a VM that takes new work while it stops, or reports itself ready then.
+TEST_CASE("a stopping VM refuses new work as not run")
+{
+    Fleet fleet;
+    CHECK(request(fleet.vm1->port(), http::verb::get, "/metrics").status == 200);
+    fleet.vm1->lists.setStopping();
+    CHECK(request(fleet.vm1->port(), http::verb::get, "/readyz").status == 503);
+    const auto refused = request(fleet.vm1->port(), http::verb::post, kCompletions, kNorth, completion(1).dump());
+    CHECK(refused.status == 503);
+    CHECK(refused.code() == 301);
+    CHECK(refused.state() == "notRun");
+}
+
+// Guards against a refusal that keeps its retry time to itself or rounds it down.
+TEST_CASE("a refusal of the scheduler carries Retry-After")
+{
+    Fleet fleet;
+    fleet.vm1->dispatcher.refuse = true;
+    const auto refused = request(fleet.vm1->port(), http::verb::post, kCompletions, kNorth, completion(1).dump());
+    CHECK(refused.status == 503);
+    CHECK(refused.code() == 203);
+    CHECK(refused.state() == "notRun");
+    CHECK(refused.headers.at("Retry-After") == "2");
+}
+
+// Guards against a caller's text that adds fields or lines to the log.
+TEST_CASE("values in a decision's log line are encoded")
+{
+    const auto line = DecisionLine("order").field("service", "a b\nreason=x").text();
+    CHECK(line == "decision=order service=a%20b%0Areason%3Dx");
+}
+
+// Guards against paths that reach a service under another name, and against keys that leave their row.
+TEST_CASE("paths of services are told apart")
+{
+    const auto query = routeOf("/v1/services/booking/orders/a%2Fb?x=1");
+    REQUIRE(std::holds_alternative<OrderQueryRoute>(query));
+    CHECK(std::get<OrderQueryRoute>(query).key == "a/b");
+    CHECK(std::holds_alternative<TicketRoute>(routeOf("/v1/services/booking/tickets")));
+    CHECK(std::holds_alternative<ServiceCall>(routeOf("/v1/services/booking/tickets/1")));
+    CHECK(std::holds_alternative<UnknownRoute>(routeOf("/v1/services/")));
+    CHECK(std::holds_alternative<UnknownRoute>(routeOf("/v1/completionsx")));
+    CHECK(percentDecoded("%zz%4") == "%zz%4");
+}
+
+} // namespace
+} // namespace daisystream::frontendtest
--- /dev/null
+++ b/daemon/orderrouter_test.cpp
@@ -0,0 +1,149 @@
+#include "daemon/frontendfixture_test.h"
+
+namespace daisystream::frontendtest
+{
+namespace
+{
+
+const char *const kSeats = "/v1/services/booking/seats";
+
+std::string ticketOf(const Vm &vm)
+{
+    const auto reply = request(vm.port(), http::verb::post, "/v1/services/booking/tickets", kNorth);
+    REQUIRE(reply.status == 201);
+    return reply.parsed().at("ticket").get<std::string>();
+}
+
+Reply order(const Vm &vm, const std::string &header, const std::string &value, const std::string &name)
+{
+    return request(vm.port(), http::verb::post, kSeats, with(kNorth, header, value), json{{"order", name}}.dump());
+}
+
+const std::string kTicket = "X-Order-Ticket";
+const std::string kKey = "Idempotency-Key";
+const std::string kState = "X-Order-State";
+
+// Guards against an order that runs twice because it was sent to two VMs.
+TEST_CASE("an order with a ticket runs once, whichever VM it is sent to")
+{
+    Fleet fleet;
+    const auto ticket = ticketOf(*fleet.vm1);
+    const auto first = order(*fleet.vm2, kTicket, ticket, "seat");
+    CHECK(first.status == 201);
+    CHECK(first.headers.at(kState) == "complete");
+    const auto again = order(*fleet.vm1, kTicket, ticket, "seat");
+    CHECK(again.status == 201);
+    CHECK(again.body == first.body);
+    CHECK(fleet.service->counts().at("seat") == 1);
+    CHECK(order(*fleet.vm1, kTicket, ticket, "other").code() == 105);
+    CHECK(fleet.service->counts().count("other") == 0);
+}
+
+// Guards against a repeated dispatch after a byte was sent, and against "not run" for an order that ran.
+TEST_CASE("a lost reply leaves the outcome unknown and the order is never repeated")
+{
+    Fleet fleet;
+    const auto ticket = ticketOf(*fleet.vm1);
+    fleet.service->setFaults({.loseReplies = 2});
+    for (int i = 0; i < 3; ++i) {
+        const auto reply = order(i == 1 ? *fleet.vm2 : *fleet.vm1, kTicket, ticket, "seat");
+        CHECK(reply.state() == "outcomeUnknown");
+    }
+    CHECK(order(*fleet.vm1, kKey, "k", "hut").state() == "outcomeUnknown");
+    CHECK(order(*fleet.vm2, kKey, "k", "hut").state() == "outcomeUnknown");
+    CHECK(fleet.service->counts() == std::map<std::string, unsigned>{{"seat", 1}, {"hut", 1}});
+}
+
+// Guards against a ticket that burns without the order having run.
+TEST_CASE("an order that certainly did not run may be sent again with its ticket")
+{
+    Fleet fleet;
+    const auto ticket = ticketOf(*fleet.vm1);
+    fleet.service->setFaults({.refusals = 1});
+    CHECK(order(*fleet.vm1, kTicket, ticket, "seat").headers.at(kState) == "notRun");
+    auto unreachable = fleet.vm1->dispatcher.services;
+    std::swap(unreachable, fleet.vm1->dispatcher.services);
+    const auto none = order(*fleet.vm1, kTicket, ticket, "seat");
+    CHECK(none.status == 503);
+    CHECK(none.state() == "notRun");
+    std::swap(unreachable, fleet.vm1->dispatcher.services);
+    CHECK(order(*fleet.vm1, kTicket, ticket, "seat").status == 201);
+    CHECK(fleet.service->counts().at("seat") == 1);
+}
+
+// Guards against tickets that are made up, and against a claim about orders of an incarnation that is gone.
+TEST_CASE("forged tickets are refused and tickets of a lost VM leave the outcome unknown")
+{
+    Fleet fleet;
+    CHECK(order(*fleet.vm1, kTicket, "made-up", "seat").code() == 604);
+    const auto ticket = ticketOf(*fleet.vm2);
+    {
+        const std::lock_guard lock(fleet.net.mutex);
+        fleet.net.handlers.clear();
+    }
+    const auto lost = order(*fleet.vm1, kTicket, ticket, "seat");
+    CHECK(lost.code() == 605);
+    CHECK(lost.state() == "outcomeUnknown");
+    CHECK(fleet.service->counts().empty());
+}
+
+// Guards against a caller's own key that lets an order run twice, at one VM or at two at the same time.
+TEST_CASE("an order with the caller's own key runs once")
+{
+    Fleet fleet;
+    {
+        std::vector<std::jthread> callers;
+        for (int i = 0; i < 8; ++i) {
+            callers.emplace_back([&, i] { order(i % 2 == 0 ? *fleet.vm1 : *fleet.vm2, kKey, "bus 7", "bus"); });
+        }
+    }
+    CHECK(fleet.service->counts().at("bus") == 1);
+    Reply again;
+    do { // The outcome is recorded after the response was sent.
+        again = order(*fleet.vm2, kKey, "bus 7", "bus");
+    } while (again.status == 409);
+    CHECK(again.status == 201);
+    const auto known = request(fleet.vm1->port(), http::verb::get, "/v1/services/booking/orders/bus%207", kNorth).parsed();
+    CHECK(known.at("state") == "complete");
+    CHECK(known.at("status") == 201);
+    CHECK(order(*fleet.vm1, kKey, "bus 7", "other").status == 409);
+    CHECK(request(fleet.vm1->port(), http::verb::get, "/v1/services/booking/orders/unknown", kNorth).status == 404);
+    CHECK(fleet.service->counts().size() == 1);
+}
+
+// Guards against an order that is lost or doubled when the platform's reply to the insert is lost, and against a
+// dispatch without a record.
+TEST_CASE("an order by key survives a lost reply and is refused while the platform is down")
+{
+    Fleet fleet;
+    fleet.records.loseReplies = 1;
+    CHECK(order(*fleet.vm1, kKey, "a", "seat").status == 201);
+    CHECK(fleet.service->counts().at("seat") == 1);
+    {
+        const std::lock_guard lock(fleet.records.mutex);
+        fleet.records.down = true;
+    }
+    const auto refused = order(*fleet.vm1, kKey, "b", "hut");
+    CHECK(refused.status == 503);
+    CHECK(refused.code() == 501);
+    CHECK(refused.state() == "notRun");
+    const auto ticket = ticketOf(*fleet.vm1);
+    CHECK(order(*fleet.vm1, kTicket, ticket, "bench").status == 201);
+    CHECK(fleet.service->counts().count("hut") == 0);
+}
+
+// Guards against orders without protection, and against a service that sees the caller's key.
+TEST_CASE("an order needs a ticket or a key, reading does not")
+{
+    Fleet fleet;
+    const auto bare = request(fleet.vm1->port(), http::verb::post, kSeats, kNorth, R"({"order":"seat"})");
+    CHECK(bare.status == 400);
+    CHECK(bare.code() == 606);
+    CHECK(order(*fleet.vm1, kKey, "", "seat").status == 400);
+    CHECK(order(*fleet.vm1, kKey, std::string(200, 'x'), "seat").status == 400);
+    CHECK(request(fleet.vm1->port(), http::verb::get, kSeats, kNorth).body == R"({"free":7})");
+    CHECK(fleet.service->counts().empty());
+}
+
+} // namespace
+} // namespace daisystream::frontendtest
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -1,72 +1,53 @@
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/spawn.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include "standins/engine/engineserver.h"
+
 #include <gflags/gflags.h>
 
 #include <cstdio>
-DEFINE_uint32(port, 9000, "port to listen on");
-DEFINE_uint32(tokens, 20, "tokens of each answer");
-
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
-using boost::system::error_code;
-
-namespace
-{
 
-constexpr auto kStep = std::chrono::milliseconds(20);
-
-void serve(beast::tcp_stream &caller, asio::yield_context yield)
-{
-    error_code error;
-    beast::flat_buffer buffer;
-    http::request<http::string_body> request;
-    http::async_read(caller, buffer, request, yield[error]);
-    if (error) {
-        return;
-    }
-    http::response<http::empty_body> head(http::status::ok, 11);
-    head.set(http::field::content_type, "text/event-stream");
-    head.keep_alive(false);
-    http::response_serializer<http::empty_body> serializer(head);
-    http::async_write_header(caller, serializer, yield[error]);
-    asio::steady_timer timer(caller.get_executor());
-    for (unsigned i = 0; i < FLAGS_tokens && !error; ++i) {
-        timer.expires_after(kStep);
-        timer.async_wait(yield[error]);
-        const std::string event = "id: g1/" + std::to_string(i) + "\ndata: {\"choices\":[{\"index\":0,\"text\":\"word" + std::to_string(i) + " \"}]}\n\n";
-        asio::async_write(caller, asio::buffer(event), yield[error]);
-    }
-    const std::string end = "data: [DONE]\n\n";
-    asio::async_write(caller, asio::buffer(end), yield[error]);
-    caller.socket().shutdown(tcp::socket::shutdown_send, error);
-}
-
-} // namespace
+DEFINE_string(name, "engine", "prefix of generation names; must differ between engines");
+DEFINE_uint32(port, 9000, "port to listen on");
+DEFINE_uint32(tokens, 20, "tokens of an answer whose request does not say otherwise");
+DEFINE_double(step_ms, 8, "time of a step without any answer");
+DEFINE_double(step_ms_per_answer, 0.2, "time that each answer adds to a step");
+DEFINE_uint64(memory_tokens, 120000, "capacity for prompts and generated tokens");
+DEFINE_uint32(max_batch, 96, "answers in the batch at most");
+DEFINE_bool(fencing, true, "refuse orders with an outdated fencing number");
+DEFINE_uint32(report_lag_ms, 0, "age of load reports");
+DEFINE_uint64(first_generation, 1, "number of the first generation; must not repeat after a restart");
+DEFINE_double(slow_factor, 1, "each step takes this many times as long");
+DEFINE_uint32(malformed_every, 0, "every so many events one is cut to a half");
+DEFINE_uint32(duplicate_every, 0, "every so many events one is sent twice");
+DEFINE_uint32(reorder_every, 0, "every so many events one is sent after its successor");
+DEFINE_uint32(foreign_every, 0, "every so many events one of another generation is sent");
+DEFINE_uint32(cut_every, 0, "every so many events the connection is closed");
 
 int main(int argc, char **argv)
 try {
+    gflags::SetUsageMessage("standin_engine --name NAME --port PORT");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    asio::io_context io;
-    tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(FLAGS_port)});
-    asio::spawn(
-        io,
-        [&](asio::yield_context yield) {
-            for (;;) {
-                error_code error;
-                auto stream = std::make_shared<beast::tcp_stream>(io);
-                acceptor.async_accept(stream->socket(), yield[error]);
-                asio::spawn(
-                    io, [stream](asio::yield_context inner) { serve(*stream, inner); }, asio::detached);
-            }
-        },
-        asio::detached);
+    daisystream::EngineServerOptions options;
+    options.name = FLAGS_name;
+    options.port = static_cast<std::uint16_t>(FLAGS_port);
+    options.defaultTokens = FLAGS_tokens;
+    options.fencing = FLAGS_fencing;
+    options.reportLag = std::chrono::milliseconds(FLAGS_report_lag_ms);
+    options.model.stepBaseMilliseconds = FLAGS_step_ms;
+    options.model.stepMillisecondsPerAnswer = FLAGS_step_ms_per_answer;
+    options.model.memoryTokens = FLAGS_memory_tokens;
+    options.model.maxBatch = FLAGS_max_batch;
+    options.model.firstGeneration = FLAGS_first_generation;
+    boost::asio::io_context io;
+    daisystream::EngineServer engine(io, options);
+    daisystream::EngineFaults faults;
+    faults.slowFactor = FLAGS_slow_factor;
+    faults.malformedEvery = FLAGS_malformed_every;
+    faults.duplicateEvery = FLAGS_duplicate_every;
+    faults.reorderEvery = FLAGS_reorder_every;
+    faults.foreignEvery = FLAGS_foreign_every;
+    faults.cutEvery = FLAGS_cut_every;
+    engine.setFaults(faults);
+    std::printf("listening on port %u\n", static_cast<unsigned>(engine.port()));
+    std::fflush(stdout);
     io.run();
     return 0;
 } catch (const std::exception &fault) {
