Initialize all members of the benchmark's engine record

Cause: -Wmissing-field-initializers fails the build of bench/harness.cpp. Ruled out: disabling the warning, which finds forgotten fields elsewhere. Change: default initializers for three members.

--- a/bench/harness.cpp
+++ b/bench/harness.cpp
@@ -110,12 +110,12 @@
     std::uint32_t cell = 0;
     bool dead = false;
     EngineModel core;
-    std::optional<TimePoint> stepAt;
-    std::vector<std::uint32_t> requests; // By generation number.
+    std::optional<TimePoint> stepAt{};
+    std::vector<std::uint32_t> requests{0}; // By generation number.
     std::uint32_t outstanding = 0;
     std::uint32_t probationRunning = 0; // Answers started after the fault should have been noticed.
     std::uint32_t probationMost = 0;
-    std::optional<std::pair<TimePoint, TimePoint>> probation;
+    std::optional<std::pair<TimePoint, TimePoint>> probation{};
 };
 
 struct Owner
