--- a/daisystream/answer/sealer.cpp
+++ b/daisystream/answer/sealer.cpp
@@ -139,13 +139,19 @@
     return plain;
 }
 
-ResumeSealer::ResumeSealer(const std::vector<SealingKey> &keys, Random random)
-    : sealer_(keys, random)
+ResumeSealer::ResumeSealer(const std::vector<SealingKey> &keys, Random random, internal::ResumeFaults faults)
+    : sealer_({}, random)
+    , faults_(faults)
 {
+    setKeys(keys);
 }
 
 void ResumeSealer::setKeys(const std::vector<SealingKey> &keys)
 {
+    if (faults_.newestKeyOnly && !keys.empty()) {
+        sealer_.setKeys({*std::max_element(keys.begin(), keys.end())});
+        return;
+    }
     sealer_.setKeys(keys);
 }
 
@@ -177,7 +183,7 @@
     } catch (const json::exception &) {
         return forged; // Sealed by a version with another layout.
     }
-    if (point.team != team) {
+    if (point.team != team && !faults_.ignoreTeam) {
         return Error{ResultCode::ForeignResumeId, "the resume id belongs to another team", {}};
     }
     if (now >= point.expiry) {
--- a/daisystream/answer/sealer.h
+++ b/daisystream/answer/sealer.h
@@ -78,11 +78,23 @@
     friend auto operator<=>(const ResumePoint &, const ResumePoint &) = default;
 };
 
+namespace internal
+{
+
+/// Deliberate breaks for the schedules, which must notice each of them. None in the product.
+struct ResumeFaults
+{
+    bool ignoreTeam = false;
+    bool newestKeyOnly = false;
+};
+
+} // namespace internal
+
 /// Seals the ids of events towards the caller. Thread-compatible.
 class ResumeSealer
 {
 public:
-    ResumeSealer(const std::vector<SealingKey> &keys, Random random);
+    ResumeSealer(const std::vector<SealingKey> &keys, Random random, internal::ResumeFaults faults = {});
 
     void setKeys(const std::vector<SealingKey> &keys);
     /// @return the id in URL-safe base64; empty if there is no key.
@@ -93,6 +105,7 @@
 
 private:
     Sealer sealer_;
+    internal::ResumeFaults faults_;
 };
 
 } // namespace daisystream
--- a/daisystream/answer/state.cpp
+++ b/daisystream/answer/state.cpp
@@ -42,6 +42,8 @@
     if (!delivered_) {
         // A generation that the earlier attempt announced is void with it.
         sequencer_ = AnswerSequencer(GenerationId(), 0, faults_.sequencer);
+    } else {
+        sequencer_ = AnswerSequencer(GenerationId(), sequencer_.nextSequence(), faults_.sequencer); // Only under a fault.
     }
     totalTokens_.reset();
     endpoint_ = endpoint;
--- a/daisystream/lists/endpointstates.cpp
+++ b/daisystream/lists/endpointstates.cpp
@@ -30,9 +30,14 @@
 
 } // namespace
 
+EndpointStateList::EndpointStateList(internal::EndpointStateFaults faults)
+    : faults_(faults)
+{
+}
+
 bool EndpointStateList::offer(std::uint64_t number, const std::string &value)
 {
-    if (number <= number_) {
+    if (number <= number_ && !faults_.acceptLower) {
         return false;
     }
     const auto row = decodeVersionedRow(value);
--- a/daisystream/lists/endpointstates.h
+++ b/daisystream/lists/endpointstates.h
@@ -30,10 +30,24 @@
 
 constexpr const char *kEndpointStateKey = "endpoints/state";
 
+namespace internal
+{
+
+/// Deliberate breaks for the schedules, which must notice each of them. None in the product.
+struct EndpointStateFaults
+{
+    bool acceptLower = false; ///< Takes whatever version comes last.
+    bool overwrite = false;   ///< Writes only its own change, so that others' changes are reverted.
+};
+
+} // namespace internal
+
 /// The newest version of the row that this VM has seen. Thread-compatible.
 class EndpointStateList
 {
 public:
+    explicit EndpointStateList(internal::EndpointStateFaults faults = {});
+
     /// @return whether the version was higher than the current one, could be read and was taken.
     bool offer(std::uint64_t number, const std::string &value);
 
@@ -51,6 +65,7 @@
     }
 
 private:
+    internal::EndpointStateFaults faults_;
     std::uint64_t number_ = 0;
     std::string value_;
     std::map<EndpointId, bool> draining_;
@@ -69,17 +84,6 @@
 using EndpointStateOutcome = Result<std::uint64_t>;
 using EndpointStateStep = std::variant<TableAction, EndpointStateOutcome>;
 
-namespace internal
-{
-
-/// Deliberate breaks for the schedules, which must notice each of them. None in the product.
-struct EndpointStateFaults
-{
-    bool overwrite = false; ///< Writes only its own change, so that others' changes are reverted.
-};
-
-} // namespace internal
-
 /// Applies one change to the row. Changes of different operators do not exclude each other: after a conflict the change is
 /// applied to the new row. Thread-compatible.
 class EndpointStateEdit
--- a/daisystream/lists/freshness.cpp
+++ b/daisystream/lists/freshness.cpp
@@ -29,13 +29,16 @@
 
 void ListFreshness::onPlatformContact(TimePoint sentAt)
 {
+    if (options_.faults.forgetContact) {
+        return;
+    }
     platformContact_ = std::max(platformContact_.value_or(sentAt), sentAt);
 }
 
 void ListFreshness::onPeerContact(const VmId &peer, TimePoint asOf)
 {
     // A peer outside the quorum is not counted; setPeers() adds it.
-    if (const auto found = peers_.find(peer); found != peers_.end()) {
+    if (const auto found = peers_.find(peer); found != peers_.end() && !options_.faults.forgetContact) {
         found->second = std::max(found->second.value_or(asOf), asOf);
     }
 }
@@ -59,11 +62,14 @@
     }
 }
 
-bool ListFreshness::inContact(TimePoint now) const
+bool ListFreshness::inContact(TimePoint now, Duration limit) const
 {
     const auto fresh = [&](const std::optional<TimePoint> &contact) {
-        return contact && now - *contact < options_.contactLimit;
+        return contact && now - *contact < limit;
     };
+    if (options_.faults.neverIsolated) {
+        return true;
+    }
     if (fresh(platformContact_)) {
         return true;
     }
@@ -73,13 +79,13 @@
 
 std::optional<Error> ListFreshness::admission(TimePoint now) const
 {
-    if (stopping_) {
+    if (stopping_ && !options_.faults.ignoreStop) {
         return Error{ResultCode::Stopping, "this VM is shutting down", std::chrono::milliseconds(0)};
     }
     if (!listsKnown_) {
         return Error{ResultCode::NoLists, "no plans and limits have been obtained yet", kRetryAfter};
     }
-    if (!inContact(now) && !options_.faults.neverIsolated) {
+    if (!inContact(now, options_.contactLimit)) {
         return Error{ResultCode::Isolated, "neither the platform nor half of the other VMs are reached", kRetryAfter};
     }
     if (behindSince_ && now - *behindSince_ >= options_.behindLimit && !options_.faults.ignoreBehind) {
@@ -88,4 +94,12 @@
     return std::nullopt;
 }
 
+std::optional<Error> ListFreshness::assignment(TimePoint now) const
+{
+    if (!inContact(now, options_.assignLimit)) {
+        return Error{ResultCode::Isolated, "neither the platform nor half of the other VMs are reached, so endpoints may be draining", kRetryAfter};
+    }
+    return std::nullopt;
+}
+
 } // namespace daisystream
--- a/daisystream/lists/freshness.h
+++ b/daisystream/lists/freshness.h
@@ -31,6 +31,8 @@
 {
     bool neverIsolated = false;
     bool ignoreBehind = false;
+    bool ignoreStop = false;
+    bool forgetContact = false;
 };
 
 } // namespace internal
@@ -42,6 +44,9 @@
     Duration contactLimit = std::chrono::milliseconds(4500);
     /// A VM that knows of a newer version for this long without having got it refuses work.
     Duration behindLimit = std::chrono::seconds(2);
+    /// A VM without contact for this long gives no endpoint new work, since it may be draining: the bound that is promised
+    /// for a drain is 3 s.
+    Duration assignLimit = std::chrono::milliseconds(2500);
     internal::FreshnessFaults faults;
 };
 
@@ -69,9 +74,11 @@
 
     /// @return nothing if new work is admitted; else `Stopping`, `NoLists` or `Isolated`.
     [[nodiscard]] std::optional<Error> admission(TimePoint now) const;
+    /// @return nothing if an admitted request may be given to an endpoint; else `Isolated`.
+    [[nodiscard]] std::optional<Error> assignment(TimePoint now) const;
 
 private:
-    [[nodiscard]] bool inContact(TimePoint now) const;
+    [[nodiscard]] bool inContact(TimePoint now, Duration limit) const;
 
     FreshnessOptions options_;
     bool stopping_ = false;
--- a/daisystream/lists/listkeeper.h
+++ b/daisystream/lists/listkeeper.h
@@ -36,14 +36,30 @@
     std::string text;
 };
 
+namespace internal
+{
+
+/// Deliberate breaks for the schedules, which must notice each of them. None in the product.
+struct KeeperFaults
+{
+    bool acceptLower = false;
+};
+
+} // namespace internal
+
 /// Holds the highest version offered so far. Thread-compatible.
 class ListKeeper
 {
 public:
+    explicit ListKeeper(internal::KeeperFaults faults = {})
+        : faults_(faults)
+    {
+    }
+
     /// @return whether the version was higher than the current one and was taken.
     bool offer(ListVersion version, std::string text)
     {
-        if (version.number == 0 || (current_ && version.number <= current_->version.number)) {
+        if (version.number == 0 || (current_ && version.number <= current_->version.number && !faults_.acceptLower)) {
             return false;
         }
         current_ = ListSnapshot{std::move(version), std::move(text)};
@@ -57,6 +73,7 @@
     }
 
 private:
+    internal::KeeperFaults faults_;
     std::optional<ListSnapshot> current_;
 };
 
--- a/daisystream/membership/membership_test.cpp
+++ b/daisystream/membership/membership_test.cpp
@@ -27,11 +27,11 @@
     CHECK((table.state(b, kStart + 1500ms) == VmState::Suspected));
     CHECK(table.live(kStart + 1500ms) == std::vector<VmId>{VmId("a")});
     CHECK((table.state(b, kStart + 5s) == VmState::Dead));
-    CHECK(table.quorumPeers() == std::vector<VmId>{b});
+    CHECK(table.quorumPeers(kStart + 5s) == std::vector<VmId>{b});
     CHECK(table.incarnationGone(b, 1, kStart));
     CHECK_FALSE(table.incarnationGone(b, 2, kStart));
     table.onPlatformList({}, kStart + 6s);
-    CHECK(table.quorumPeers().empty());
+    CHECK(table.quorumPeers(kStart + 6s).empty());
 }
 
 // Guards against new work for a VM that is leaving.
--- a/daisystream/membership/vmtable.cpp
+++ b/daisystream/membership/vmtable.cpp
@@ -114,11 +114,12 @@
     return vms;
 }
 
-std::vector<VmId> VmTable::quorumPeers() const
+std::vector<VmId> VmTable::quorumPeers(TimePoint now) const
 {
     std::vector<VmId> peers;
     for (const auto &[vm, entry] : others_) {
-        if (!entry.leaving && !entry.listedLeaving) {
+        const bool forgotten = options_.faults.forgetSilent && stateOf(entry, now) != VmState::Live;
+        if (!entry.leaving && !entry.listedLeaving && !forgotten) {
             peers.push_back(vm);
         }
     }
--- a/daisystream/membership/vmtable.h
+++ b/daisystream/membership/vmtable.h
@@ -52,10 +52,22 @@
     friend auto operator<=>(const VmHeartbeat &, const VmHeartbeat &) = default;
 };
 
+namespace internal
+{
+
+/// Deliberate breaks for the schedules, which must notice each of them. None in the product.
+struct VmTableFaults
+{
+    bool forgetSilent = false; ///< Drops a silent VM from the quorum.
+};
+
+} // namespace internal
+
 struct VmTableOptions
 {
     Duration suspectedAfter = std::chrono::milliseconds(1500);
     Duration deadAfter = std::chrono::seconds(5);
+    internal::VmTableFaults faults;
 };
 
 /// The other VMs as this VM sees them. Thread-compatible.
@@ -84,7 +96,7 @@
     [[nodiscard]] std::vector<VmId> live(TimePoint now) const;
     /// @return the other VMs of which at least half must be reached while the platform is not. Silence alone removes none,
     ///     or a VM that was cut off would soon consider itself the only one.
-    [[nodiscard]] std::vector<VmId> quorumPeers() const;
+    [[nodiscard]] std::vector<VmId> quorumPeers(TimePoint now) const;
     /// @return the time at which the state of some VM changes without a further event, if any.
     [[nodiscard]] std::optional<TimePoint> nextChange(TimePoint now) const;
 
