--- a/daisystream/answer/state.cpp
+++ b/daisystream/answer/state.cpp
@@ -76,6 +76,13 @@
     }
 }
 
+void AnswerState::announce(Attempt attempt, const GenerationId &generation)
+{
+    if (attempt == attempts_.size() && !final_ && sequencer_.generation().empty() && !faults_.ignoreAnnouncement) {
+        sequencer_ = AnswerSequencer(generation, sequencer_.nextSequence(), faults_.sequencer);
+    }
+}
+
 SequenceVerdict AnswerState::accept(Attempt attempt, const StreamEvent &event)
 {
     const bool old = attempt != attempts_.size() && !faults_.acceptOldAttempts;
--- a/daisystream/answer/state.h
+++ b/daisystream/answer/state.h
@@ -43,6 +43,7 @@
     bool acceptOldAttempts = false;
     bool notRunAfterBytesSent = false;
     bool completeWithoutEnd = false;
+    bool ignoreAnnouncement = false;
 };
 
 } // namespace internal
@@ -70,6 +71,9 @@
     void onRequestBytesSent(Attempt attempt);
     /// The endpoint's reply proves that it did not run the request and will not.
     void onProvenNotRun(Attempt attempt);
+    /// The endpoint's response header names the generation. Without it the first event determines the generation, and an
+    /// event that crossed over from another answer could be the first.
+    void announce(Attempt attempt, const GenerationId &generation);
     /// @return what to do with the event; an event of an earlier attempt is dropped.
     [[nodiscard]] SequenceVerdict accept(Attempt attempt, const StreamEvent &event);
     /// The endpoint declared the end of the generation.
--- a/daisystream/lists/listedit.cpp
+++ b/daisystream/lists/listedit.cpp
@@ -1,5 +1,7 @@
 #include "daisystream/lists/listedit.h"
 
+#include "daisystream/lists/document.h"
+
 #include <nlohmann/json.hpp>
 
 #include <map>
@@ -29,7 +31,7 @@
 {
     if (value.is_object()) {
         for (const auto &[name, member] : value.items()) {
-            flatten(member, path.empty() ? name : path + "." + name, fields);
+            flatten(member, Document::join(path, name), fields);
         }
     } else if (value.is_array()) {
         for (std::size_t i = 0; i < value.size(); ++i) {
--- a/daisystream/orders/orderrecord.cpp
+++ b/daisystream/orders/orderrecord.cpp
@@ -233,14 +233,16 @@
         phase_ = Phase::RecordReadBack;
         return TableRead{.key = rowKeyOf(order_)};
     }
-    if (const auto *found = std::get_if<RowFound>(&reply)) {
+    // A row that is no newer than the condition is a stale read or shows that the write has had no effect yet.
+    if (const auto *found = std::get_if<RowFound>(&reply); found != nullptr && found->number > number_) {
         const auto row = decodeOrderRow(found->value);
-        if (!row || row->attempt.id != outcome_.attempt.id || std::holds_alternative<OrderDone>(row->state) || row->state.index() == outcome_.state.index()) {
+        const bool foreign = !row || row->attempt.id != outcome_.attempt.id;
+        if (foreign || std::holds_alternative<OrderDone>(row->state) || row->state.index() == outcome_.state.index()) {
             // Recorded already, or another attempt holds the row.
             phase_ = Phase::Decided;
             return OrderRecorded{};
         }
-        number_ = std::max(number_, found->number);
+        number_ = found->number;
     }
     return record();
 }
--- /dev/null
+++ b/schedules/properties.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "daisystream/answer/sealer.h"
+#include "daisystream/answer/state.h"
+#include "daisystream/lease/leaseholder.h"
+#include "daisystream/lists/endpointstates.h"
+#include "daisystream/lists/freshness.h"
+#include "daisystream/lists/listedit.h"
+#include "daisystream/membership/vmtable.h"
+#include "daisystream/orders/orderrecord.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// @file
+/// The properties that the schedules check, and the mutations that their checks must notice.
+///
+/// Example:
+/// @code
+///   const Property *property = findProperty("answers");
+///   std::optional<std::string> violation = property->run(seed, Faults());
+/// @endcode
+
+namespace daisystream::schedules
+{
+
+/// The deliberate breaks of all parts; none by default.
+struct Faults
+{
+    internal::AnswerFaults answer;
+    internal::ResumeFaults resume;
+    internal::LedgerFaults ledger;
+    internal::OrderRecordFaults record;
+    internal::KeeperFaults keeper;
+    internal::FreshnessFaults freshness;
+    internal::ListEditFaults edit;
+    internal::EndpointStateFaults states;
+    internal::VmTableFaults vms;
+    internal::LeaseFaults lease;
+};
+
+struct Mutation
+{
+    std::string name;
+    std::function<void(Faults &)> apply;
+};
+
+struct Property
+{
+    std::string name;
+    /// @return the violation, if there was one.
+    std::function<std::optional<std::string>(std::uint64_t seed, const Faults &faults)> run;
+    std::vector<Mutation> mutations;
+};
+
+[[nodiscard]] Property answersProperty();
+[[nodiscard]] Property ticketsProperty();
+[[nodiscard]] Property keyedOrdersProperty();
+[[nodiscard]] Property listsProperty();
+[[nodiscard]] Property leasesProperty();
+
+} // namespace daisystream::schedules
