--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -18,7 +18,10 @@
 constexpr milliseconds kCancelSettle(50);
 // A request without first token is overdue after this multiple of the expected time, but not before the least time.
 constexpr double kOverdueFactor = 4.0;
-constexpr milliseconds kLeastOverdue(1000);
+constexpr milliseconds kLeastOverdue(300);
+// Overdue first tokens in a row, without another first token in between, that make an endpoint suspect even if it made
+// a token recently.
+constexpr std::uint32_t kOverdueSigns = 2;
 // An endpoint that made a token for any of its answers this recently is alive.
 constexpr milliseconds kAliveWindow(1500);
 // Interval at which waiting requests are checked for whether they can still be served.
@@ -40,6 +43,7 @@
 // An urgent answer may start on an endpoint whose step is longer than promised by this factor, if the step is short
 // enough without the ordinary answers, which are not replaced when they end.
 constexpr double kTransientStepFactor = 1.6;
+constexpr double kLongestWait = 0.7;      // Of the promised first-token time, in the queue.
 constexpr double kLongestAnswer = 131072; // Tokens, where the request gives no limit.
 constexpr double kLongestRetry = 30.0;    // Seconds.
 constexpr double kShortestRetry = 0.05;
@@ -131,7 +135,9 @@
     Request &request = requests_[slot];
     request.state = State::Queued;
     queue_.push(request.team, request.order, slot);
-    setTimer(slot, request.work.firstTokenDeadline);
+    // What has waited this long is refused while the caller can still do something else with the rest of the time.
+    const Duration promise = std::max(Duration{}, request.work.firstTokenDeadline - request.work.arrival);
+    setTimer(slot, request.work.arrival + std::chrono::duration_cast<Duration>(kLongestWait * promise));
 }
 
 void Pool::dequeue(Slot slot)
@@ -238,6 +244,7 @@
     request.generated = std::max(1U, request.generated);
     Endpoint &endpoint = *endpoints_[request.endpoint];
     endpoint.tokenAt = now;
+    endpoint.overdue = 0;
     endpoint.health.onFirstToken(now);
     reindex(request.endpoint);
 }
@@ -596,7 +603,8 @@
         refuse(slot, ResultCode::QueueDeadlinePassed, "no endpoint became free before the deadline", waitOf(request, 1, now), now, actions);
     } else if (request.state == State::Assigned) {
         Endpoint &endpoint = *endpoints_[request.endpoint];
-        if (now - endpoint.tokenAt >= kAliveWindow) {
+        if (++endpoint.overdue >= kOverdueSigns || now - endpoint.tokenAt >= kAliveWindow) {
+            endpoint.overdue = 0;
             endpoint.health.onFirstTokenOverdue(now);
             afterHealthChange(request.endpoint, now); // Takes this request back as well.
         }
@@ -764,19 +772,22 @@
     if (load.running() == 0) {
         return true; // An idle endpoint cannot do better later.
     }
-    if (load.memoryShare(memory, deviations_) > usable || !keepsPace(endpoint, work, floorTurn)) {
+    if (load.memoryShare(memory, deviations_) > usable || !keepsPace(endpoint, work, floorTurn, now)) {
         return false;
     }
-    return work.rank == Rank::Urgent || sparesUrgent(endpoint, work);
+    return work.rank == Rank::Urgent || sparesUrgent(endpoint, work, floorTurn);
 }
 
-bool Pool::keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn) const
+bool Pool::keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn, TimePoint now) const
 {
     const EndpointLoad &load = endpoint.load;
     const double step = load.stepMilliseconds(1, work.promptTokens);
-    const double limit = load.paceLimit(work.paceTokensPerSecond, options_.paceMargin);
+    // Urgent work stays below the margin, so that there is room for ordinary work when it is the turn of its floor.
+    const double limit = load.paceLimit(work.paceTokensPerSecond, floorTurn ? 1.0 : options_.paceMargin);
     if (work.rank == Rank::Urgent) {
-        return step <= limit || (load.urgentStepMilliseconds(1, work.promptTokens) <= limit && step <= kTransientStepFactor * limit);
+        // Ordinary answers make room only as long as they are not replaced, which they are at the floor.
+        const bool makesRoom = step <= kTransientStepFactor * limit && queue_.ordinaryAboveFloor(now);
+        return step <= limit || (makesRoom && load.urgentStepMilliseconds(1, work.promptTokens) <= limit);
     }
     const bool shared = endpoint.reserved || load.running(Rank::Urgent) > 0;
     const double fastest = endpoint.reserved ? std::max(urgentPace_, work.paceTokensPerSecond) : work.paceTokensPerSecond;
@@ -784,11 +795,11 @@
 }
 
 // Whether prompts of ordinary work leave the first token of urgent work in time.
-bool Pool::sparesUrgent(const Endpoint &endpoint, const WorkRequest &work) const
+bool Pool::sparesUrgent(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn) const
 {
     const EndpointLoad &load = endpoint.load;
     const bool shared = endpoint.reserved || load.running(Rank::Urgent) > 0;
-    const std::uint64_t steps = shared ? 1 : kOrdinaryPromptSteps;
+    const std::uint64_t steps = shared && !floorTurn ? 1 : kOrdinaryPromptSteps;
     return load.pendingPromptTokens() == 0 || load.pendingPromptTokens() + work.promptTokens <= steps * load.info().stepCost.prefillTokensPerStep;
 }
 
@@ -838,7 +849,8 @@
 {
     const Index &index = general_.empty() ? reserved_ : general_;
     const double firstToken = endpoints_[index.begin()->second]->load.idleFirstTokenMilliseconds(request.work.promptTokens) / 1000.0;
-    return secondsOf(request.work.firstTokenDeadline - now) - firstToken;
+    const double promise = secondsOf(request.work.firstTokenDeadline - request.work.arrival);
+    return std::min(secondsOf(request.work.firstTokenDeadline - now) - firstToken, kLongestWait * promise - secondsOf(now - request.work.arrival));
 }
 
 bool Pool::refuseIfHopeless(const FairQueue::Item &item, TimePoint now, std::vector<Action> &actions)
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -95,8 +95,9 @@
         bool frozen = false;
         double score = 0;
         std::optional<TimePoint> timer;
-        std::set<Slot> requests; // Assigned or streaming here.
-        TimePoint tokenAt{};     // Last sign of progress.
+        std::set<Slot> requests;   // Assigned or streaming here.
+        TimePoint tokenAt{};       // Last sign of progress.
+        std::uint32_t overdue = 0; // Overdue first tokens since the last first token.
         // Own tokens of the present measuring window.
         TimePoint windowBegin{};
         double windowSeconds = 0;
@@ -151,8 +152,8 @@
     chooseFrom(const Index &index, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const;
     [[nodiscard]] bool
     admits(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const;
-    [[nodiscard]] bool keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn) const;
-    [[nodiscard]] bool sparesUrgent(const Endpoint &endpoint, const WorkRequest &work) const;
+    [[nodiscard]] bool keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn, TimePoint now) const;
+    [[nodiscard]] bool sparesUrgent(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn) const;
     void assign(Slot slot, const Choice &choice, const MemoryForecast::Contribution &memory, TimePoint now, std::vector<Action> &actions);
 
     SchedulerOptions options_;
