Stop the endless endpoint check when all reports are frozen

Change: a check is always planned for the future; a test covers it. Ordinary work now joins urgent work on an engine only up to 0.56 of the promised time between tokens, was 0.62.

--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -463,7 +463,10 @@
         }
     }
     reindex(index);
-    const std::optional<TimePoint> next = endpoint.health.nextCheck();
+    std::optional<TimePoint> next = endpoint.health.nextCheck();
+    if (next && *next <= now) {
+        next = now + options_.probeInterval / 2; // A frozen report that is ignored, see `checkEndpoint`.
+    }
     // A check moves later with every report. The timer is not moved along, but set anew when it fires.
     if (next && (!endpoint.timer || *next < *endpoint.timer)) {
         setEndpointTimer(index, next);
@@ -484,9 +487,6 @@
         actions.emplace_back(Probe{endpoint.load.info().id});
     }
     afterHealthChange(index, now);
-    if (!endpoint.timer && endpoint.health.nextCheck()) {
-        setEndpointTimer(index, std::max(*endpoint.health.nextCheck(), now + options_.probeInterval / 2));
-    }
 }
 
 void Pool::onLoadReport(const LoadReport &report, TimePoint now)
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -125,7 +125,7 @@
     double paceMargin = 0.95;     ///< Share of the promised time between tokens that a step may take.
     /// Share of the promised time between tokens of urgent work that a step may take before ordinary work is added to
     /// the same engine. The rest is for prompts that are read within a step.
-    double urgentStepShare = 0.62;
+    double urgentStepShare = 0.56;
     double urgentReserve = 0.05;                   ///< Share of batch and memory of an engine that ordinary work leaves free.
     std::chrono::milliseconds reportTimeout{2000}; ///< A report older than this counts as frozen.
     std::chrono::milliseconds probeInterval{1000}; ///< Between probes of one endpoint.
--- a/daisystream/scheduler/scheduler_test.cpp
+++ b/daisystream/scheduler/scheduler_test.cpp
@@ -227,6 +227,19 @@
     }
 }
 
+// Guards against losing the whole cell, or deciding without end, when no report arrives any more.
+TEST_CASE("a cell whose reports all stop goes on")
+{
+    Cell cell(3);
+    cell.run(seconds(3));
+    for (int i = 0; i < 100; ++i) {
+        cell.clock.advance(milliseconds(100));
+        cell.decide();
+        CHECK(cell.scheduler.nextWake().value_or(cell.clock.now() + seconds(1)) > cell.clock.now());
+    }
+    CHECK(cell.serve(12).size() == 3);
+}
+
 // Guards against work of a previous owner of the cell being invisible to the next one.
 TEST_CASE("work that another owner assigned is counted")
 {
