--- a/bench/checks.cpp
+++ b/bench/checks.cpp
@@ -25,7 +25,9 @@
 
 Measure figure(const std::string &name)
 {
-    return [name](const SeedRuns &runs) { return runs.at(kCells).at(name); };
+    return [name](const SeedRuns &runs) {
+        return runs.at(kCells).at(name);
+    };
 }
 
 class Builder
@@ -53,7 +55,11 @@
     void always()
     {
         add("retries", "extra load by retries", false, kRetryShare, figure("retries / requests begun"));
-        add("deadline", "longest wait of a refused request, as a share of its promised first-token time", false, 1, figure("longest wait of refused / promise"));
+        add("deadline",
+            "longest wait of a refused request, as a share of its promised first-token time",
+            false,
+            1,
+            figure("longest wait of refused / promise"));
     }
 
     // Compared with the baselines of the same run.
@@ -92,7 +98,11 @@
 
     void recovered()
     {
-        add("recovered", "urgent requests within SLO from 5 s after the loss could be detected", true, kWithinSlo, figure("urgent within SLO 5 s after detection"));
+        add("recovered",
+            "urgent requests within SLO from 5 s after the loss could be detected",
+            true,
+            kWithinSlo,
+            figure("urgent within SLO 5 s after detection"));
     }
 
     void probation()
--- a/bench/harness.cpp
+++ b/bench/harness.cpp
@@ -237,8 +237,8 @@
     // Figures that accumulate during the run.
     std::array<Quantiles, 2> gaps;
     std::array<Duration, 2> streamed{};
-    std::vector<std::uint64_t> floodTokens;  // By team and model, in the flood after its first 10 s.
-    std::vector<std::uint64_t> floodDemand;  // The same for the lengths of the arrivals.
+    std::vector<std::uint64_t> floodTokens; // By team and model, in the flood after its first 10 s.
+    std::vector<std::uint64_t> floodDemand; // The same for the lengths of the arrivals.
     std::uint64_t moves = 0;
     std::uint64_t messages = 0;
     Quantiles addedDelay;
@@ -564,7 +564,9 @@
 
 void Harness::Private::carryOut(int vm, const std::vector<AskAction> &actions)
 {
-    const auto vmIndex = [](const VmId &id) { return id.empty() ? kNone : std::stoi(id.value().substr(2)); };
+    const auto vmIndex = [](const VmId &id) {
+        return id.empty() ? kNone : std::stoi(id.value().substr(2));
+    };
     for (const AskAction &action : actions) {
         if (const auto *sendAsk = std::get_if<SendAsk>(&action)) {
             const std::uint32_t index = indexOf(sendAsk->request.id);
@@ -988,10 +990,12 @@
     leaveEngine(index);
     request.state = state;
     trace("finish r%u e%d tokens=%u", index, request.engine, request.tokens);
-    tellOwner(index, kSmallBytes, [this, index, reason, tokens = request.tokens, owner = request.owner, cell = request.cell](Scheduler &scheduler, const RequestId &id) {
-        ownerAt(owner, cell).entries.erase(index);
-        scheduler.onFinished(id, tokens, reason, now());
-    });
+    tellOwner(index,
+              kSmallBytes,
+              [this, index, reason, tokens = request.tokens, owner = request.owner, cell = request.cell](Scheduler &scheduler, const RequestId &id) {
+                  ownerAt(owner, cell).entries.erase(index);
+                  scheduler.onFinished(id, tokens, reason, now());
+              });
 }
 
 void Harness::Private::scheduleStep(std::uint32_t engine)
@@ -1549,8 +1553,7 @@
         queue.at(begin + fault.at, [this, fault] { inject(fault); });
     }
     const TimePoint end = begin + scenario.length;
-    while (queue.runOne(end)) {
-    }
+    while (queue.runOne(end)) { }
     Figures figures;
     rankFigures(figures, end);
     fairnessFigures(figures);
--- a/daemon/celldispatcher.cpp
+++ b/daemon/celldispatcher.cpp
@@ -95,14 +95,6 @@
     }
 };
 
-EndpointState parseState(const std::string &text)
-{
-    if (text == "draining") {
-        return EndpointState::Draining;
-    }
-    return text == "gone" ? EndpointState::Gone : EndpointState::InService;
-}
-
 } // namespace
 
 class CellDispatcher::Private : public std::enable_shared_from_this<CellDispatcher::Private>
@@ -188,11 +180,18 @@
         decideAll(now);
     }
 
+    void replaceEndpoints(std::set<EndpointId> &target, const std::vector<EndpointId> &endpointIds)
+    {
+        std::set<EndpointId> replaced(endpointIds.begin(), endpointIds.end());
+        if (replaced != target) {
+            target = std::move(replaced);
+            applyEndpoints();
+        }
+    }
+
     [[nodiscard]] EndpointState stateOf(const EndpointId &endpoint) const
     {
-        const auto found = states.find(endpoint);
-        const auto state = found == states.end() ? EndpointState::InService : found->second;
-        return state == EndpointState::InService && leaving.contains(endpoint) ? EndpointState::Draining : state;
+        return draining.contains(endpoint) || leaving.contains(endpoint) ? EndpointState::Draining : EndpointState::InService;
     }
 
     OwnedCell &cellFor(const CellId &id, TimePoint now)
@@ -785,7 +784,7 @@
     CellMap cells;
     AskTracker asks;
     std::vector<VmId> vms;
-    std::map<EndpointId, EndpointState> states;
+    std::set<EndpointId> draining;
     std::set<EndpointId> leaving;
     std::map<CellId, OwnedCell> owned;
     std::map<CellId, CellDigest> cellLoads;
@@ -926,7 +925,7 @@
 {
     const std::lock_guard lock(d_->mutex);
     for (const auto &candidate : d_->endpoints) {
-        if (candidate.id == endpoint && d_->stateOf(endpoint) != EndpointState::Gone) {
+        if (candidate.id == endpoint) {
             return candidate;
         }
     }
@@ -954,32 +953,14 @@
     });
 }
 
-void CellDispatcher::setEndpointStates(const std::string &text)
+void CellDispatcher::setDraining(const std::vector<EndpointId> &endpoints)
 {
-    const auto document = nlohmann::json::parse(text, nullptr, false, true);
-    if (!document.is_object() || !document.contains("endpoints") || !document["endpoints"].is_object()) {
-        LOG(ERROR) << "event=document_refused document=endpoints/state reason=malformed";
-        return;
-    }
-    std::map<EndpointId, EndpointState> states;
-    for (const auto &[id, state] : document["endpoints"].items()) {
-        states[EndpointId(id)] = parseState(state.is_string() ? state.get<std::string>() : "");
-    }
-    d_->apply([&](TimePoint /*now*/) {
-        d_->states = states;
-        d_->applyEndpoints();
-    });
+    d_->apply([&](TimePoint /*now*/) { d_->replaceEndpoints(d_->draining, endpoints); });
 }
 
-void CellDispatcher::setLeavingEndpoints(const std::vector<EndpointId> &endpoints)
+void CellDispatcher::setLeaving(const std::vector<EndpointId> &endpoints)
 {
-    d_->apply([&](TimePoint /*now*/) {
-        std::set<EndpointId> leaving(endpoints.begin(), endpoints.end());
-        if (leaving != d_->leaving) {
-            d_->leaving = std::move(leaving);
-            d_->applyEndpoints();
-        }
-    });
+    d_->apply([&](TimePoint /*now*/) { d_->replaceEndpoints(d_->leaving, endpoints); });
 }
 
 void CellDispatcher::onMessage(const VmId &from, const PeerMessage &message)
--- a/daemon/celldispatcher.h
+++ b/daemon/celldispatcher.h
@@ -53,12 +53,11 @@
     /// @param dead VMs whose requests are forgotten.
     void setVms(const std::vector<VmId> &live, const std::vector<VmId> &dead);
 
-    /// Takes the states of endpoints that are not in service.
-    /// @param text the document endpoints/state; a malformed one changes nothing.
-    void setEndpointStates(const std::string &text);
+    /// Replaces the endpoints that operators drain.
+    void setDraining(const std::vector<EndpointId> &endpoints);
 
     /// Replaces the endpoints that the platform is about to reclaim.
-    void setLeavingEndpoints(const std::vector<EndpointId> &endpoints);
+    void setLeaving(const std::vector<EndpointId> &endpoints);
 
     /// Handles a message between an entry VM and an owner; ignores other kinds.
     void onMessage(const VmId &from, const PeerMessage &message);
--- /dev/null
+++ b/daemon/controlpart.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "daemon/celldispatcher.h"
+#include "daemon/listtable.h"
+#include "daemon/loadpoller.h"
+#include "daemon/metrics.h"
+#include "daemon/peerlink.h"
+#include "daemon/platformclient.h"
+#include "daemon/settings.h"
+#include "daemon/vmmonitor.h"
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include <memory>
+#include <optional>
+
+/// @file
+/// Everything of a daemon but its callers' side: lists, routing, links between VMs, the platform.
+///
+/// Example:
+/// @code
+///   ControlPart control(io, settings, clock, ControlOptions{.seed = 7, .incarnation = 1});
+///   if (const auto error = control.start()) { ... }
+/// @endcode
+
+namespace daisystream
+{
+
+struct ControlOptions
+{
+    std::uint64_t seed = 1;
+    std::uint64_t incarnation = 1; ///< Rises with every start at one VM.
+    PeerLinkOptions peers{};
+    VmMonitorOptions monitor{};
+    LoadPollerOptions load{};
+};
+
+/// Owns the control part and connects its pieces. Destroy it only after the event loop has stopped.
+class ControlPart
+{
+public:
+    ControlPart(boost::asio::io_context &io, const Settings &settings, const Clock &clock, const ControlOptions &options);
+    ~ControlPart();
+
+    ControlPart(const ControlPart &) = delete;
+    ControlPart &operator=(const ControlPart &) = delete;
+
+    /// Reads list files, listens and starts all timers.
+    /// @return nothing, or why it cannot start.
+    [[nodiscard]] std::optional<Error> start();
+
+    /// Refuses new work as not run and tells the other VMs.
+    void beginShutdown();
+
+    /// Ends all timers and connections.
+    void stop();
+
+    [[nodiscard]] ListTable &lists();
+    [[nodiscard]] CellDispatcher &dispatcher();
+    [[nodiscard]] PeerLink &peers();
+    [[nodiscard]] PlatformClient &platform();
+    [[nodiscard]] VmMonitor &monitor();
+    [[nodiscard]] Metrics &metrics();
+
+    /// @return what `daisystream status` shows.
+    [[nodiscard]] nlohmann::json status() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d_;
+};
+
+} // namespace daisystream
--- a/daemon/dispatcher.h
+++ b/daemon/dispatcher.h
@@ -65,7 +65,7 @@
     /// @return the instances of a plain service that are in service, in the order of the settings.
     [[nodiscard]] virtual std::vector<EndpointSettings> serviceEndpoints(const ServiceId &service) const = 0;
 
-    /// @return the settings of an endpoint, or nothing if it is unknown or gone.
+    /// @return the settings of an endpoint, or nothing if it is unknown.
     [[nodiscard]] virtual std::optional<EndpointSettings> findEndpoint(const EndpointId &endpoint) const = 0;
 };
 
--- a/daemon/listtable.cpp
+++ b/daemon/listtable.cpp
@@ -44,7 +44,7 @@
     std::shared_ptr<const LimitList> limits;
     std::vector<ChangeHandler> handlers;
     bool stopping = false;
-    bool isolated = false;
+    ContactCheck contactCheck;
 };
 
 ListTable::ListTable()
@@ -68,17 +68,18 @@
 
 std::optional<Error> ListTable::admission() const
 {
-    const std::lock_guard lock(d_->mutex);
-    if (d_->stopping) {
-        return Error{ResultCode::Stopping, "this VM is shutting down", std::chrono::milliseconds(0)};
-    }
-    if (!d_->plans || !d_->limits) {
-        return Error{ResultCode::NoLists, "no plans and limits could be obtained yet", kRetryWhileUnavailable};
-    }
-    if (d_->isolated) {
-        return Error{ResultCode::Isolated, "this VM reaches neither the platform nor half of the other VMs", kRetryWhileUnavailable};
+    ContactCheck check;
+    {
+        const std::lock_guard lock(d_->mutex);
+        if (d_->stopping) {
+            return Error{ResultCode::Stopping, "this VM is shutting down", std::chrono::milliseconds(0)};
+        }
+        if (!d_->plans || !d_->limits) {
+            return Error{ResultCode::NoLists, "no plans and limits could be obtained yet", kRetryWhileUnavailable};
+        }
+        check = d_->contactCheck;
     }
-    return std::nullopt;
+    return check ? check() : std::nullopt;
 }
 
 SharedDocument ListTable::document(DocumentKind kind) const
@@ -159,13 +160,10 @@
     return d_->stopping;
 }
 
-void ListTable::setIsolated(bool isolated)
+void ListTable::setContactCheck(ContactCheck check)
 {
     const std::lock_guard lock(d_->mutex);
-    if (isolated != d_->isolated) {
-        LOG(WARNING) << "event=isolation isolated=" << isolated;
-    }
-    d_->isolated = isolated;
+    d_->contactCheck = std::move(check);
 }
 
 } // namespace daisystream
--- a/daemon/listtable.h
+++ b/daemon/listtable.h
@@ -50,6 +50,7 @@
 class ListTable
 {
 public:
+    using ContactCheck = std::function<std::optional<Error>()>;
     using ChangeHandler = std::function<void(DocumentKind)>;
 
     ListTable();
@@ -82,8 +83,9 @@
 
     [[nodiscard]] bool isStopping() const;
 
-    /// Records whether the VM is cut off from the platform and from half of the other VMs.
-    void setIsolated(bool isolated);
+    /// Adds what decides whether the VM still knows that its lists are in force. It runs at each call of `admission`,
+    /// without locks, so that a process that was paused does not admit work by an outdated verdict.
+    void setContactCheck(ContactCheck check);
 
 private:
     class Private;
--- /dev/null
+++ b/daemon/loadpoller.cpp
@@ -0,0 +1,218 @@
+#include "daemon/loadpoller.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <set>
+
+namespace daisystream
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr std::uint64_t kReportBytes = 1U << 20U;
+
+/// Remembers when a report last changed, for engines whose report carries a time of their own.
+struct ReportAge
+{
+    double engineTime = -1;
+    TimePoint firstSeen{};
+
+    TimePoint measuredAt(const json &report, TimePoint now)
+    {
+        const double time = report.value("measuredAtMs", -1.0);
+        if (time < 0) {
+            constexpr std::int64_t kMostMilliseconds = 3600000;
+            return now - std::chrono::milliseconds(std::clamp<std::int64_t>(report.value("ageMs", std::int64_t{0}), 0, kMostMilliseconds));
+        }
+        if (time != engineTime) {
+            engineTime = time;
+            firstSeen = now;
+        }
+        return firstSeen;
+    }
+};
+
+} // namespace
+
+class LoadPoller::Private : public std::enable_shared_from_this<Private>
+{
+public:
+    Private(asio::io_context &loop, CellDispatcher &target, const Clock &source, Metrics &metrics, LoadPollerOptions with)
+        : io(loop)
+        , strand(asio::make_strand(loop))
+        , dispatcher(target)
+        , clock(source)
+        , options(with)
+        , failures(metrics.counter("daisystream_load_poll_failures_total", "Load reports that could not be read."))
+        , reports(metrics.counter("daisystream_load_reports_total", "Load reports read."))
+    {
+    }
+
+    /// Starts a coroutine for each engine that has none.
+    void watchEngines(asio::yield_context yield)
+    {
+        asio::steady_timer timer(strand);
+        error_code error;
+        while (!stopped) {
+            for (const auto &engine : dispatcher.enginesToPoll()) {
+                if (polled.insert(engine.id).second) {
+                    asio::spawn(
+                        strand, [self = shared_from_this(), engine](asio::yield_context inner) { self->poll(engine, inner); }, asio::detached);
+                }
+            }
+            timer.expires_after(options.interval);
+            timer.async_wait(yield[error]);
+        }
+    }
+
+    [[nodiscard]] bool isWanted(const EndpointId &engine) const
+    {
+        const auto wanted = dispatcher.enginesToPoll();
+        return std::any_of(wanted.begin(), wanted.end(), [&](const auto &candidate) { return candidate.id == engine; });
+    }
+
+    void poll(const EndpointSettings &engine, asio::yield_context yield)
+    {
+        asio::steady_timer timer(strand);
+        error_code error;
+        ReportAge age;
+        std::uint64_t cacheSequence = 0;
+        beast::tcp_stream stream(strand);
+        for (unsigned round = 0; !stopped && isWanted(engine.id); ++round) {
+            const auto report = get(stream, engine, "/v1/load", yield);
+            if (report) {
+                deliver(engine.id, *report, age);
+            } else {
+                failures.add(1);
+            }
+            if (report && round % options.cacheEvery == 0) {
+                readCacheEvents(stream, engine, cacheSequence, yield);
+            }
+            timer.expires_after(options.interval);
+            timer.async_wait(yield[error]);
+        }
+        polled.erase(engine.id);
+    }
+
+    /// @return the reply, or nothing if there is none that is JSON; then the connection is closed.
+    std::optional<json> get(beast::tcp_stream &stream, const EndpointSettings &engine, const std::string &target, asio::yield_context yield)
+    {
+        error_code error;
+        stream.expires_after(options.timeout);
+        if (!stream.socket().is_open()) {
+            stream.async_connect(asio::ip::tcp::endpoint(asio::ip::make_address(engine.address.ip), engine.address.port), yield[error]);
+        }
+        http::request<http::empty_body> request(http::verb::get, target, 11);
+        request.set(http::field::host, toString(engine.address));
+        if (engine.checksCaller) {
+            request.set(http::field::authorization, engine.authorizationHeader);
+        }
+        if (!error) {
+            http::async_write(stream, request, yield[error]);
+        }
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(kReportBytes);
+        if (!error) {
+            http::async_read(stream, buffer, parser, yield[error]);
+        }
+        stream.expires_never();
+        json content = error ? json() : json::parse(parser.get().body(), nullptr, false);
+        if (error || !parser.keep_alive() || parser.get().result() != http::status::ok) {
+            stream.close();
+        }
+        if (error || parser.get().result() != http::status::ok || content.is_discarded()) {
+            return std::nullopt;
+        }
+        return content;
+    }
+
+    void deliver(const EndpointId &engine, const json &content, ReportAge &age)
+    {
+        try {
+            LoadReport report;
+            report.endpoint = engine;
+            report.measuredAt = age.measuredAt(content, clock.now());
+            report.running = content.at("running").get<std::uint32_t>();
+            report.waiting = content.at("waiting").get<std::uint32_t>();
+            report.memoryUsedTokens = content.at("memoryUsedTokens").get<std::uint64_t>();
+            report.memoryCapacityTokens = content.at("memoryCapacityTokens").get<std::uint64_t>();
+            report.stepMilliseconds = content.value("stepMilliseconds", 0.0);
+            report.preemptions = content.value("preemptions", std::uint64_t{0});
+            report.generatedTokens = content.value("generatedTokens", std::uint64_t{0});
+            dispatcher.onLoadReport(report);
+            reports.add(1);
+        } catch (const json::exception &) {
+            failures.add(1);
+        }
+    }
+
+    void readCacheEvents(beast::tcp_stream &stream, const EndpointSettings &engine, std::uint64_t &sequence, asio::yield_context yield)
+    {
+        const auto content = get(stream, engine, "/v1/cache-events?after=" + std::to_string(sequence), yield);
+        if (!content) {
+            return;
+        }
+        try {
+            for (const auto &entry : content->is_array() ? *content : content->at("events")) {
+                CacheEvent event{.endpoint = engine.id, .sequence = entry.at("sequence").get<std::uint64_t>()};
+                event.prefixHash = entry.at("prefixHash").get<std::uint64_t>();
+                event.kind = entry.value("stored", true) ? CacheEvent::Kind::Inserted : CacheEvent::Kind::Evicted;
+                sequence = std::max(sequence, event.sequence);
+                dispatcher.onCacheEvent(event);
+            }
+        } catch (const json::exception &) {
+            failures.add(1);
+        }
+    }
+
+    asio::io_context &io;
+    asio::strand<asio::io_context::executor_type> strand;
+    CellDispatcher &dispatcher;
+    const Clock &clock;
+    const LoadPollerOptions options;
+    Counter &failures;
+    Counter &reports;
+    std::atomic<bool> stopped{false};
+    std::set<EndpointId> polled; // On the strand.
+};
+
+LoadPoller::LoadPoller(asio::io_context &io, CellDispatcher &dispatcher, const Clock &clock, Metrics &metrics, LoadPollerOptions options)
+    : d_(std::make_shared<Private>(io, dispatcher, clock, metrics, options))
+{
+}
+
+LoadPoller::~LoadPoller()
+{
+    stop();
+}
+
+void LoadPoller::start()
+{
+    asio::spawn(
+        d_->strand, [self = d_](asio::yield_context yield) { self->watchEngines(yield); }, asio::detached);
+}
+
+void LoadPoller::stop()
+{
+    d_->stopped = true;
+}
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/loadpoller.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "daemon/celldispatcher.h"
+#include "daemon/metrics.h"
+#include "daisystream/base/clock.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+
+/// @file
+/// Reads load reports and cache events of the engines that this VM decides for.
+///
+/// Example:
+/// @code
+///   LoadPoller poller(io, dispatcher, clock, metrics, LoadPollerOptions{});
+///   poller.start();
+/// @endcode
+
+namespace daisystream
+{
+
+struct LoadPollerOptions
+{
+    std::chrono::milliseconds interval{250}; ///< Between two reports of one engine.
+    std::chrono::milliseconds timeout{1000}; ///< For one reply.
+    unsigned cacheEvery = 4;                 ///< Cache events are read with each so many-th report.
+};
+
+/// Polls engines until it is destroyed. `GET /v1/load` returns an object with the fields of `LoadReport`; its optional
+/// field `measuredAtMs` is the engine's own time in milliseconds, by which a frozen report is recognised, and `ageMs` the
+/// time since the measurement. Thread-safe.
+class LoadPoller
+{
+public:
+    LoadPoller(boost::asio::io_context &io, CellDispatcher &dispatcher, const Clock &clock, Metrics &metrics, LoadPollerOptions options);
+    ~LoadPoller();
+
+    void start();
+
+    /// Ends all polling.
+    void stop();
+
+private:
+    class Private;
+    std::shared_ptr<Private> d_;
+};
+
+} // namespace daisystream
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,10 +1,22 @@
+#include "daemon/bootclock.h"
+#include "daemon/controlpart.h"
+#include "daemon/httpfrontend.h"
+#include "daemon/operatorapi.h"
+#include "daemon/orderrecords.h"
 #include "daemon/settings.h"
+#include "daemon/tlscontext.h"
 
+#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <gflags/gflags.h>
 #include <glog/logging.h>
+#include <nlohmann/json.hpp>
 
 #include <cstdio>
+#include <cstdlib>
+#include <random>
 #include <thread>
 #include <vector>
 
@@ -14,7 +26,173 @@
 namespace
 {
 
+namespace asio = boost::asio;
+using namespace daisystream;
+
+// Documented in docs/settings.md.
+constexpr int kExitFailure = 1;
 constexpr int kExitInvalidSettings = 2;
+constexpr int kExitCannotStart = 3;
+
+constexpr auto kShutdownCheck = std::chrono::milliseconds(50);
+constexpr auto kCertificateCheck = std::chrono::seconds(10);
+// Leaves time for messages to other VMs, such as the last Done, to be sent before connections are closed.
+constexpr auto kFarewellTime = std::chrono::milliseconds(200);
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+/// Rises with each start, because VMs keep no state and their clocks are set.
+std::uint64_t makeIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+FrontendOptions toOptions(const CallerBounds &bounds)
+{
+    FrontendOptions options;
+    options.maxConnections = bounds.connections;
+    options.headerLimitBytes = bounds.headerBytes;
+    options.bodyLimitBytes = bounds.bodyBytes;
+    options.idleTimeout = bounds.idleTime;
+    options.headerTimeout = bounds.headerTime;
+    options.bodyTimeout = bounds.bodyTime;
+    options.writeTimeout = bounds.writeTime;
+    options.resumeWindow = bounds.resumeWindow;
+    options.serviceTimeout = bounds.serviceTime;
+    return options;
+}
+
+std::map<std::string, OperatorPage> operatorPages(ControlPart &control)
+{
+    return {{"/healthz",
+             {"text/plain",
+              [] {
+                  return "ok\n";
+              }}},
+            {"/readyz",
+             {"text/plain",
+              [&control] {
+                  return control.lists().admission() ? "" : "ok\n";
+              }}},
+            {"/metrics",
+             {"text/plain; version=0.0.4",
+              [&control] {
+                  return control.metrics().text();
+              }}},
+            {"/v1/status", {"application/json", [&control] {
+                                return control.status().dump();
+                            }}}};
+}
+
+/// One daemon from start to the end of its graceful shutdown.
+class Daemon
+{
+public:
+    explicit Daemon(const Settings &settings)
+        : settings_(settings)
+        , control_(io_, settings, clock_, {.seed = randomSeed(), .incarnation = makeIncarnation()})
+        , records_(control_.platform())
+        , frontend_(io_,
+                    settings.listen,
+                    toOptions(settings.callers),
+                    {.lists = control_.lists(),
+                     .dispatcher = control_.dispatcher(),
+                     .peers = control_.peers(),
+                     .records = records_,
+                     .metrics = control_.metrics(),
+                     .clock = clock_,
+                     .seed = randomSeed()})
+        , operators_(io_, operatorPages(control_))
+    {
+    }
+
+    /// @return the exit code.
+    int run()
+    {
+        auto error = loadCallerTls();
+        if (!error) {
+            error = control_.start();
+        }
+        if (!error) {
+            error = frontend_.start();
+        }
+        if (!error && settings_.listenOperators) {
+            error = operators_.start(*settings_.listenOperators);
+        }
+        if (error) {
+            LOG(ERROR) << error->detail;
+            return kExitCannotStart;
+        }
+        LOG(INFO) << "event=started vm=" << settings_.vm << " zone=" << settings_.zone << " port=" << frontend_.port()
+                  << " peer_port=" << (settings_.listenPeers ? control_.peers().port() : 0)
+                  << " operator_port=" << (settings_.listenOperators ? operators_.port() : 0);
+        asio::spawn(
+            io_, [this](asio::yield_context yield) { shutDownOnSignal(yield); }, asio::detached);
+        std::vector<std::jthread> workers;
+        for (unsigned i = 0; i < settings_.workers; ++i) {
+            workers.emplace_back([this] { io_.run(); });
+        }
+        return 0;
+    }
+
+private:
+    std::optional<Error> loadCallerTls()
+    {
+        if (!settings_.callerTls) {
+            return std::nullopt;
+        }
+        callerTls_.emplace(*settings_.callerTls);
+        if (auto error = callerTls_->load()) {
+            return error;
+        }
+        frontend_.setTls(callerTls_->current());
+        asio::spawn(
+            io_,
+            [this](asio::yield_context yield) {
+                asio::steady_timer timer(io_);
+                for (;;) {
+                    timer.expires_after(kCertificateCheck);
+                    timer.async_wait(yield);
+                    frontend_.setTls(callerTls_->current());
+                }
+            },
+            asio::detached);
+        return std::nullopt;
+    }
+
+    void shutDownOnSignal(asio::yield_context yield)
+    {
+        asio::signal_set signals(io_, SIGTERM, SIGINT);
+        signals.async_wait(yield);
+        LOG(INFO) << "event=shutdown_begun running=" << frontend_.running();
+        control_.beginShutdown();
+        asio::steady_timer timer(io_);
+        while (frontend_.running() > 0) {
+            timer.expires_after(kShutdownCheck);
+            timer.async_wait(yield);
+        }
+        frontend_.close();
+        timer.expires_after(kFarewellTime);
+        timer.async_wait(yield);
+        control_.stop();
+        LOG(INFO) << "event=shutdown_done";
+        io_.stop();
+    }
+
+    const Settings settings_;
+    const BootClock clock_;
+    asio::io_context io_;
+    ControlPart control_;
+    PlatformOrderRecords records_;
+    HttpFrontend frontend_;
+    OperatorApi operators_;
+    std::optional<TlsContexts> callerTls_;
+};
 
 } // namespace
 
@@ -24,24 +202,21 @@
     gflags::SetUsageMessage("daisystreamd --settings FILE [--check]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     google::InitGoogleLogging(argv[0]);
-    const auto result = daisystream::readSettings(FLAGS_settings);
-    if (const auto *error = std::get_if<daisystream::Error>(&result)) {
-        LOG(ERROR) << error->detail;
+    const auto result = readSettings(FLAGS_settings);
+    if (const auto *error = std::get_if<Error>(&result)) {
+        std::fprintf(stderr, "%s\n", error->detail.c_str());
         return kExitInvalidSettings;
     }
-    const auto &settings = std::get<daisystream::Settings>(result);
     if (FLAGS_check) {
         return 0;
     }
-    boost::asio::io_context io;
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&io](const boost::system::error_code &, int) { io.stop(); });
-    std::vector<std::jthread> workers;
-    for (unsigned i = 0; i < settings.workers; ++i) {
-        workers.emplace_back([&io] { io.run(); });
-    }
-    return 0;
+    Daemon daemon(std::get<Settings>(result));
+    const int status = daemon.run();
+    google::FlushLogFiles(google::INFO);
+    // Suspended coroutines of the event loop refer to members that would be destroyed before it. All threads have ended and
+    // there is nothing to save, so that the process ends without destroying them.
+    std::_Exit(status);
 } catch (const std::exception &fault) {
     std::fprintf(stderr, "daisystreamd: %s\n", fault.what());
-    return 1;
+    return kExitFailure;
 }
--- a/daemon/peerlink.cpp
+++ b/daemon/peerlink.cpp
@@ -15,6 +15,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <map>
@@ -229,6 +230,7 @@
     Counter &malformed;
     Counter &mismatches;
     std::unique_ptr<TlsContexts> tls;
+    PeerLink::AckHandler onAck;
 };
 
 /// The connection on which messages go to one VM; connects again whenever it is lost.
@@ -291,9 +293,7 @@
     void expectAck(std::uint64_t sequence, TimePoint now)
     {
         lastProbe_ = now;
-        if (!awaitedAck_) {
-            awaitedAck_ = {sequence, now};
-        }
+        probes_.emplace_back(sequence, now);
     }
 
     void run(asio::yield_context yield)
@@ -347,7 +347,7 @@
     {
         const std::lock_guard lock(mutex_);
         connected_ = true;
-        awaitedAck_.reset();
+        probes_.clear();
         lastProbe_ = shared_->clock.now();
     }
 
@@ -379,11 +379,10 @@
     {
         Error reason;
         while (const auto message = readMessage(channel, shared_->clock, shared_->bytes, yield, reason)) {
-            if (const auto *ack = std::get_if<AckMessage>(&*message)) {
-                const std::lock_guard lock(mutex_);
-                if (awaitedAck_ && awaitedAck_->first == ack->sequence) {
-                    awaitedAck_.reset();
-                }
+            const auto *ack = std::get_if<AckMessage>(&*message);
+            const auto sentAt = ack != nullptr ? confirm(ack->sequence) : std::nullopt;
+            if (sentAt && shared_->onAck) {
+                shared_->onAck(peer_.vm, *sentAt);
             }
         }
         if (reason.code == ResultCode::PeerMalformedMessage) {
@@ -393,6 +392,20 @@
         wake_.cancel();
     }
 
+    /// @return when the probe was sent, if it was sent on this connection.
+    std::optional<TimePoint> confirm(std::uint64_t sequence)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = std::find_if(probes_.begin(), probes_.end(), [&](const auto &probe) { return probe.first == sequence; });
+        if (found == probes_.end()) {
+            return std::nullopt;
+        }
+        const TimePoint sentAt = found->second;
+        // An acknowledgement covers the earlier probes too, since a connection keeps its order.
+        probes_.erase(probes_.begin(), found + 1);
+        return sentAt;
+    }
+
     /// Closes the connection when an acknowledgement is overdue, also while a write is blocked.
     void watchSilence(const std::shared_ptr<Channel> &channel)
     {
@@ -418,7 +431,7 @@
         bool pingIsDue = false;
         {
             const std::lock_guard lock(mutex_);
-            if (awaitedAck_ && now - awaitedAck_->second > shared_->options.silence) {
+            if (!probes_.empty() && now - probes_.front().second > shared_->options.silence) {
                 return true;
             }
             pingIsDue = now - lastProbe_ >= shared_->options.pingEvery;
@@ -474,7 +487,7 @@
     bool connected_ = false;
     std::deque<std::string> queue_;
     std::size_t queuedBytes_ = 0;
-    std::optional<std::pair<std::uint64_t, TimePoint>> awaitedAck_; // The oldest probe without an acknowledgement.
+    std::deque<std::pair<std::uint64_t, TimePoint>> probes_; // Without an acknowledgement, oldest first.
     TimePoint lastProbe_{};
 };
 
@@ -702,6 +715,11 @@
     stop();
 }
 
+void PeerLink::setAckHandler(AckHandler handler)
+{
+    d_->shared->onAck = std::move(handler);
+}
+
 void PeerLink::setMessageHandler(MessageHandler handler)
 {
     d_->handler = std::move(handler);
--- a/daemon/peerlink.h
+++ b/daemon/peerlink.h
@@ -50,6 +50,8 @@
 public:
     using MessageHandler = std::function<void(const VmId &from, std::uint64_t incarnation, const PeerMessage &)>;
 
+    using AckHandler = std::function<void(const VmId &, TimePoint sentAt)>;
+
     PeerLink(boost::asio::io_context &io, const PeerIdentity &identity, const Clock &clock, Metrics &metrics, PeerLinkOptions options);
     ~PeerLink() override;
 
@@ -57,6 +59,10 @@
     /// `start`. It runs on a thread of the event loop without locks.
     void setMessageHandler(MessageHandler handler);
 
+    /// Sets who learns that a VM has confirmed a heartbeat. Set it before `start`.
+    /// @param handler gets the VM and the time at which this VM sent the confirmed heartbeat.
+    void setAckHandler(AckHandler handler);
+
     /// Listens for other VMs.
     /// @param listen nothing: this VM does not listen.
     /// @param tls nothing: plain TCP in both directions.
--- a/daemon/platformclient.cpp
+++ b/daemon/platformclient.cpp
@@ -70,6 +70,25 @@
     return mayHaveTakenEffect ? Error{ResultCode::OutcomeOfWriteUnknown, "platform: " + reason, kCallTimeout} : unavailable(reason);
 }
 
+TableReply toReply(const Error &error)
+{
+    switch (error.code) {
+    case ResultCode::WriteConflict:
+        return RowConflict{};
+    case ResultCode::OutcomeOfWriteUnknown:
+        return TableLost{};
+    default:
+        return TableRefused{};
+    }
+}
+
+/// @return table and key of a row such as "lists/plans".
+std::pair<std::string, std::string> splitKey(const std::string &key)
+{
+    const auto slash = key.find('/');
+    return {key.substr(0, slash), slash == std::string::npos ? "" : key.substr(slash + 1)};
+}
+
 std::string rowTarget(const std::string &table, const std::string &key)
 {
     return "/v1/tables/" + table + "/rows/" + key;
@@ -296,6 +315,31 @@
     return failedWrite(exchange);
 }
 
+TableReply PlatformClient::perform(const TableAction &action, asio::yield_context yield)
+{
+    if (const auto *write = std::get_if<TableWrite>(&action)) {
+        const auto [table, key] = splitKey(write->key);
+        const RowCondition condition = write->ifNumber == 0 ? RowCondition(IfNoneMatch{}) : RowCondition(IfMatch{write->ifNumber});
+        const auto written = putRow(table, key, write->value, condition, yield);
+        if (const auto *number = std::get_if<std::uint64_t>(&written)) {
+            return RowWritten{*number};
+        }
+        return toReply(std::get<Error>(written));
+    }
+    if (const auto *read = std::get_if<TableRead>(&action)) {
+        const auto [table, key] = splitKey(read->key);
+        const auto found = getRow(table, key, yield);
+        if (std::holds_alternative<Error>(found)) {
+            return TableRefused{};
+        }
+        const auto &row = std::get<std::optional<Row>>(found);
+        return row ? TableReply(RowFound{.number = row->version, .value = row->text}) : TableReply(RowAbsent{});
+    }
+    const auto &object = std::get<ObjectWrite>(action);
+    const auto error = putObject(object.key, object.value, yield);
+    return error ? toReply(*error) : TableReply(ObjectWritten{});
+}
+
 Result<std::vector<ListedVm>> PlatformClient::listVms(asio::yield_context yield)
 {
     const auto exchange = d_->call(Request(http::verb::get, "/v1/vms", 11), yield);
@@ -305,13 +349,10 @@
     std::vector<ListedVm> vms;
     try {
         for (const auto &entry : nlohmann::json::parse(exchange.response->body())) {
-            const auto peerAddress = parseSocketAddress(entry.at("peerAddress").get<std::string>());
-            if (!peerAddress) {
-                return unavailable("the list of VMs holds an invalid address");
-            }
+            const auto peerAddress = parseSocketAddress(entry.value("peerAddress", std::string()));
             vms.push_back({.vm = VmId(entry.at("vm").get<std::string>()),
                            .zone = ZoneId(entry.value("zone", std::string())),
-                           .peerAddress = *peerAddress,
+                           .peerAddress = peerAddress,
                            .leaving = entry.value("leaving", false)});
         }
     } catch (const nlohmann::json::exception &fault) {
--- a/daemon/platformclient.h
+++ b/daemon/platformclient.h
@@ -2,6 +2,7 @@
 
 #include "daemon/settings.h"
 #include "daisystream/base/result.h"
+#include "daisystream/base/table.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -50,7 +51,7 @@
 {
     VmId vm;
     ZoneId zone;
-    SocketAddress peerAddress; ///< Where other VMs connect.
+    std::optional<SocketAddress> peerAddress; ///< Where other VMs connect; VMs of endpoints have none.
     bool leaving = false;
 };
 
@@ -83,6 +84,10 @@
     /// Stores an object. Errors as with `putRow`.
     [[nodiscard]] std::optional<Error> putObject(const std::string &key, const std::string &content, boost::asio::yield_context yield);
 
+    /// Performs a request of one of the library's state machines.
+    /// @return `TableLost` if a write may have taken effect although no reply tells it.
+    [[nodiscard]] TableReply perform(const TableAction &action, boost::asio::yield_context yield);
+
     /// @return the VMs that the platform knows, or `PlatformUnavailable`.
     [[nodiscard]] Result<std::vector<ListedVm>> listVms(boost::asio::yield_context yield);
 
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -262,11 +262,12 @@
     fields.number("headerBytes", bounds.headerBytes, 1024, kMostBytes);
     fields.number("bodyBytes", bounds.bodyBytes, 1024, kMostBytes);
     fields.number("connections", bounds.connections, 1, 1000000);
-    fields.number("bufferedBytes", bounds.bufferedBytes, 4096, kMostBytes);
     fields.milliseconds("headerMs", bounds.headerTime);
     fields.milliseconds("bodyMs", bounds.bodyTime);
     fields.milliseconds("idleMs", bounds.idleTime);
     fields.milliseconds("writeMs", bounds.writeTime);
+    fields.milliseconds("resumeWindowMs", bounds.resumeWindow);
+    fields.milliseconds("serviceMs", bounds.serviceTime);
     fields.refuseUnknown();
 }
 
@@ -357,6 +358,7 @@
         settings.listen = *address;
     }
     settings.listenPeers = fields.address("listenPeers", false);
+    settings.listenOperators = fields.address("listenOperators", false);
     settings.platform = fields.address("platform", false);
     fields.number("workers", settings.workers, 1, kMaxWorkers);
     fields.array("peers", [&](const json &value, const std::string &path) { settings.peers.push_back(readPeer(value, path, faults)); });
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -93,13 +93,14 @@
 struct CallerBounds
 {
     std::uint32_t headerBytes = 16384;
-    std::uint32_t bodyBytes = 1U << 20U;
+    std::uint32_t bodyBytes = 4U << 20U;
     std::uint32_t connections = 20000;
-    std::uint32_t bufferedBytes = 262144;       ///< Unsent bytes of one answer before its caller counts as too slow.
-    std::chrono::milliseconds headerTime{5000}; ///< For a whole header.
-    std::chrono::milliseconds bodyTime{10000};  ///< For a whole body.
-    std::chrono::milliseconds idleTime{60000};  ///< Between two requests on one connection.
-    std::chrono::milliseconds writeTime{10000}; ///< Until a caller has to accept further bytes.
+    std::chrono::milliseconds headerTime{10000};   ///< For a whole header.
+    std::chrono::milliseconds bodyTime{30000};     ///< For a whole body.
+    std::chrono::milliseconds idleTime{60000};     ///< Between two requests on one connection.
+    std::chrono::milliseconds writeTime{10000};    ///< Until a caller has to accept further bytes.
+    std::chrono::milliseconds resumeWindow{30000}; ///< How long an answer goes on after its caller has gone away.
+    std::chrono::milliseconds serviceTime{30000};  ///< For the response of a plain service.
 
     friend auto operator<=>(const CallerBounds &, const CallerBounds &) = default;
 };
@@ -112,8 +113,9 @@
     SocketAddress listen; ///< Where callers connect.
     unsigned workers = 2; ///< Threads that run the event loop.
     std::vector<EndpointSettings> endpoints;
-    std::optional<SocketAddress> listenPeers; ///< Where other VMs connect.
-    std::vector<PeerSettings> peers;          ///< Without this VM; the platform's VM list adds to them.
+    std::optional<SocketAddress> listenPeers;     ///< Where other VMs connect.
+    std::vector<PeerSettings> peers;              ///< Without this VM; the platform's VM list adds to them.
+    std::optional<SocketAddress> listenOperators; ///< Where operators read status and metrics.
     std::optional<SocketAddress> platform;
     ListFiles listFiles;
     std::optional<TlsSettings> callerTls;
--- /dev/null
+++ b/daemon/vmmonitor.cpp
@@ -0,0 +1,462 @@
+#include "daemon/vmmonitor.h"
+
+#include "daisystream/lists/endpointstates.h"
+#include "daisystream/lists/freshness.h"
+#include "daisystream/lists/versionedrow.h"
+#include "daisystream/membership/vmtable.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace daisystream
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace
+{
+
+// Up to this many other VMs, each sends heartbeats to all; above, to a few in rotation, which pass them on.
+constexpr std::size_t kDirectPeers = 7;
+constexpr std::size_t kGossipTargets = 4;
+// With 4 targets twice a second, 8 entries of about 30 bytes cost less than the 3 KB/s that a node may spend.
+constexpr std::size_t kGossipEntries = 8;
+// With 64 entries a second a fleet of 420 is heard of once in about 7 s, so that silence shows later than among few VMs.
+constexpr VmTableOptions kGossipTimes{.suspectedAfter = std::chrono::seconds(15), .deadAfter = std::chrono::seconds(30)};
+// Asked again when no reply has come, since a request is lost with its connection.
+constexpr auto kFetchAgainAfter = std::chrono::milliseconds(500);
+constexpr std::size_t kSealKeyBytes = 32;
+
+constexpr std::array<DocumentKind, kDocumentKinds> kAllKinds{DocumentKind::Plans, DocumentKind::Limits, DocumentKind::EndpointStates, DocumentKind::SealKeys};
+
+/// @return the text of a first set of sealing keys.
+std::string makeSealKeys()
+{
+    std::array<unsigned char, kSealKeyBytes> bytes{};
+    if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+        return {};
+    }
+    constexpr std::string_view kDigits = "0123456789abcdef";
+    std::string digits;
+    for (const unsigned char byte : bytes) {
+        digits += kDigits[byte >> 4U];
+        digits += kDigits[byte & 0xfU];
+    }
+    return nlohmann::json{{"keys", {{{"number", 1}, {"key", digits}}}}}.dump();
+}
+
+} // namespace
+
+class VmMonitor::Private : public std::enable_shared_from_this<Private>
+{
+public:
+    Private(asio::io_context &loop, const Settings &with, const VmMonitorParts &links, VmMonitorOptions times)
+        : io(loop)
+        , settings(with)
+        , parts(links)
+        , options(times)
+        , pollFailures(links.metrics.counter("daisystream_platform_failures_total", "Polls of the platform without a usable reply."))
+        , fetched(links.metrics.counter("daisystream_documents_from_peers_total", "Documents that came from another VM."))
+        , table(with.vm, with.peers.size() > kDirectPeers ? kGossipTimes : VmTableOptions{})
+    {
+    }
+
+    /// Calls `work` at once and then with a pause in between, until the monitor stops.
+    template<class Work>
+    void repeat(std::chrono::milliseconds pause, Work work)
+    {
+        asio::spawn(
+            asio::make_strand(io),
+            [self = shared_from_this(), pause, work](asio::yield_context yield) {
+                asio::steady_timer timer(yield.get_executor());
+                error_code error;
+                while (!self->stopped) {
+                    work(yield);
+                    timer.expires_after(pause);
+                    timer.async_wait(yield[error]);
+                }
+            },
+            asio::detached);
+    }
+
+    void start()
+    {
+        repeat(options.heartbeatEvery, [this](asio::yield_context) { beat(); });
+        if (!parts.platform.isConfigured()) {
+            return;
+        }
+        for (const DocumentKind kind : kAllKinds) {
+            const auto pause = kind == DocumentKind::SealKeys ? options.sealKeysEvery : options.pollEvery;
+            repeat(pause, [this, kind](asio::yield_context yield) { poll(kind, yield); });
+        }
+        repeat(options.pollEvery, [this](asio::yield_context yield) { pollVms(yield); });
+    }
+
+    // The platform.
+
+    void poll(DocumentKind kind, asio::yield_context yield)
+    {
+        const auto sentAt = parts.clock.now();
+        const auto reply = parts.platform.perform(TableRead{toString(kind)}, yield);
+        if (const auto *found = std::get_if<RowFound>(&reply)) {
+            take(kind, *found);
+        } else if (std::holds_alternative<RowAbsent>(reply)) {
+            if (kind == DocumentKind::SealKeys && parts.lists.document(kind).version.number == 0) {
+                createSealKeys(yield);
+            }
+        } else {
+            pollFailures.add(1);
+            return;
+        }
+        onPlatformContact(kind, sentAt);
+    }
+
+    void take(DocumentKind kind, const RowFound &found)
+    {
+        const auto row = decodeVersionedRow(found.value);
+        if (!row) {
+            LOG(ERROR) << "event=document_refused document=" << toString(kind) << " version=" << found.number << " reason=malformed_row";
+            return;
+        }
+        parts.lists.offer(kind, {.number = found.number, .changeId = row->changes.empty() ? "" : row->changes.back()}, row->text);
+    }
+
+    /// Every VM may try; the condition lets one succeed.
+    void createSealKeys(asio::yield_context yield)
+    {
+        VersionedRow row{.text = makeSealKeys(), .changes = {}};
+        row.appendChange("first-" + settings.vm.value());
+        // Whatever the reply, the row read afterwards decides.
+        (void)parts.platform.perform(TableWrite{.key = toString(DocumentKind::SealKeys), .ifNumber = 0, .value = encode(row)}, yield);
+        const auto reply = parts.platform.perform(TableRead{toString(DocumentKind::SealKeys)}, yield);
+        if (const auto *found = std::get_if<RowFound>(&reply)) {
+            take(DocumentKind::SealKeys, *found);
+        }
+    }
+
+    /// The contact is as old as the older poll of the two lists.
+    void onPlatformContact(DocumentKind kind, TimePoint sentAt)
+    {
+        const std::lock_guard lock(mutex);
+        contacts[static_cast<std::size_t>(kind)] = sentAt;
+        const auto &plans = contacts[static_cast<std::size_t>(DocumentKind::Plans)];
+        const auto &limits = contacts[static_cast<std::size_t>(DocumentKind::Limits)];
+        if (plans && limits) {
+            freshness.onPlatformContact(std::min(*plans, *limits));
+        }
+    }
+
+    void pollVms(asio::yield_context yield)
+    {
+        const auto reply = parts.platform.listVms(yield);
+        const auto *vms = std::get_if<std::vector<ListedVm>>(&reply);
+        if (vms == nullptr) {
+            pollFailures.add(1);
+            return;
+        }
+        std::vector<PlatformVm> listed;
+        std::vector<PeerSettings> peers = settings.peers;
+        std::vector<EndpointId> leaving;
+        for (const auto &vm : *vms) {
+            if (!vm.peerAddress) {
+                // The VM of an endpoint, which has the endpoint's name.
+                if (vm.leaving) {
+                    leaving.emplace_back(vm.vm.value());
+                }
+                continue;
+            }
+            listed.push_back({.vm = vm.vm, .leaving = vm.leaving});
+            std::erase_if(peers, [&](const auto &peer) { return peer.vm == vm.vm; });
+            peers.push_back({.vm = vm.vm, .address = *vm.peerAddress, .zone = vm.zone});
+        }
+        {
+            const std::lock_guard lock(mutex);
+            for (const auto &peer : settings.peers) {
+                if (std::none_of(listed.begin(), listed.end(), [&](const auto &vm) { return vm.vm == peer.vm; })) {
+                    listed.push_back({.vm = peer.vm});
+                }
+            }
+            table.onPlatformList(listed, parts.clock.now());
+        }
+        parts.peers.setPeers(peers);
+        parts.dispatcher.setLeaving(leaving);
+    }
+
+    // Other VMs.
+
+    void beat()
+    {
+        const auto peers = parts.peers.peers();
+        HeartbeatMessage heartbeat;
+        heartbeat.versions = parts.lists.versions();
+        heartbeat.cells = parts.dispatcher.digests();
+        std::vector<VmId> targets;
+        {
+            const std::lock_guard lock(mutex);
+            heartbeat.sequence = ++sequence;
+            heartbeat.stopping = leaving;
+            if (peers.size() <= kDirectPeers) {
+                std::transform(peers.begin(), peers.end(), std::back_inserter(targets), [](const auto &peer) { return peer.vm; });
+            } else {
+                for (std::size_t i = 0; i < kGossipTargets; ++i) {
+                    targets.push_back(peers[nextTarget++ % peers.size()].vm);
+                }
+                heartbeat.heard = takeNews();
+            }
+        }
+        for (const auto &target : targets) {
+            parts.peers.send(target, heartbeat);
+        }
+        refreshView();
+    }
+
+    std::vector<HeardVm> takeNews()
+    {
+        std::vector<HeardVm> taken;
+        while (!news.empty() && taken.size() < kGossipEntries) {
+            taken.push_back(news.front());
+            news.pop_front();
+        }
+        return taken;
+    }
+
+    /// Passes on who is live, and whether this VM still knows that its lists are in force.
+    void refreshView()
+    {
+        const auto now = parts.clock.now();
+        std::vector<VmId> live;
+        std::vector<VmId> dead;
+        bool changed = false;
+        // One at a time, so that an older view never replaces a newer one at the dispatcher.
+        const std::lock_guard order(viewMutex);
+        {
+            const std::lock_guard lock(mutex);
+            live = table.live(now);
+            for (const auto &vm : table.quorumPeers()) {
+                if (table.state(vm, now) == VmState::Dead) {
+                    dead.push_back(vm);
+                }
+            }
+            freshness.setPeers(table.quorumPeers());
+            freshness.setListsKnown(true); // ListTable checks that by itself.
+            changed = live != lastLive || dead != lastDead;
+            lastLive = live;
+            lastDead = dead;
+        }
+        if (changed) {
+            std::string names;
+            for (const auto &vm : live) {
+                names += (names.empty() ? "" : ",") + vm.value();
+            }
+            LOG(INFO) << "event=live_vms vms=" << names << " dead=" << dead.size();
+            parts.dispatcher.setVms(live, dead);
+        }
+    }
+
+    void onHeartbeat(const VmId &from, std::uint64_t incarnation, const HeartbeatMessage &message)
+    {
+        const auto now = parts.clock.now();
+        const auto mine = parts.lists.versions();
+        std::vector<std::uint8_t> wanted;
+        {
+            const std::lock_guard lock(mutex);
+            if (table.onHeartbeat({.vm = from, .incarnation = incarnation, .sequence = message.sequence, .leaving = message.stopping}, now)) {
+                news.push_back({.vm = from, .incarnation = incarnation, .sequence = message.sequence});
+            }
+            for (const auto &heard : message.heard) {
+                if (heard.vm != settings.vm && table.onHeartbeat({.vm = heard.vm, .incarnation = heard.incarnation, .sequence = heard.sequence}, now)) {
+                    news.push_back(heard);
+                    freshness.onPeerContact(heard.vm, now);
+                }
+            }
+            versions[from] = message.versions;
+            for (std::size_t i = 0; i < kDocumentKinds; ++i) {
+                if (message.versions[i] > mine[i] && now - fetchedAt[i] >= kFetchAgainAfter) {
+                    fetchedAt[i] = now;
+                    wanted.push_back(static_cast<std::uint8_t>(i));
+                }
+            }
+            updateBehind(mine, now);
+        }
+        for (const auto &digest : message.cells) {
+            parts.dispatcher.onDigest(from, digest);
+        }
+        for (const auto kind : wanted) {
+            parts.peers.send(from, DocumentRequestMessage{kind});
+        }
+        refreshView();
+    }
+
+    /// A VM that knows of newer plans or limits for seconds without getting them refuses new work.
+    void updateBehind(const std::vector<std::uint64_t> &mine, TimePoint now)
+    {
+        bool newerKnown = false;
+        for (const auto &[vm, theirs] : versions) {
+            for (const DocumentKind kind : {DocumentKind::Plans, DocumentKind::Limits}) {
+                const auto index = static_cast<std::size_t>(kind);
+                newerKnown = newerKnown || theirs[index] > mine[index];
+            }
+        }
+        freshness.setBehind(newerKnown, now);
+    }
+
+    void onDocumentRequest(const VmId &from, const DocumentRequestMessage &message)
+    {
+        const auto document = parts.lists.document(static_cast<DocumentKind>(message.kind));
+        if (document.version.number > 0) {
+            parts.peers.send(
+                from, DocumentMessage{.kind = message.kind, .number = document.version.number, .changeId = document.version.changeId, .text = document.text});
+        }
+    }
+
+    void onDocument(const DocumentMessage &message)
+    {
+        if (parts.lists.offer(static_cast<DocumentKind>(message.kind), {.number = message.number, .changeId = message.changeId}, message.text)) {
+            fetched.add(1);
+        }
+        const auto mine = parts.lists.versions();
+        const std::lock_guard lock(mutex);
+        updateBehind(mine, parts.clock.now());
+    }
+
+    std::optional<Error> admission()
+    {
+        // Without other VMs and without a platform the files of the settings are in force by themselves.
+        if (!parts.platform.isConfigured()) {
+            return std::nullopt;
+        }
+        const std::lock_guard lock(mutex);
+        return freshness.admission(parts.clock.now());
+    }
+
+    asio::io_context &io;
+    const Settings settings;
+    const VmMonitorParts parts;
+    const VmMonitorOptions options;
+    Counter &pollFailures;
+    Counter &fetched;
+    std::atomic<bool> stopped{false};
+
+    std::mutex viewMutex;     // Taken before the other.
+    mutable std::mutex mutex; // Lock order 2.
+    VmTable table;
+    ListFreshness freshness;
+    std::array<std::optional<TimePoint>, kDocumentKinds> contacts;
+    std::array<TimePoint, kDocumentKinds> fetchedAt{};
+    std::map<VmId, std::vector<std::uint64_t>> versions;
+    std::deque<HeardVm> news;
+    std::vector<VmId> lastLive;
+    std::vector<VmId> lastDead;
+    std::uint64_t sequence = 0;
+    std::size_t nextTarget = 0;
+    bool leaving = false;
+};
+
+VmMonitor::VmMonitor(asio::io_context &io, const Settings &settings, const VmMonitorParts &parts, VmMonitorOptions options)
+    : d_(std::make_shared<Private>(io, settings, parts, options))
+{
+    std::vector<PlatformVm> known;
+    for (const auto &peer : settings.peers) {
+        known.push_back({.vm = peer.vm});
+    }
+    d_->table.onPlatformList(known, parts.clock.now());
+    parts.lists.onChange([this](DocumentKind kind) {
+        if (kind == DocumentKind::EndpointStates) {
+            const auto document = d_->parts.lists.document(kind);
+            EndpointStateList states;
+            VersionedRow row{.text = document.text, .changes = {}};
+            states.offer(document.version.number, encode(row));
+            d_->parts.dispatcher.setDraining(states.draining());
+        }
+    });
+    parts.lists.setContactCheck([weak = std::weak_ptr(d_)]() -> std::optional<Error> {
+        const auto alive = weak.lock();
+        return alive ? alive->admission() : std::nullopt;
+    });
+    d_->refreshView();
+}
+
+VmMonitor::~VmMonitor()
+{
+    stop();
+}
+
+void VmMonitor::start()
+{
+    d_->parts.peers.setPeers(d_->settings.peers);
+    d_->start();
+}
+
+void VmMonitor::stop()
+{
+    d_->stopped = true;
+}
+
+void VmMonitor::setLeaving()
+{
+    {
+        const std::lock_guard lock(d_->mutex);
+        d_->leaving = true;
+        d_->table.setSelfLeaving();
+    }
+    d_->beat();
+}
+
+void VmMonitor::onMessage(const VmId &from, std::uint64_t incarnation, const PeerMessage &message)
+{
+    if (const auto *heartbeat = std::get_if<HeartbeatMessage>(&message)) {
+        d_->onHeartbeat(from, incarnation, *heartbeat);
+    } else if (const auto *request = std::get_if<DocumentRequestMessage>(&message)) {
+        d_->onDocumentRequest(from, *request);
+    } else if (const auto *document = std::get_if<DocumentMessage>(&message)) {
+        d_->onDocument(*document);
+    }
+}
+
+void VmMonitor::onAck(const VmId &from, TimePoint sentAt)
+{
+    const std::lock_guard lock(d_->mutex);
+    d_->freshness.onPeerContact(from, sentAt);
+}
+
+void VmMonitor::beat()
+{
+    d_->beat();
+}
+
+nlohmann::json VmMonitor::status() const
+{
+    const auto now = d_->parts.clock.now();
+    const auto mine = d_->parts.lists.versions();
+    const std::lock_guard lock(d_->mutex);
+    nlohmann::json vms = nlohmann::json::array();
+    const auto add = [&](const VmId &vm, const char *state, std::uint64_t incarnation, const std::vector<std::uint64_t> &versions) {
+        nlohmann::json entry{{"vm", vm.value()}, {"state", state}, {"incarnation", incarnation}, {"versions", nlohmann::json::object()}};
+        for (std::size_t i = 0; i < versions.size(); ++i) {
+            entry["versions"][toString(static_cast<DocumentKind>(i))] = versions[i];
+        }
+        vms.push_back(std::move(entry));
+    };
+    add(d_->settings.vm, d_->leaving ? "leaving" : "live", d_->parts.peers.incarnation(), mine);
+    for (const auto &vm : d_->table.quorumPeers()) {
+        const auto found = d_->versions.find(vm);
+        add(vm, toString(d_->table.state(vm, now)), d_->table.incarnation(vm), found == d_->versions.end() ? std::vector<std::uint64_t>() : found->second);
+    }
+    return vms;
+}
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/vmmonitor.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "daemon/celldispatcher.h"
+#include "daemon/listtable.h"
+#include "daemon/metrics.h"
+#include "daemon/peerlink.h"
+#include "daemon/platformclient.h"
+#include "daisystream/base/clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include <memory>
+#include <vector>
+
+/// @file
+/// Keeps this VM's view of the others: heartbeats, versions of the shared documents, contact with the platform.
+///
+/// Example:
+/// @code
+///   VmMonitor monitor(io, settings, {lists, platform, peers, dispatcher, metrics, clock}, VmMonitorOptions{});
+///   monitor.start();
+/// @endcode
+
+namespace daisystream
+{
+
+struct VmMonitorOptions
+{
+    std::chrono::milliseconds heartbeatEvery{500};
+    std::chrono::milliseconds pollEvery{2000};      ///< Of the platform.
+    std::chrono::milliseconds sealKeysEvery{10000}; ///< Sealing keys change seldom.
+};
+
+/// What the monitor works on. All of it must outlive the monitor.
+struct VmMonitorParts
+{
+    ListTable &lists;
+    PlatformClient &platform;
+    PeerLink &peers;
+    CellDispatcher &dispatcher;
+    Metrics &metrics;
+    const Clock &clock;
+};
+
+/// Sends heartbeats, takes those of others, fetches newer documents and sets who is live. Thread-safe; its lock has
+/// order 2.
+class VmMonitor
+{
+public:
+    VmMonitor(boost::asio::io_context &io, const Settings &settings, const VmMonitorParts &parts, VmMonitorOptions options);
+    ~VmMonitor();
+
+    void start();
+    void stop();
+
+    /// Tells the other VMs that this one takes no new work.
+    void setLeaving();
+
+    /// Handles a message from another VM; ignores kinds that do not concern the view of VMs.
+    void onMessage(const VmId &from, std::uint64_t incarnation, const PeerMessage &message);
+
+    /// A VM confirmed a heartbeat that was sent at that time.
+    void onAck(const VmId &from, TimePoint sentAt);
+
+    /// Does what is due at each heartbeat. A timer calls it; tests can.
+    void beat();
+
+    /// @return the VMs with state, incarnation and versions in force.
+    [[nodiscard]] nlohmann::json status() const;
+
+private:
+    class Private;
+    std::shared_ptr<Private> d_;
+};
+
+} // namespace daisystream
