--- a/daisystream/answer/state.cpp
+++ b/daisystream/answer/state.cpp
@@ -42,6 +42,8 @@
     if (!delivered_) {
         // A generation that the earlier attempt announced is void with it.
         sequencer_ = AnswerSequencer(GenerationId(), 0, faults_.sequencer);
+    } else {
+        sequencer_ = AnswerSequencer(GenerationId(), sequencer_.nextSequence(), faults_.sequencer); // Only under a fault.
     }
     totalTokens_.reset();
     endpoint_ = endpoint;
@@ -74,6 +76,13 @@
     }
 }
 
+void AnswerState::announce(Attempt attempt, const GenerationId &generation)
+{
+    if (attempt == attempts_.size() && !final_ && sequencer_.generation().empty() && !faults_.ignoreAnnouncement) {
+        sequencer_ = AnswerSequencer(generation, sequencer_.nextSequence(), faults_.sequencer);
+    }
+}
+
 SequenceVerdict AnswerState::accept(Attempt attempt, const StreamEvent &event)
 {
     const bool old = attempt != attempts_.size() && !faults_.acceptOldAttempts;
