--- a/daisystream/lists/freshness.cpp
+++ b/daisystream/lists/freshness.cpp
@@ -35,8 +35,11 @@
     platformContact_ = std::max(platformContact_.value_or(sentAt), sentAt);
 }
 
-void ListFreshness::onPeerContact(const VmId &peer, TimePoint asOf)
+void ListFreshness::onPeerContact(const VmId &peer, TimePoint asOf, bool newer)
 {
+    if (newer && !options_.faults.countNewerPeers) {
+        return;
+    }
     // A peer outside the quorum is not counted; setPeers() adds it.
     if (const auto found = peers_.find(peer); found != peers_.end() && !options_.faults.forgetContact) {
         found->second = std::max(found->second.value_or(asOf), asOf);
@@ -53,27 +56,12 @@
     peers_ = std::move(kept);
 }
 
-void ListFreshness::setBehind(bool newerKnown, TimePoint now)
+bool ListFreshness::inContact(TimePoint now, Duration platformLimit) const
 {
-    if (!newerKnown) {
-        behindSince_.reset();
-    } else if (!behindSince_) {
-        behindSince_ = now;
-    }
-}
-
-bool ListFreshness::inContact(TimePoint now, Duration limit) const
-{
-    const auto fresh = [&](const std::optional<TimePoint> &contact) {
-        return contact && now - *contact < limit;
-    };
-    if (options_.faults.neverIsolated) {
-        return true;
-    }
-    if (fresh(platformContact_)) {
+    if (options_.faults.neverIsolated || (platformContact_ && now - *platformContact_ < platformLimit)) {
         return true;
     }
-    const auto reached = std::count_if(peers_.begin(), peers_.end(), [&](const auto &peer) { return fresh(peer.second); });
+    const auto reached = std::count_if(peers_.begin(), peers_.end(), [&](const auto &peer) { return peer.second && now - *peer.second < options_.peerLimit; });
     return 2 * static_cast<std::size_t>(reached) >= peers_.size();
 }
 
@@ -88,9 +76,6 @@
     if (!inContact(now, options_.contactLimit)) {
         return Error{ResultCode::Isolated, "neither the platform nor half of the other VMs are reached", kRetryAfter};
     }
-    if (behindSince_ && now - *behindSince_ >= options_.behindLimit && !options_.faults.ignoreBehind) {
-        return Error{ResultCode::Isolated, "a newer version of the lists is in force and cannot be fetched", kRetryAfter};
-    }
     return std::nullopt;
 }
 
--- a/daisystream/lists/freshness.h
+++ b/daisystream/lists/freshness.h
@@ -30,7 +30,7 @@
 struct FreshnessFaults
 {
     bool neverIsolated = false;
-    bool ignoreBehind = false;
+    bool countNewerPeers = false; ///< Counts a peer whose versions are above the own ones.
     bool ignoreStop = false;
     bool forgetContact = false;
 };
@@ -42,8 +42,9 @@
     /// A VM without contact for this long refuses work. The bound that is promised is 5 s; half a second of it is left for
     /// replies of the platform that are not the newest.
     Duration contactLimit = std::chrono::milliseconds(4500);
-    /// A VM that knows of a newer version for this long without having got it refuses work.
-    Duration behindLimit = std::chrono::seconds(2);
+    /// The same for peers. It is shorter, because a peer's lists may already be as old as the time between its polls. A
+    /// fleet that forwards heartbeats needs a longer one; its promised bound is 15 s.
+    Duration peerLimit = std::chrono::seconds(2);
     /// A VM without contact for this long gives no endpoint new work, since it may be draining: the bound that is promised
     /// for a drain is 3 s.
     Duration assignLimit = std::chrono::milliseconds(2500);
@@ -66,11 +67,11 @@
     /// A peer was heard.
     /// @param asOf when this VM sent the heartbeat that the peer's confirms, so that bytes which waited while this VM was
     ///     paused do not count as fresh.
-    void onPeerContact(const VmId &peer, TimePoint asOf);
+    /// @param newer whether the peer announced a version of a list or of the endpoint states above the one held here. Such
+    ///     a contact proves that this VM is behind and does not count; the next one after the fetch does.
+    void onPeerContact(const VmId &peer, TimePoint asOf, bool newer);
     /// @param peers VmTable::quorumPeers().
     void setPeers(const std::vector<VmId> &peers);
-    /// @param newerKnown whether a peer announced a version above the one held here.
-    void setBehind(bool newerKnown, TimePoint now);
 
     /// @return nothing if new work is admitted; else `Stopping`, `NoLists` or `Isolated`.
     [[nodiscard]] std::optional<Error> admission(TimePoint now) const;
@@ -78,14 +79,13 @@
     [[nodiscard]] std::optional<Error> assignment(TimePoint now) const;
 
 private:
-    [[nodiscard]] bool inContact(TimePoint now, Duration limit) const;
+    [[nodiscard]] bool inContact(TimePoint now, Duration platformLimit) const;
 
     FreshnessOptions options_;
     bool stopping_ = false;
     bool listsKnown_ = false;
     std::optional<TimePoint> platformContact_;
     std::map<VmId, std::optional<TimePoint>> peers_;
-    std::optional<TimePoint> behindSince_;
 };
 
 } // namespace daisystream
--- a/daisystream/membership/membership_test.cpp
+++ b/daisystream/membership/membership_test.cpp
@@ -30,6 +30,9 @@
     CHECK(table.quorumPeers(kStart + 5s) == std::vector<VmId>{b});
     CHECK(table.incarnationGone(b, 1, kStart));
     CHECK_FALSE(table.incarnationGone(b, 2, kStart));
+    table.onPeerList({VmId("a"), VmId("c")}, kStart + 5s);
+    CHECK((table.state(VmId("c"), kStart + 5s) == VmState::Dead));
+    CHECK(table.quorumPeers(kStart + 5s).size() == 2);
     table.onPlatformList({}, kStart + 6s);
     CHECK(table.quorumPeers(kStart + 6s).empty());
 }
--- a/daisystream/membership/vmtable.cpp
+++ b/daisystream/membership/vmtable.cpp
@@ -46,6 +46,15 @@
     std::erase_if(others_, [&](const auto &other) { return !listed.contains(other.first) && now - other.second.lastHeard >= options_.deadAfter; });
 }
 
+void VmTable::onPeerList(const std::vector<VmId> &vms, TimePoint now)
+{
+    for (const VmId &vm : vms) {
+        if (vm != self_ && !options_.faults.ignorePeerLists) {
+            others_.try_emplace(vm, Entry{.lastHeard = now - options_.deadAfter});
+        }
+    }
+}
+
 bool VmTable::onHeartbeat(const VmHeartbeat &heartbeat, TimePoint now)
 {
     if (heartbeat.vm == self_) {
--- a/daisystream/membership/vmtable.h
+++ b/daisystream/membership/vmtable.h
@@ -58,7 +58,8 @@
 /// Deliberate breaks for the schedules, which must notice each of them. None in the product.
 struct VmTableFaults
 {
-    bool forgetSilent = false; ///< Drops a silent VM from the quorum.
+    bool forgetSilent = false;    ///< Drops a silent VM from the quorum.
+    bool ignorePeerLists = false; ///< Learns nothing from peers' lists.
 };
 
 } // namespace internal
@@ -83,6 +84,11 @@
     /// @return whether it was news: duplicates, forwarded old ones and those of an earlier incarnation are ignored.
     bool onHeartbeat(const VmHeartbeat &heartbeat, TimePoint now);
 
+    /// Takes a peer's list: its quorumPeers() and itself, which come with the lists that are fetched from it. A VM that
+    /// starts while it is cut off with a few others would else take these for all. VMs that are new here count as dead
+    /// until they are heard.
+    void onPeerList(const std::vector<VmId> &vms, TimePoint now);
+
     /// This VM begins its graceful shutdown.
     void setSelfLeaving();
 
--- a/schedules/eventqueue.h
+++ b/schedules/eventqueue.h
@@ -3,6 +3,7 @@
 #include "daisystream/base/clock.h"
 #include "daisystream/base/random.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -70,6 +71,12 @@
         now_ = violation ? now_ : end;
     }
 
+    /// Pauses a process; a pause does not shorten an earlier one.
+    void pause(Process &process, Duration span) const
+    {
+        process.pausedUntil = std::max(process.pausedUntil, now_ + span);
+    }
+
     /// Notes the first violation.
     void fail(const std::string &what)
     {
--- a/schedules/leases.cpp
+++ b/schedules/leases.cpp
@@ -91,7 +91,7 @@
             vms_[index].process.pausedUntil = {};
             restart(index);
         } else {
-            vms_[index].process.pausedUntil = queue_.now() + queue_.between(500ms, 61s);
+            queue_.pause(vms_[index].process, queue_.between(500ms, 61s));
         }
     }
 
--- a/schedules/orders.cpp
+++ b/schedules/orders.cpp
@@ -76,7 +76,7 @@
                     onKill(vm);
                 });
             } else {
-                queue_.after(queue_.between(0ms, span), [this, vm] { processes[vm].pausedUntil = queue_.now() + queue_.between(1s, 61s); });
+                queue_.after(queue_.between(0ms, span), [this, vm] { queue_.pause(processes[vm], queue_.between(1s, 61s)); });
             }
         }
     }
