Keep ordinary work from filling the headroom of reserved engines

Cause: in an ordinary flood the steps of reserved engines grew to the length for which they are sized.

--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -38,6 +38,9 @@
 constexpr seconds kUrgentMemory(60);
 // Reserved endpoints are sized for this multiple of the present urgent work, so that its fluctuations find room.
 constexpr double kReservedHeadroom = 1.25;
+// Ordinary work joins urgent work on an engine only up to this part of the step for which reserved engines are sized.
+// Otherwise an overload of ordinary work would fill the headroom and lengthen the steps of urgent work.
+constexpr double kOrdinaryJoins = 0.8;
 // Prompts that an endpoint may have to read, in decode steps, when ordinary work is added.
 constexpr std::uint64_t kOrdinaryPromptSteps = 4;
 // An urgent answer may start on an endpoint whose step is longer than promised by this factor, if the step is short
@@ -791,7 +794,7 @@
     }
     const bool shared = endpoint.reserved || load.running(Rank::Urgent) > 0;
     const double fastest = endpoint.reserved ? std::max(urgentPace_, work.paceTokensPerSecond) : work.paceTokensPerSecond;
-    return step <= (shared && !floorTurn ? load.paceLimit(fastest, options_.urgentStepShare) : limit);
+    return step <= (shared && !floorTurn ? load.paceLimit(fastest, kOrdinaryJoins * options_.urgentStepShare) : limit);
 }
 
 // Whether prompts of ordinary work leave the first token of urgent work in time.
