Start newly active teams by generated tokens and charge ten seconds ahead

Change: the queue's virtual time follows generated tokens only, and running answers are charged at most 300 tokens ahead. Alternative ruled out: charging whole expected answers, which would stop a team for minutes because of a few long ones.

--- a/daisystream/fairness/fairqueue.cpp
+++ b/daisystream/fairness/fairqueue.cpp
@@ -93,7 +93,7 @@
     {
         TeamState &state = teams[team];
         RankState &rank = rankOf(state);
-        const double lag = rank.virtualTime - virtualKey(state) - (state.running > 0 ? kCreditTokens / state.weight : 0.0);
+        const double lag = rank.virtualTime - state.charged - (state.running > 0 ? kCreditTokens / state.weight : 0.0);
         state.charged += std::max(0.0, lag);
         state.key = virtualKey(state);
         rank.byKey.emplace(state.key, team);
@@ -219,7 +219,8 @@
 {
     Private::TeamState &state = d_->teams[team];
     Private::RankState &rank = d_->rankOf(state);
-    rank.virtualTime = std::max(rank.virtualTime, Private::virtualKey(state));
+    // Only what was generated counts: a team that held all engines when others came must not start level with them.
+    rank.virtualTime = std::max(rank.virtualTime, state.charged);
     state.reserved += tokens;
     ++state.running;
     ++rank.running;
@@ -286,10 +287,11 @@
     return state.weight / (std::max(0.0, others) + state.weight);
 }
 
-bool FairQueue::isBehind(Team team) const
+bool FairQueue::isNext(Team team) const
 {
     const Private::TeamState &state = d_->teams[team];
-    return Private::virtualKey(state) <= d_->rankState(state.rank).virtualTime;
+    const auto &byKey = d_->rankState(state.rank).byKey;
+    return byKey.empty() || Private::virtualKey(state) <= byKey.begin()->first;
 }
 
 std::optional<FairQueue::Team> FairQueue::visitBacklogged()
--- a/daisystream/fairness/fairqueue.h
+++ b/daisystream/fairness/fairqueue.h
@@ -13,10 +13,10 @@
 /// generated tokens within a rank.
 ///
 /// Each team of a rank has a virtual time: the tokens that it has generated and those that its running answers are
-/// expected to generate still, divided by its weight. The team with the smallest virtual time is served next. The
+/// expected to generate soon, divided by its weight. The team with the smallest virtual time is served next. The
 /// expected part is corrected as tokens arrive and when an answer ends, so that over time teams are charged for what
-/// they generated. A team that was idle starts at the virtual time of the queue: it has no claim to the past, but it is
-/// served at once.
+/// they generated. A team that was idle starts at the generated part of the queue's virtual time: it has no claim to the
+/// past, but it is served before teams that have answers running.
 ///
 /// Example:
 /// @code
@@ -91,8 +91,8 @@
     /// @return the share of its rank's service that the team gets while the present teams are queued.
     [[nodiscard]] double shareOf(Team team) const;
 
-    /// @return whether the team has used less than its share, so that its next item is served among the first.
-    [[nodiscard]] bool isBehind(Team team) const;
+    /// @return whether no other team with queued items is served before this one.
+    [[nodiscard]] bool isNext(Team team) const;
 
     /// @return some team with queued items, a different one on each call, so that all are visited; nothing if none.
     [[nodiscard]] std::optional<Team> visitBacklogged();
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -47,6 +47,9 @@
 // enough without the ordinary answers, which are not replaced when they end.
 constexpr double kTransientStepFactor = 1.6;
 constexpr double kLongestWait = 0.7;      // Of the promised first-token time, in the queue.
+// Tokens of a running answer that its team is charged ahead: about ten seconds. A team is to get its share within such a
+// time, whereas charging whole answers would stop a team for minutes because of a few long ones.
+constexpr double kChargedAhead = 300;
 constexpr double kLongestAnswer = 131072; // Tokens, where the request gives no limit.
 constexpr double kLongestRetry = 30.0;    // Seconds.
 constexpr double kShortestRetry = 0.05;
@@ -162,7 +165,7 @@
     request.progressAt = now;
     request.assignedAt = now;
     request.load.awaitingFirstToken = request.state == State::Assigned;
-    request.expected = lengths_.expectedRemaining(request.profile, request.generated, lengthLimit(request.work));
+    request.expected = std::min(kChargedAhead, lengths_.expectedRemaining(request.profile, request.generated, lengthLimit(request.work)));
     queue_.reserve(request.team, request.expected);
     endpoint.load.add(request.load);
     endpoint.requests.insert(slot);
@@ -273,7 +276,7 @@
     const double limit = lengthLimit(request->work);
     endpoint.load.progress(request->load, MemoryForecast::contribution(lengths_, request->profile, request->work.promptTokens, generated, limit));
     queue_.generated(request->team, tokens, now);
-    const double expected = lengths_.expectedRemaining(request->profile, generated, limit);
+    const double expected = std::min(kChargedAhead, lengths_.expectedRemaining(request->profile, generated, limit));
     queue_.adjust(request->team, request->expected, expected);
     request->expected = expected;
     reindex(request->endpoint);
@@ -824,7 +827,7 @@
     request.load.memory = memory;
     request.generated = 0;
     attach(slot, choice.endpoint, now);
-    figures.expectedTokens = request.expected;
+    figures.expectedTokens = lengths_.expectedRemaining(request.profile, 0, lengthLimit(request.work));
     waits_.dispatched(request.work.rank, now);
     actions.emplace_back(Assign{request.work.id, load.info().id, static_cast<std::uint8_t>(request.work.rank), figures});
 }
@@ -843,7 +846,7 @@
     if (rank == Rank::Ordinary && queue_.queued(Rank::Urgent) > 0) {
         least *= options_.ordinaryFloor;
     }
-    const bool first = position <= 1 && queue_.isBehind(request.team);
+    const bool first = position <= 1 && queue_.isNext(request.team);
     return waits_.seconds(rank, position, first ? 1.0 : queue_.shareOf(request.team), least, now);
 }
 
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -74,7 +74,7 @@
         bool wasAssigned = false;
         std::optional<TimePoint> timer;
         EndpointLoad::Work load;
-        double expected = 0; // Tokens still to come, as reserved in the fair queue.
+        double expected = 0; // Tokens charged ahead in the fair queue.
         std::uint32_t generated = 0;
         TimePoint progressAt{};
         TimePoint assignedAt{};
