Do not pay back ordinary work's surplus from before an overload

Change: only a shortfall below the floor is corrected; at the turn of the floor ordinary work is admitted like urgent work.

--- a/daisystream/fairness/fairqueue.cpp
+++ b/daisystream/fairness/fairqueue.cpp
@@ -18,10 +18,9 @@
 
 // Time over which the share of ordinary work is averaged.
 constexpr double kShareSeconds = 10.0;
-// How strongly a past deviation from the floor is corrected, and the largest surplus that counts. Without the bound,
-// ordinary work would have to pay back what it used before urgent work came.
+// How strongly a recent shortfall below the floor is made up for. A surplus is not paid back: it is mostly what ordinary
+// work used before urgent work came.
 constexpr double kFloorGain = 2.0;
-constexpr double kLargestSurplus = 0.25;
 // A team may lag behind the queue's virtual time by this much, so that a team that asks for little is served at once,
 // but cannot save up service for a later surge.
 constexpr double kCreditTokens = 2000;
@@ -124,7 +123,7 @@
     // Share of the running answers that ordinary work should have in order to keep its floor.
     [[nodiscard]] double wantedOrdinaryShare() const
     {
-        return floor + kFloorGain * (floor - std::min(ordinaryShare(), floor * (1.0 + kLargestSurplus)));
+        return floor + kFloorGain * (floor - std::min(ordinaryShare(), floor));
     }
 };
 
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -781,7 +781,8 @@
     if (load.memoryShare(memory, deviations_) > usable || !keepsPace(endpoint, work, floorTurn, now)) {
         return false;
     }
-    return work.rank == Rank::Urgent || sparesUrgent(endpoint, work, floorTurn);
+    // At the turn of its floor, ordinary work is admitted like urgent work.
+    return work.rank == Rank::Urgent || floorTurn || sparesUrgent(endpoint, work);
 }
 
 bool Pool::keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn, TimePoint now) const
@@ -801,11 +802,11 @@
 }
 
 // Whether prompts of ordinary work leave the first token of urgent work in time.
-bool Pool::sparesUrgent(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn) const
+bool Pool::sparesUrgent(const Endpoint &endpoint, const WorkRequest &work) const
 {
     const EndpointLoad &load = endpoint.load;
     const bool shared = endpoint.reserved || load.running(Rank::Urgent) > 0;
-    const std::uint64_t steps = shared && !floorTurn ? 1 : kOrdinaryPromptSteps;
+    const std::uint64_t steps = shared ? 1 : kOrdinaryPromptSteps;
     return load.pendingPromptTokens() == 0 || load.pendingPromptTokens() + work.promptTokens <= steps * load.info().stepCost.prefillTokensPerStep;
 }
 
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -153,7 +153,7 @@
     [[nodiscard]] bool
     admits(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const;
     [[nodiscard]] bool keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn, TimePoint now) const;
-    [[nodiscard]] bool sparesUrgent(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn) const;
+    [[nodiscard]] bool sparesUrgent(const Endpoint &endpoint, const WorkRequest &work) const;
     void assign(Slot slot, const Choice &choice, const MemoryForecast::Contribution &memory, TimePoint now, std::vector<Action> &actions);
 
     SchedulerOptions options_;
