--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -19,6 +19,7 @@
 // A request without first token is overdue after this multiple of the expected time, but not before the least time.
 constexpr double kOverdueFactor = 4.0;
 constexpr milliseconds kLeastOverdue(300);
+constexpr double kSurelyOverdue = 2.0; // Multiple of the expected time below which nothing is overdue.
 // Overdue first tokens in a row, without another first token in between, that make an endpoint suspect even if it made
 // a token recently.
 constexpr std::uint32_t kOverdueSigns = 2;
@@ -171,7 +172,10 @@
     endpoint.requests.insert(slot);
     if (request.state == State::Assigned) {
         const double firstToken = endpoint.load.firstTokenMilliseconds(request.work.promptTokens) / 1000.0;
-        setTimer(slot, now + std::max<Duration>(kLeastOverdue, durationOf(kOverdueFactor * firstToken)));
+        const Duration late = std::max<Duration>(kLeastOverdue, durationOf(kOverdueFactor * firstToken));
+        // Half of the time left is kept for a second attempt.
+        const Duration half = std::max<Duration>((request.work.firstTokenDeadline - now) / 2, durationOf(kSurelyOverdue * firstToken));
+        setTimer(slot, now + std::min(late, half));
         if (request.work.rank == Rank::Ordinary) {
             ordinaryAwaiting_.emplace(now, slot);
         }
