--- a/bench/harness.cpp
+++ b/bench/harness.cpp
@@ -1088,6 +1088,13 @@
         return;
     }
     const EngineLoad load = from.core.load(now());
+    trace("load e%u running=%u waiting=%u memory=%.2f step=%.1f preemptions=%llu",
+          engine,
+          load.running,
+          load.waiting,
+          static_cast<double>(load.memoryUsedTokens) / static_cast<double>(load.memoryCapacityTokens),
+          load.stepMilliseconds,
+          static_cast<unsigned long long>(load.preemptions));
     const LoadReport report{from.id,
                             load.measuredAt,
                             load.running,
--- a/daisystream/lists/freshness.cpp
+++ b/daisystream/lists/freshness.cpp
@@ -29,13 +29,19 @@
 
 void ListFreshness::onPlatformContact(TimePoint sentAt)
 {
+    if (options_.faults.forgetContact) {
+        return;
+    }
     platformContact_ = std::max(platformContact_.value_or(sentAt), sentAt);
 }
 
-void ListFreshness::onPeerContact(const VmId &peer, TimePoint asOf)
+void ListFreshness::onPeerContact(const VmId &peer, TimePoint asOf, bool newer)
 {
+    if (newer && !options_.faults.countNewerPeers) {
+        return;
+    }
     // A peer outside the quorum is not counted; setPeers() adds it.
-    if (const auto found = peers_.find(peer); found != peers_.end()) {
+    if (const auto found = peers_.find(peer); found != peers_.end() && !options_.faults.forgetContact) {
         found->second = std::max(found->second.value_or(asOf), asOf);
     }
 }
@@ -50,40 +56,33 @@
     peers_ = std::move(kept);
 }
 
-void ListFreshness::setBehind(bool newerKnown, TimePoint now)
-{
-    if (!newerKnown) {
-        behindSince_.reset();
-    } else if (!behindSince_) {
-        behindSince_ = now;
-    }
-}
-
-bool ListFreshness::inContact(TimePoint now) const
+bool ListFreshness::inContact(TimePoint now, Duration platformLimit) const
 {
-    const auto fresh = [&](const std::optional<TimePoint> &contact) {
-        return contact && now - *contact < options_.contactLimit;
-    };
-    if (fresh(platformContact_)) {
+    if (options_.faults.neverIsolated || (platformContact_ && now - *platformContact_ < platformLimit)) {
         return true;
     }
-    const auto reached = std::count_if(peers_.begin(), peers_.end(), [&](const auto &peer) { return fresh(peer.second); });
+    const auto reached = std::count_if(peers_.begin(), peers_.end(), [&](const auto &peer) { return peer.second && now - *peer.second < options_.peerLimit; });
     return 2 * static_cast<std::size_t>(reached) >= peers_.size();
 }
 
 std::optional<Error> ListFreshness::admission(TimePoint now) const
 {
-    if (stopping_) {
+    if (stopping_ && !options_.faults.ignoreStop) {
         return Error{ResultCode::Stopping, "this VM is shutting down", std::chrono::milliseconds(0)};
     }
     if (!listsKnown_) {
         return Error{ResultCode::NoLists, "no plans and limits have been obtained yet", kRetryAfter};
     }
-    if (!inContact(now) && !options_.faults.neverIsolated) {
+    if (!inContact(now, options_.contactLimit)) {
         return Error{ResultCode::Isolated, "neither the platform nor half of the other VMs are reached", kRetryAfter};
     }
-    if (behindSince_ && now - *behindSince_ >= options_.behindLimit && !options_.faults.ignoreBehind) {
-        return Error{ResultCode::Isolated, "a newer version of the lists is in force and cannot be fetched", kRetryAfter};
+    return std::nullopt;
+}
+
+std::optional<Error> ListFreshness::assignment(TimePoint now) const
+{
+    if (!inContact(now, options_.assignLimit)) {
+        return Error{ResultCode::Isolated, "neither the platform nor half of the other VMs are reached, so endpoints may be draining", kRetryAfter};
     }
     return std::nullopt;
 }
--- a/daisystream/membership/membership_test.cpp
+++ b/daisystream/membership/membership_test.cpp
@@ -27,11 +27,14 @@
     CHECK((table.state(b, kStart + 1500ms) == VmState::Suspected));
     CHECK(table.live(kStart + 1500ms) == std::vector<VmId>{VmId("a")});
     CHECK((table.state(b, kStart + 5s) == VmState::Dead));
-    CHECK(table.quorumPeers() == std::vector<VmId>{b});
+    CHECK(table.quorumPeers(kStart + 5s) == std::vector<VmId>{b});
     CHECK(table.incarnationGone(b, 1, kStart));
     CHECK_FALSE(table.incarnationGone(b, 2, kStart));
+    table.onPeerList({VmId("a"), VmId("c")}, kStart + 5s);
+    CHECK((table.state(VmId("c"), kStart + 5s) == VmState::Dead));
+    CHECK(table.quorumPeers(kStart + 5s).size() == 2);
     table.onPlatformList({}, kStart + 6s);
-    CHECK(table.quorumPeers().empty());
+    CHECK(table.quorumPeers(kStart + 6s).empty());
 }
 
 // Guards against new work for a VM that is leaving.
--- a/daisystream/membership/vmtable.h
+++ b/daisystream/membership/vmtable.h
@@ -52,10 +52,23 @@
     friend auto operator<=>(const VmHeartbeat &, const VmHeartbeat &) = default;
 };
 
+namespace internal
+{
+
+/// Deliberate breaks for the schedules, which must notice each of them. None in the product.
+struct VmTableFaults
+{
+    bool forgetSilent = false;    ///< Drops a silent VM from the quorum.
+    bool ignorePeerLists = false; ///< Learns nothing from peers' lists.
+};
+
+} // namespace internal
+
 struct VmTableOptions
 {
     Duration suspectedAfter = std::chrono::milliseconds(1500);
     Duration deadAfter = std::chrono::seconds(5);
+    internal::VmTableFaults faults;
 };
 
 /// The other VMs as this VM sees them. Thread-compatible.
@@ -71,6 +84,11 @@
     /// @return whether it was news: duplicates, forwarded old ones and those of an earlier incarnation are ignored.
     bool onHeartbeat(const VmHeartbeat &heartbeat, TimePoint now);
 
+    /// Takes a peer's list: its quorumPeers() and itself, which come with the lists that are fetched from it. A VM that
+    /// starts while it is cut off with a few others would else take these for all. VMs that are new here count as dead
+    /// until they are heard.
+    void onPeerList(const std::vector<VmId> &vms, TimePoint now);
+
     /// This VM begins its graceful shutdown.
     void setSelfLeaving();
 
@@ -84,7 +102,7 @@
     [[nodiscard]] std::vector<VmId> live(TimePoint now) const;
     /// @return the other VMs of which at least half must be reached while the platform is not. Silence alone removes none,
     ///     or a VM that was cut off would soon consider itself the only one.
-    [[nodiscard]] std::vector<VmId> quorumPeers() const;
+    [[nodiscard]] std::vector<VmId> quorumPeers(TimePoint now) const;
     /// @return the time at which the state of some VM changes without a further event, if any.
     [[nodiscard]] std::optional<TimePoint> nextChange(TimePoint now) const;
 
