--- a/bench/checks.cpp
+++ b/bench/checks.cpp
@@ -20,6 +20,7 @@
 constexpr double kPreemptionRatio = 1.0 / 20;
 constexpr double kGoodputRatio = 0.98;
 constexpr double kRetryShare = 0.10;
+constexpr double kHeldRefusals = 0.01; // Section 1.6: refusals are never held until near the deadline; 99 in 100 as elsewhere.
 
 const std::string kCells = toString(Policy::Cells);
 
@@ -55,6 +56,13 @@
     void always()
     {
         add("retries", "extra load by retries", false, kRetryShare, figure("retries / requests begun"));
+        for (const std::string rank : {"urgent", "ordinary"}) {
+            add("held" + rank,
+                "refused requests of the rank that waited for more than 80% of their promised first-token time",
+                false,
+                kHeldRefusals,
+                figure(rank + " refused near the deadline"));
+        }
         add("deadline",
             "longest wait of a refused request, as a share of its promised first-token time",
             false,
