--- a/daemon/answerrelay.cpp
+++ b/daemon/answerrelay.cpp
@@ -30,7 +30,7 @@
 
 Result<Assign> askFor(Dispatcher &dispatcher, const WorkRequest &work, asio::yield_context yield)
 {
-    const auto executor = yield.get_executor();
+    const auto executor = strandOf(yield.get_executor());
     return asio::async_initiate<asio::yield_context, void(Result<Assign>)>(
         [&](auto handler) {
             auto shared = std::make_shared<decltype(handler)>(std::move(handler));
@@ -182,7 +182,7 @@
 void AnswerRelay::Private::registerCancel()
 {
     recall_ = std::make_shared<Recall>();
-    context_.setCancel(request_, [executor = connection_.executor(), recall = recall_, stream = std::weak_ptr(stream_)] {
+    context_.setCancel(request_, [executor = strandOf(connection_.executor()), recall = recall_, stream = std::weak_ptr(stream_)] {
         asio::post(executor, [recall, stream] {
             const auto running = stream.lock();
             if (running && !recall->firstToken) {
--- a/daemon/endpointclient.cpp
+++ b/daemon/endpointclient.cpp
@@ -18,7 +18,7 @@
 namespace
 {
 
-constexpr std::uint64_t kRefusalLimitBytes = 64 * 1024;
+constexpr std::uint64_t kRefusalLimitBytes = 65'536;
 
 asio::ip::tcp::endpoint toTcp(const SocketAddress &address)
 {
--- a/daemon/frontendcontext.cpp
+++ b/daemon/frontendcontext.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <stdexcept>
 #include <thread>
 
 namespace daisystream
@@ -178,6 +179,15 @@
     return true;
 }
 
+FrontendStrand strandOf(const asio::any_io_executor &executor)
+{
+    const auto *strand = executor.target<FrontendStrand>();
+    if (strand == nullptr) {
+        throw std::logic_error("a coroutine of the front end runs outside a strand");
+    }
+    return *strand;
+}
+
 RequestId FrontendContext::newRequestId()
 {
     const std::lock_guard lock(mutex_);
--- a/daemon/frontendcontext.h
+++ b/daemon/frontendcontext.h
@@ -4,7 +4,9 @@
 #include "daisystream/answer/sealer.h"
 #include "daisystream/orders/orderledger.h"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
 
 #include <array>
 #include <atomic>
@@ -101,6 +103,12 @@
     std::unique_ptr<Sealers> sealers_;
 };
 
+/// The kind of strand that every coroutine of the front end runs in.
+using FrontendStrand = boost::asio::strand<boost::asio::io_context::executor_type>;
+
+/// @return the strand that an executor of the front end wraps.
+[[nodiscard]] FrontendStrand strandOf(const boost::asio::any_io_executor &executor);
+
 /// Counts a request as running while it lives.
 class RunningGuard
 {
--- a/daemon/frontendoptions.h
+++ b/daemon/frontendoptions.h
@@ -20,14 +20,14 @@
 struct FrontendOptions
 {
     std::size_t maxConnections = 20'000;                     ///< Further connections are closed at once.
-    std::size_t headerLimitBytes = 16 * 1024;                ///< Larger request headers get 431.
-    std::uint64_t bodyLimitBytes = 4 * 1024 * 1024;          ///< Larger request bodies get 413.
+    std::size_t headerLimitBytes = 16'384;                   ///< Larger request headers get 431.
+    std::uint64_t bodyLimitBytes = 4'194'304;                ///< Larger request bodies get 413.
     std::chrono::milliseconds idleTimeout{60'000};           ///< Between two requests on one connection.
     std::chrono::milliseconds headerTimeout{10'000};         ///< From the first byte of a request to the end of its header.
     std::chrono::milliseconds bodyTimeout{30'000};           ///< From the end of the header to the end of the body.
     std::chrono::milliseconds writeTimeout{10'000};          ///< For each write towards a caller.
     std::chrono::milliseconds resumeWindow{30'000};          ///< How long a generation goes on after its caller has gone away.
-    std::chrono::milliseconds resumeIdLifetime{15 * 60'000}; ///< After this the sealed id of an event is refused.
+    std::chrono::milliseconds resumeIdLifetime{900'000};     ///< After this the sealed id of an event is refused.
     std::chrono::milliseconds endpointConnectTimeout{1'000}; ///< For a connection to an endpoint.
     std::chrono::milliseconds endpointSilenceTimeout{2'000}; ///< Engines send a byte at least every 500 ms.
     std::chrono::milliseconds resumeBackoff{100};            ///< Largest pause before the first resume; doubles with each further one.
--- a/daemon/httpconnection.cpp
+++ b/daemon/httpconnection.cpp
@@ -27,7 +27,7 @@
 // After a refusal the rest of the request is read and dropped for a while: closing with unread bytes would reset the
 // connection and the caller might never see the refusal.
 constexpr auto kLingerTimeout = std::chrono::seconds(1);
-constexpr std::size_t kLingerBytes = 8 * 1024 * 1024;
+constexpr std::size_t kLingerBytes = 8'388'608;
 constexpr std::string_view kEventsHeader = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n";
 
 std::variant<beast::tcp_stream, beast::ssl_stream<beast::tcp_stream>> makeStream(HttpConnection::Socket socket, const std::shared_ptr<asio::ssl::context> &tls)
--- a/daemon/httpfrontend.cpp
+++ b/daemon/httpfrontend.cpp
@@ -107,7 +107,11 @@
 
 HttpFrontend::~HttpFrontend()
 {
-    close();
+    try {
+        close();
+    } catch (const std::exception &fault) {
+        LOG(ERROR) << "the front end could not be closed: " << fault.what();
+    }
 }
 
 std::optional<Error> HttpFrontend::start()
@@ -153,7 +157,7 @@
 
 void HttpFrontend::close()
 {
-    asio::post(d_->acceptor_.get_executor(), [self = d_] {
+    asio::post(strandOf(d_->acceptor_.get_executor()), [self = d_] {
         error_code ignored;
         self->acceptor_.close(ignored);
     });
--- a/daemon/orderrouter.cpp
+++ b/daemon/orderrouter.cpp
@@ -115,7 +115,7 @@
 
 bool isValidKey(std::string_view key)
 {
-    return !key.empty() && key.size() <= kMaxKeyBytes && std::all_of(key.begin(), key.end(), [](char c) { return c > ' ' && c < 0x7F; });
+    return !key.empty() && key.size() <= kMaxKeyBytes && std::all_of(key.begin(), key.end(), [](char c) { return c >= ' ' && c < 0x7F; });
 }
 
 std::string recordName(const CallerGrant &grant, const ServiceId &service, const std::string &key)
@@ -362,7 +362,7 @@
 
 HttpResponse OrderRouter::Private::forward(const OrderTicket &ticket, const ForwardedOrder &order, asio::yield_context yield)
 {
-    const auto executor = yield.get_executor();
+    const auto executor = strandOf(yield.get_executor());
     auto &peers = context_.parts.peers;
     DecisionLine("forward")
         .field("team", order.team.value())
--- a/daemon/ssereader.cpp
+++ b/daemon/ssereader.cpp
@@ -8,7 +8,7 @@
 {
 
 // An engine that never ends an event must not fill the memory of the VM.
-constexpr std::size_t kEventLimitBytes = 256 * 1024;
+constexpr std::size_t kEventLimitBytes = 262'144;
 
 } // namespace
 
