--- /dev/null
+++ b/cli/commands_test.cpp
@@ -0,0 +1,120 @@
+#include "cli/commands.h"
+#include "cli/eventparser.h"
+#include "cli/exitcodes.h"
+
+#include "daemon/testloop.h"
+#include "standins/platform/platformmodel.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+namespace daisystream::cli
+{
+namespace
+{
+
+using standins::PlatformStandIn;
+namespace asio = boost::asio;
+
+std::string limits(int concurrency)
+{
+    return R"({"limits": [{"plan": "trail", "models": ["assistant"], "services": [], "concurrency": )" + std::to_string(concurrency)
+        + R"(, "tokensPerSecond": 400, "maxOutputTokens": 100}]})";
+}
+
+struct Fixture
+{
+    ~Fixture()
+    {
+        loop.stop();
+    }
+
+    int edit(std::uint64_t base, const std::string &text, bool isApply = false)
+    {
+        Options options;
+        options.platform = SocketAddress{"127.0.0.1", platform.port()};
+        options.base = isApply ? std::nullopt : std::optional(base);
+        std::istringstream in(text);
+        out.str("");
+        err.str("");
+        Context context{.io = loop.io, .in = in, .out = out, .err = err};
+        return loop.run([&](asio::yield_context yield) { return runListCommand("limits", {isApply ? "apply" : "edit"}, options, context, yield); });
+    }
+
+    std::string show(const std::string &action)
+    {
+        Options options;
+        options.platform = SocketAddress{"127.0.0.1", platform.port()};
+        std::istringstream in;
+        out.str("");
+        Context context{.io = loop.io, .in = in, .out = out, .err = err};
+        loop.run([&](asio::yield_context yield) { return runListCommand("limits", {action}, options, context, yield); });
+        return out.str();
+    }
+
+    void setFaults(const PlatformStandIn::Faults &faults)
+    {
+        loop.run([&](asio::yield_context) {
+            platform.setFaults(faults);
+            return true;
+        });
+    }
+
+    TestLoop loop;
+    PlatformStandIn platform{loop.io, 0};
+    std::ostringstream out;
+    std::ostringstream err;
+};
+
+// Guards against an edit that silently reverts another operator's.
+TEST_CASE("of two edits of one version the second is told what took precedence")
+{
+    Fixture fixture;
+    CHECK(fixture.edit(0, limits(4)) == Success);
+    CHECK(fixture.edit(1, limits(5)) == Success);
+    CHECK(fixture.edit(1, limits(6)) == Conflict);
+    CHECK(fixture.err.str().find("version 2") != std::string::npos);
+    CHECK(fixture.err.str().find("concurrency: yours 6, in force 5") != std::string::npos);
+    CHECK(fixture.show("show") == limits(5) + "\n");
+    CHECK(fixture.edit(2, "{\"limits\": 3}") == InvalidText);
+    CHECK(fixture.show("history").find("2 c-") == 0);
+}
+
+// Guards against "failed" for a change that is in force, and against "done" for one that is not.
+TEST_CASE("a lost reply is resolved by reading back")
+{
+    Fixture fixture;
+    CHECK(fixture.edit(0, limits(4)) == Success);
+    fixture.setFaults({.loseReplies = 2}); // The history object's and the row's.
+    CHECK(fixture.edit(1, limits(5)) == Success);
+    CHECK(fixture.show("show") == limits(5) + "\n");
+    fixture.setFaults({.dropWrites = 2});
+    CHECK(fixture.edit(2, limits(6)) == Success);
+    CHECK(fixture.show("show") == limits(6) + "\n");
+    fixture.setFaults({.outage = true});
+    CHECK(fixture.edit(3, limits(7)) == Unavailable);
+    fixture.setFaults({});
+    CHECK(fixture.show("show") == limits(6) + "\n");
+}
+
+// Guards against an event that is lost or doubled because it arrived in pieces.
+TEST_CASE("events are complete however their bytes are cut")
+{
+    const std::string text = ": keep-alive\n\nid: a\ndata: 1\n\nevent: final\r\ndata: {\ndata: }\r\n\r\n";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        EventParser parser;
+        auto events = parser.feed(std::string_view(text).substr(0, cut));
+        for (auto &event : parser.feed(std::string_view(text).substr(cut))) {
+            events.push_back(event);
+        }
+        REQUIRE(events.size() == 2);
+        CHECK(events[0].id == "a");
+        CHECK(events[0].data == "1");
+        CHECK(events[1].name == "final");
+        CHECK(events[1].data == "{\n}");
+    }
+}
+
+} // namespace
+} // namespace daisystream::cli
--- /dev/null
+++ b/daemon/controlpart_test.cpp
@@ -0,0 +1,228 @@
+#include "daemon/controlpart.h"
+
+#include "daemon/bootclock.h"
+#include "daemon/testloop.h"
+#include "daisystream/lists/endpointstates.h"
+#include "daisystream/lists/versionedrow.h"
+#include "standins/platform/platformmodel.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+namespace daisystream
+{
+namespace
+{
+
+using standins::PlatformStandIn;
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+
+std::string plansText(int weight)
+{
+    return R"({"plans": [{"name": "trail", "rank": "urgent", "firstTokenMs": 660, "tokensPerSecond": 34, "weight": )" + std::to_string(weight)
+        + R"(}], "teams": []})";
+}
+
+constexpr const char *kLimits = R"({"limits": [{"plan": "trail", "models": ["assistant"], "services": [], "concurrency": 4, "tokensPerSecond": 400,
+    "maxOutputTokens": 100}]})";
+
+/// One VM without callers.
+struct Vm
+{
+    Vm(TestLoop &loop, const std::string &name, std::uint16_t platformPort)
+        : control(loop.io, settingsOf(name, platformPort), clock, options())
+    {
+        REQUIRE_FALSE(control.start());
+    }
+
+    static Settings settingsOf(const std::string &name, std::uint16_t platformPort)
+    {
+        Settings settings;
+        settings.vm = VmId(name);
+        settings.listenPeers = SocketAddress{"127.0.0.1", 0};
+        settings.platform = SocketAddress{"127.0.0.1", platformPort};
+        EndpointSettings endpoint;
+        endpoint.id = EndpointId("b1");
+        endpoint.kind = EndpointKind::Service;
+        endpoint.service = ServiceId("booking");
+        settings.endpoints.push_back(endpoint);
+        return settings;
+    }
+
+    static ControlOptions options()
+    {
+        ControlOptions options;
+        options.monitor = {.heartbeatEvery = milliseconds(20), .pollEvery = milliseconds(40), .sealKeysEvery = milliseconds(40)};
+        options.peers.checkEvery = milliseconds(10);
+        return options;
+    }
+
+    [[nodiscard]] std::uint64_t version(DocumentKind kind)
+    {
+        return control.lists().document(kind).version.number;
+    }
+
+    [[nodiscard]] std::size_t inService()
+    {
+        return control.dispatcher().serviceEndpoints(ServiceId("booking")).size();
+    }
+
+    BootClock clock;
+    ControlPart control;
+};
+
+struct Fixture
+{
+    Fixture()
+    {
+        write(DocumentKind::Plans, plansText(1), 0);
+        write(DocumentKind::Limits, kLimits, 0);
+    }
+
+    ~Fixture()
+    {
+        loop.stop();
+    }
+
+    void write(DocumentKind kind, const std::string &text, std::uint64_t base)
+    {
+        VersionedRow row{.text = text, .changes = {}};
+        row.appendChange("c-" + std::to_string(base + 1));
+        const auto reply = loop.run(
+            [&](asio::yield_context yield) { return writer.perform(TableWrite{.key = toString(kind), .ifNumber = base, .value = encode(row)}, yield); });
+        REQUIRE(std::holds_alternative<RowWritten>(reply));
+    }
+
+    void setFaults(const PlatformStandIn::Faults &faults)
+    {
+        loop.run([&](asio::yield_context) {
+            platform.setFaults(faults);
+            return true;
+        });
+    }
+
+    std::uint64_t served(const std::string &prefix)
+    {
+        return loop.run([&](asio::yield_context) { return platform.served(prefix); });
+    }
+
+    /// Makes both VMs know each other through the platform's list.
+    void list(Vm &first, Vm &second)
+    {
+        const auto entry = [](Vm &vm) {
+            return nlohmann::json{{"vm", vm.control.peers().self().value()}, {"peerAddress", "127.0.0.1:" + std::to_string(vm.control.peers().port())}};
+        };
+        loop.run([&, text = nlohmann::json{entry(first), entry(second)}.dump()](asio::yield_context) {
+            platform.setVms(text);
+            return true;
+        });
+    }
+
+    TestLoop loop;
+    PlatformStandIn platform{loop.io, 0};
+    PlatformClient writer{loop.io, SocketAddress{"127.0.0.1", platform.port()}};
+};
+
+// Guards against a change that is reverted by a peer or by a read of the platform that lags.
+TEST_CASE("versions never go down, whoever offers an older one")
+{
+    Fixture fixture;
+    Vm vm(fixture.loop, "vm1", fixture.platform.port());
+    fixture.write(DocumentKind::Plans, plansText(2), 1);
+    REQUIRE(TestLoop::waitUntil([&] { return vm.version(DocumentKind::Plans) == 2; }));
+    const auto offer = [&](std::uint64_t number, int weight) {
+        vm.control.monitor().onMessage(VmId("stale"), 1, DocumentMessage{.kind = 0, .number = number, .changeId = "x", .text = plansText(weight)});
+        return vm.control.lists().plans()->findPlan(PlanName("trail"))->weight;
+    };
+    CHECK(offer(1, 7) == 2);
+    CHECK(offer(2, 7) == 2);
+    CHECK(offer(3, 3) == 3);
+    // The platform now shows version 2 again and again; a whole round of polls must not bring it back.
+    const auto polls = fixture.served("GET /v1/tables/lists/rows/plans");
+    REQUIRE(TestLoop::waitUntil([&] { return fixture.served("GET /v1/tables/lists/rows/plans") >= polls + 3; }));
+    CHECK(vm.version(DocumentKind::Plans) == 3);
+    vm.control.monitor().onMessage(VmId("broken"), 1, DocumentMessage{.kind = 0, .number = 9, .changeId = "x", .text = "not a list"});
+    CHECK(vm.version(DocumentKind::Plans) == 3);
+    fixture.loop.stop();
+}
+
+// Guards against a VM that serves without lists, or never gets them, because it started during an outage.
+TEST_CASE("a VM that starts during an outage takes the lists from a peer")
+{
+    Fixture fixture;
+    Vm first(fixture.loop, "vm1", fixture.platform.port());
+    REQUIRE(TestLoop::waitUntil([&] { return !first.control.lists().admission() && first.version(DocumentKind::SealKeys) > 0; }));
+    fixture.setFaults({.outage = true});
+    Vm second(fixture.loop, "vm2", fixture.platform.port());
+    REQUIRE(second.control.lists().admission());
+    CHECK(second.control.lists().admission()->code == ResultCode::NoLists);
+    second.control.peers().setPeers({{.vm = VmId("vm1"), .address = {"127.0.0.1", first.control.peers().port()}, .zone = {}}});
+    first.control.peers().setPeers({{.vm = VmId("vm2"), .address = {"127.0.0.1", second.control.peers().port()}, .zone = {}}});
+    REQUIRE(TestLoop::waitUntil([&] { return second.control.lists().plans() && second.control.lists().limits(); }));
+    REQUIRE(TestLoop::waitUntil([&] { return second.version(DocumentKind::SealKeys) > 0; }));
+    CHECK(second.control.lists().document(DocumentKind::SealKeys).text == first.control.lists().document(DocumentKind::SealKeys).text);
+    fixture.loop.stop();
+}
+
+// Guards against a drain that takes effect later than promised. Each VM polls every 2 s and the promise is 3 s, so that one
+// whole poll after the write must be enough. Counted in polls, because the machine's speed must not decide.
+TEST_CASE("a drain is in force at every VM after one poll")
+{
+    Fixture fixture;
+    Vm first(fixture.loop, "vm1", fixture.platform.port());
+    Vm second(fixture.loop, "vm2", fixture.platform.port());
+    fixture.list(first, second);
+    REQUIRE(TestLoop::waitUntil([&] { return first.control.peers().peers().size() == 1 && second.control.peers().peers().size() == 1; }));
+    CHECK(first.inService() == 1);
+    const std::string path = "GET /v1/tables/endpoints/rows/state";
+    EndpointStateEdit edit({.endpoints = {EndpointId("b1")}, .drain = true}, "e-1");
+    EndpointStateStep step = edit.start();
+    while (const auto *action = std::get_if<TableAction>(&step)) {
+        step = edit.onReply(fixture.loop.run([&](asio::yield_context yield) { return fixture.writer.perform(*action, yield); }));
+    }
+    REQUIRE(std::holds_alternative<std::uint64_t>(std::get<EndpointStateOutcome>(step)));
+    const auto before = fixture.served(path);
+    std::uint64_t after = before;
+    REQUIRE(TestLoop::waitUntil([&] {
+        const bool isDrained = first.inService() == 0 && second.inService() == 0;
+        after = fixture.served(path);
+        return isDrained;
+    }));
+    // At the moment of the write each VM may have a poll under way. Then each needs one more; the other's may come between.
+    CHECK(after - before <= 6);
+    fixture.loop.stop();
+}
+
+// Guards against a VM that goes on admitting work by lists which may have been replaced.
+TEST_CASE("a VM cut off from the platform and from its peers refuses new work")
+{
+    Fixture fixture;
+    ManualClock clock;
+    Metrics metrics;
+    ListTable lists;
+    Settings settings = Vm::settingsOf("vm1", fixture.platform.port());
+    settings.peers = {{.vm = VmId("vm2"), .address = {"127.0.0.1", 1}, .zone = {}}, {.vm = VmId("vm3"), .address = {"127.0.0.1", 1}, .zone = {}}};
+    PlatformClient platform(fixture.loop.io, settings.platform);
+    PeerLink peers(fixture.loop.io, {.vm = settings.vm, .zone = {}, .incarnation = 1}, clock, metrics, {});
+    CellDispatcher dispatcher(
+        fixture.loop.io, settings, clock, metrics, [](const VmId &, const PeerMessage &) { return false; }, 1);
+    VmMonitor monitor(
+        fixture.loop.io, settings, {.lists = lists, .platform = platform, .peers = peers, .dispatcher = dispatcher, .metrics = metrics, .clock = clock}, {});
+    CHECK(lists.admission()->code == ResultCode::NoLists);
+    lists.offer(DocumentKind::Plans, {.number = 1, .changeId = "a"}, plansText(1));
+    lists.offer(DocumentKind::Limits, {.number = 1, .changeId = "a"}, kLimits);
+    monitor.onAck(VmId("vm2"), clock.now());
+    CHECK_FALSE(lists.admission());
+    clock.advance(milliseconds(5000)); // The bound that design section 2.5 states.
+    REQUIRE(lists.admission());
+    CHECK(lists.admission()->code == ResultCode::Isolated);
+    monitor.onAck(VmId("vm3"), clock.now());
+    CHECK_FALSE(lists.admission());
+    lists.setStopping();
+    CHECK(lists.admission()->code == ResultCode::Stopping);
+    fixture.loop.stop();
+}
+
+} // namespace
+} // namespace daisystream
--- /dev/null
+++ b/daemon/platformclient_test.cpp
@@ -0,0 +1,93 @@
+#include "daemon/platformclient.h"
+
+#include "daemon/testloop.h"
+#include "standins/platform/platformmodel.h"
+
+#include <doctest/doctest.h>
+
+namespace daisystream
+{
+namespace
+{
+
+using standins::PlatformStandIn;
+namespace asio = boost::asio;
+
+struct Fixture
+{
+    void setFaults(const PlatformStandIn::Faults &faults)
+    {
+        loop.run([&](asio::yield_context) {
+            platform.setFaults(faults);
+            return true;
+        });
+    }
+
+    Result<std::uint64_t> put(const std::string &text, const RowCondition &condition)
+    {
+        return loop.run([&](asio::yield_context yield) { return client.putRow("lists", "plans", text, condition, yield); });
+    }
+
+    std::string read()
+    {
+        const auto row = loop.run([&](asio::yield_context yield) { return client.getRow("lists", "plans", yield); });
+        const auto *found = std::get_if<std::optional<Row>>(&row);
+        return found != nullptr && *found ? (*found)->text + "@" + std::to_string((*found)->version) : "none";
+    }
+
+    ~Fixture()
+    {
+        loop.stop();
+    }
+
+    TestLoop loop;
+    PlatformStandIn platform{loop.io, 0};
+    PlatformClient client{loop.io, SocketAddress{"127.0.0.1", platform.port()}};
+};
+
+ResultCode codeOf(const Result<std::uint64_t> &result)
+{
+    const auto *error = std::get_if<Error>(&result);
+    return error == nullptr ? ResultCode{} : error->code;
+}
+
+// Guards against two writers on the same version that both believe they succeeded.
+TEST_CASE("of two conditional writes on one version, one succeeds")
+{
+    Fixture fixture;
+    CHECK(std::get<std::uint64_t>(fixture.put("a", IfNoneMatch{})) == 1);
+    CHECK(codeOf(fixture.put("b", IfNoneMatch{})) == ResultCode::WriteConflict);
+    CHECK(std::get<std::uint64_t>(fixture.put("c", IfMatch{1})) == 2);
+    CHECK(codeOf(fixture.put("d", IfMatch{1})) == ResultCode::WriteConflict);
+    CHECK(fixture.read() == "c@2");
+}
+
+// Guards against a write whose reply was lost that is reported as "did not happen", and the other way round.
+TEST_CASE("a lost reply is reported as unknown, an unreachable platform as not written")
+{
+    Fixture fixture;
+    fixture.setFaults({.loseReplies = 1});
+    CHECK(codeOf(fixture.put("a", IfNoneMatch{})) == ResultCode::OutcomeOfWriteUnknown);
+    CHECK(fixture.read() == "a@1");
+    fixture.setFaults({.dropWrites = 1});
+    CHECK(codeOf(fixture.put("b", IfMatch{1})) == ResultCode::OutcomeOfWriteUnknown);
+    CHECK(fixture.read() == "a@1");
+    PlatformClient nowhere(fixture.loop.io, std::nullopt);
+    const auto refused = fixture.loop.run([&](asio::yield_context yield) { return nowhere.putRow("lists", "plans", "x", IfNoneMatch{}, yield); });
+    CHECK(codeOf(refused) == ResultCode::PlatformUnavailable);
+}
+
+// Guards against an idle connection that the platform closed during an outage and that makes the next read fail.
+TEST_CASE("a read survives an idle connection that was closed")
+{
+    Fixture fixture;
+    CHECK(std::holds_alternative<std::uint64_t>(fixture.put("a", IfNoneMatch{})));
+    CHECK(fixture.read() == "a@1");
+    fixture.setFaults({.outage = true});
+    CHECK(fixture.read() == "none");
+    fixture.setFaults({});
+    CHECK(fixture.read() == "a@1");
+}
+
+} // namespace
+} // namespace daisystream
--- /dev/null
+++ b/daemon/settings_test.cpp
@@ -0,0 +1,78 @@
+#include "daemon/settings.h"
+
+#include <doctest/doctest.h>
+
+namespace daisystream
+{
+namespace
+{
+
+std::string faultsOf(const std::string &text)
+{
+    const auto result = parseSettings(text, "vm.json");
+    const auto *error = std::get_if<Error>(&result);
+    return error == nullptr ? "" : error->detail;
+}
+
+// Guards against an operator who has to start the daemon once for each mistake.
+TEST_CASE("every fault is reported at once with file and field path")
+{
+    const std::string faults = faultsOf(R"({
+        // no vm
+        "zone": "", "listen": "nowhere", "workers": 0, "surprise": 1,
+        "peers": [{"vm": "vm2", "address": "127.0.0.1:99999"}],
+        "endpoints": [
+            {"id": "e1", "address": "127.0.0.1:1", "model": "m", "memoryTokens": -1},
+            {"id": "e1", "kind": "engine", "address": "127.0.0.1:2", "service": "s"},
+            {"id": "s1", "kind": "other", "address": "127.0.0.1:2", "model": "m", "checksCaller": true}
+        ],
+        "callers": {"headerMs": 0, "bodyBytes": "many"}
+    })");
+    for (const char *expected : {"vm.json: vm: is missing",
+                                 "zone: must be",
+                                 "listen: must be",
+                                 "workers: must be",
+                                 "surprise: is not a known field",
+                                 "peers[0].address: must be",
+                                 "listenPeers: is missing",
+                                 "endpoints[0].memoryTokens: must be",
+                                 "endpoints[1].model: is missing",
+                                 "endpoints[1].service: is not a known field",
+                                 "endpoints[1].id: is used twice",
+                                 "endpoints[2].kind: must be",
+                                 "endpoints[2].authorizationHeader: is missing",
+                                 "callers.headerMs: must be",
+                                 "callers.bodyBytes: must be"}) {
+        CAPTURE(expected);
+        CHECK(faults.find(expected) != std::string::npos);
+    }
+    CHECK(faultsOf("{\"vm\": ").find("line 1") != std::string::npos);
+    CHECK(faultsOf("[]").find("must be an object") != std::string::npos);
+}
+
+// Guards against a valid file that is refused, and against a field that is read into another one.
+TEST_CASE("a whole file is read")
+{
+    const auto result = parseSettings(R"({
+        "vm": "vm1", "zone": "z1", "listen": "127.0.0.1:8080", "listenPeers": "[::1]:7000", "listenOperators": "127.0.0.1:7300",
+        "platform": "127.0.0.1:9100", "workers": 4, /* vm1 itself is allowed in the list */
+        "peers": [{"vm": "vm1", "address": "[::1]:7000"}, {"vm": "vm2", "zone": "z2", "address": "127.0.0.1:7002"}],
+        "endpoints": [{"id": "b", "kind": "service", "service": "booking", "address": "127.0.0.1:9", "honoursFencing": false}],
+        "callers": {"writeMs": 500},
+        "peerTls": {"certificateFile": "a", "keyFile": "b", "authorityFile": "c"}
+    })",
+                                      "vm.json");
+    REQUIRE(std::holds_alternative<Settings>(result));
+    const auto &settings = std::get<Settings>(result);
+    CHECK(settings.vm == VmId("vm1"));
+    CHECK(settings.listenPeers == SocketAddress{"::1", 7000});
+    REQUIRE(settings.peers.size() == 1);
+    CHECK(settings.peers[0] == PeerSettings{VmId("vm2"), {"127.0.0.1", 7002}, ZoneId("z2")});
+    CHECK(settings.endpoints[0].service == ServiceId("booking"));
+    CHECK_FALSE(settings.endpoints[0].honoursFencing);
+    CHECK(settings.callers.writeTime == std::chrono::milliseconds(500));
+    CHECK(settings.peerTls->authorityFile == "c");
+}
+
+} // namespace
+} // namespace daisystream
--- a/daemon/vmmonitor.cpp
+++ b/daemon/vmmonitor.cpp
@@ -36,7 +36,7 @@
 // With 4 targets twice a second, 8 entries of about 30 bytes cost less than the 3 KB/s that a node may spend.
 constexpr std::size_t kGossipEntries = 8;
 // With 64 entries a second a fleet of 420 is heard of once in about 7 s, so that silence shows later than among few VMs.
-constexpr VmTableOptions kGossipTimes{.suspectedAfter = std::chrono::seconds(15), .deadAfter = std::chrono::seconds(30)};
+constexpr VmTableOptions kGossipTimes{.suspectedAfter = std::chrono::seconds(15), .deadAfter = std::chrono::seconds(30), .faults = {}};
 // Asked again when no reply has come, since a request is lost with its connection.
 constexpr auto kFetchAgainAfter = std::chrono::milliseconds(500);
 constexpr std::size_t kSealKeyBytes = 32;
@@ -246,12 +246,12 @@
         {
             const std::lock_guard lock(mutex);
             live = table.live(now);
-            for (const auto &vm : table.quorumPeers()) {
+            for (const auto &vm : table.quorumPeers(now)) {
                 if (table.state(vm, now) == VmState::Dead) {
                     dead.push_back(vm);
                 }
             }
-            freshness.setPeers(table.quorumPeers());
+            freshness.setPeers(table.quorumPeers(now));
             freshness.setListsKnown(true); // ListTable checks that by itself.
             changed = live != lastLive || dead != lastDead;
             lastLive = live;
@@ -452,7 +452,7 @@
         vms.push_back(std::move(entry));
     };
     add(d_->settings.vm, d_->leaving ? "leaving" : "live", d_->parts.peers.incarnation(), mine);
-    for (const auto &vm : d_->table.quorumPeers()) {
+    for (const auto &vm : d_->table.quorumPeers(now)) {
         const auto found = d_->versions.find(vm);
         add(vm, toString(d_->table.state(vm, now)), d_->table.incarnation(vm), found == d_->versions.end() ? std::vector<std::uint64_t>() : found->second);
     }
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -477,7 +477,8 @@
         actions.emplace_back(Probe{endpoint.load.info().id});
     }
     afterHealthChange(index, now);
-    if (!endpoint.timer && endpoint.health.nextCheck()) {
+    // Where reports fail, a check changes nothing and the next one stays in the past; the timer must not.
+    if (endpoint.health.nextCheck() && (!endpoint.timer || *endpoint.timer <= now)) {
         setEndpointTimer(index, std::max(*endpoint.health.nextCheck(), now + options_.probeInterval / 2));
     }
 }
--- a/standins/platform/platformmodel.cpp
+++ b/standins/platform/platformmodel.cpp
@@ -267,6 +267,11 @@
     d_->faults = faults;
 }
 
+void PlatformStandIn::setVms(const std::string &text)
+{
+    d_->vms.set(text);
+}
+
 std::uint64_t PlatformStandIn::served(const std::string &prefix) const
 {
     std::uint64_t sum = 0;
--- a/standins/platform/platformmodel.h
+++ b/standins/platform/platformmodel.h
@@ -47,6 +47,9 @@
     /// Replaces the faults. Call it on the event loop's thread or while the loop does not run.
     void setFaults(const Faults &faults);
 
+    /// Replaces the list of VMs, as `POST /vms` does.
+    void setVms(const std::string &text);
+
     /// @return requests served so far, by path prefix, such as "GET /v1/tables/lists/rows/plans".
     [[nodiscard]] std::uint64_t served(const std::string &prefix) const;
 
