--- a/bench/harness.cpp
+++ b/bench/harness.cpp
@@ -27,10 +27,13 @@
 constexpr Duration kReportLag = milliseconds(150);
 constexpr Duration kHeartbeatInterval = milliseconds(500);
 constexpr Duration kSuspectAfter = milliseconds(1500); // Design section 2.8.
+constexpr Duration kPlatformInterval = seconds(2);     // Design section 2.8.
+constexpr Duration kPlatformLag = seconds(10);         // Until the platform's list shows a loss.
 constexpr Duration kProgressInterval = seconds(1);     // Design section 2.3.
 constexpr Duration kSilenceBound = seconds(2);         // Design section 2.8: a dead endpoint stream is noticed.
 constexpr Duration kBalancerDelay = seconds(1);        // Until the balancer and callers avoid a lost VM.
 constexpr Duration kRecovery = seconds(5);             // Design section 2.4: back within SLO after a detected loss.
+constexpr double kNearDeadline = 0.8;                  // Share of the promised first-token time; design section 1.6.
 constexpr double kRetryShare = 0.1;                    // Design section 2.8.
 constexpr double kRetryBurst = 10;
 // A prompt of another answer read in one step delays a token by up to this; short answers cannot average it out.
@@ -136,6 +139,7 @@
     std::vector<std::unique_ptr<Owner>> owners;  // By cell.
     std::vector<TimePoint> heard;                // By VM.
     std::vector<bool> suspected;                 // By VM.
+    std::vector<bool> listed;                    // By VM: in the platform's list as last read.
     std::vector<std::vector<int>> order;         // By cell: live VMs in order of ownership.
     std::vector<std::optional<LoadReport>> load; // By engine.
     std::vector<std::uint32_t> own;              // Own answers by engine.
@@ -229,6 +233,7 @@
     int cutVm = kNone;
     std::optional<TimePoint> lossAt;
     bool platformUp = true;
+    std::vector<bool> platformList; // VMs that the platform says are live.
     std::uint64_t hash = 1469598103934665603ULL;
     bool timing = false;
     Duration traceFrom{};
@@ -362,7 +367,6 @@
         for (std::uint32_t i = 0; i < fleet.models[m].engines; ++i) {
             const auto index = static_cast<std::uint32_t>(engines.size());
             engines.push_back({.id = EndpointId("e" + std::to_string(index)), .model = m, .zone = index % fleet.zones, .core = EngineModel(fleet.engine)});
-            engines.back().requests.resize(1);
         }
     }
 }
@@ -375,11 +379,13 @@
         vm.zone = i % fleet.zones;
         vm.heard.assign(fleet.vms, begin);
         vm.suspected.assign(fleet.vms, false);
+        vm.listed.assign(fleet.vms, true);
         vm.load.resize(engines.size());
         vm.own.resize(engines.size());
         vms.push_back(std::move(vm));
     }
     balancerAvoids.resize(fleet.vms);
+    platformList.assign(fleet.vms, true);
 }
 
 void Harness::Private::buildCells()
@@ -1082,6 +1088,13 @@
         return;
     }
     const EngineLoad load = from.core.load(now());
+    trace("load e%u running=%u waiting=%u memory=%.2f step=%.1f preemptions=%llu",
+          engine,
+          load.running,
+          load.waiting,
+          static_cast<double>(load.memoryUsedTokens) / static_cast<double>(load.memoryCapacityTokens),
+          load.stepMilliseconds,
+          static_cast<unsigned long long>(load.preemptions));
     const LoadReport report{from.id,
                             load.measuredAt,
                             load.running,
@@ -1161,7 +1174,7 @@
     Vm &at = vms[vm];
     bool changed = false;
     for (int peer = 0; peer < static_cast<int>(vms.size()); ++peer) {
-        const bool silent = peer != vm && now() - at.heard[peer] > kSuspectAfter;
+        const bool silent = peer != vm && (!at.listed[peer] || now() - at.heard[peer] > kSuspectAfter);
         if (silent == at.suspected[peer]) {
             continue;
         }
@@ -1330,6 +1343,7 @@
 {
     lossAt = now();
     vms[vm].dead = true;
+    queue.at(now() + kPlatformLag, [this, vm] { platformList[vm] = false; });
     const std::vector<std::uint32_t> running = vms[vm].running;
     for (const std::uint32_t index : running) {
         Request &request = requests[index];
@@ -1404,6 +1418,7 @@
         std::uint64_t met = 0;
         std::uint64_t begun = 0;
         std::uint64_t refused = 0;
+        std::uint64_t held = 0;
         std::uint64_t lost = 0;
         std::uint64_t after = 0;
         std::uint64_t metAfter = 0;
@@ -1433,7 +1448,9 @@
             if (request.state == State::Refused) {
                 ++refused;
                 wait.add(inSeconds(request.refusedAfter));
-                refusedWait = std::max(refusedWait, inSeconds(request.refusedAfter) / inSeconds(request.work.firstTokenDeadline - request.work.arrival));
+                const double waited = inSeconds(request.refusedAfter) / inSeconds(request.work.firstTokenDeadline - request.work.arrival);
+                refusedWait = std::max(refusedWait, waited);
+                held += waited > kNearDeadline ? 1 : 0;
             }
         }
         const auto share = [](std::uint64_t part, std::uint64_t whole) {
@@ -1444,6 +1461,8 @@
         figures[prefix + "within SLO of begun"] = share(met, begun);
         figures[prefix + "refused"] = share(refused, all);
         figures[prefix + "lost"] = share(lost, all);
+        figures[prefix + "refused near the deadline"] = share(held, refused);
+        figures[prefix + "refused after p50 ms"] = 1000 * wait.at(0.5);
         figures[prefix + "refused after p99 ms"] = 1000 * wait.at(0.99);
         figures[prefix + "first token p50 ms"] = 1000 * firstToken.at(0.5);
         figures[prefix + "first token p99 ms"] = 1000 * firstToken.at(0.99);
@@ -1545,6 +1564,11 @@
     for (int v = 0; v < static_cast<int>(vms.size()); ++v) {
         const int count = static_cast<int>(vms.size());
         every(v, kHeartbeatInterval, kHeartbeatInterval * v / count, [this, v] { heartbeat(v); });
+        every(v, kPlatformInterval, kPlatformInterval * v / count, [this, v] {
+            if (platformUp) {
+                vms[v].listed = platformList;
+            }
+        });
         if (usesScheduler()) {
             every(v, kProgressInterval, kProgressInterval * v / count, [this, v] { sendProgress(v); });
         }
