Confirm heartbeats with versions and check contact before an endpoint is used

Cause: the contact check of the library counts a peer only if its versions are not above the own ones. Change: acknowledgements carry the versions in force, fetched documents carry the sender's list of VMs, the dispatcher refuses to use an endpoint while the VM may not know of a drain. Alternatives: versions of the last heartbeat can be half a second older than the acknowledgement.

--- a/daemon/celldispatcher.cpp
+++ b/daemon/celldispatcher.cpp
@@ -389,6 +389,7 @@
 
     void answer(std::map<RequestId, LocalRequest>::iterator found, const VmId &owner, const Result<Assign> &result)
     {
+        const RequestId id = found->first;
         LocalRequest &request = found->second;
         AskHandler handler = std::move(request.handler);
         request.handler = nullptr;
@@ -402,10 +403,30 @@
             local.erase(found);
         }
         if (handler) {
-            outbox.calls.emplace_back([handler = std::move(handler), result] { handler(result); });
+            outbox.calls.emplace_back([self = shared_from_this(), id, handler = std::move(handler), result] { self->hand(id, handler, result); });
         }
     }
 
+    /// Gives the data part its answer, without the lock. A VM that has lost contact since it asked uses no endpoint.
+    void hand(const RequestId &id, const AskHandler &handler, const Result<Assign> &result)
+    {
+        std::function<std::optional<Error>()> check;
+        {
+            const std::lock_guard lock(mutex);
+            check = assignmentCheck;
+        }
+        const auto refusal = check && std::holds_alternative<Assign>(result) ? check() : std::nullopt;
+        if (!refusal) {
+            handler(result);
+            return;
+        }
+        apply([&](TimePoint now) {
+            countRefusal(*refusal);
+            finish(id, 0, FinishReason::MovedAway, now);
+        });
+        handler(*refusal);
+    }
+
     void countRefusal(const Error &error)
     {
         metrics.counter("daisystream_refused_total", "Requests of this VM's callers that got no endpoint.", {{"code", toString(error.code)}}).add(1);
@@ -791,6 +812,7 @@
     std::map<RequestId, LocalRequest> local;
     TimePoint lastProgress{};
     CancelHandler cancelHandler;
+    std::function<std::optional<Error>()> assignmentCheck;
     Outbox outbox;
     bool delivering = false;
     asio::steady_timer timer;
@@ -841,6 +863,12 @@
     d_->cancelHandler = std::move(handler);
 }
 
+void CellDispatcher::setAssignmentCheck(std::function<std::optional<Error>()> check)
+{
+    const std::lock_guard lock(d_->mutex);
+    d_->assignmentCheck = std::move(check);
+}
+
 void CellDispatcher::withdraw(const RequestId &request)
 {
     d_->apply([&](TimePoint now) { d_->finish(request, 0, FinishReason::Cancelled, now); });
--- a/daemon/celldispatcher.h
+++ b/daemon/celldispatcher.h
@@ -48,6 +48,9 @@
     [[nodiscard]] std::vector<EndpointSettings> serviceEndpoints(const ServiceId &service) const override;
     [[nodiscard]] std::optional<EndpointSettings> findEndpoint(const EndpointId &endpoint) const override;
 
+    /// Sets what decides whether an endpoint may be given work now; see `VmMonitor::assignment`. It runs without locks.
+    void setAssignmentCheck(std::function<std::optional<Error>()> check);
+
     /// Replaces the other VMs' states.
     /// @param live VMs that own cells, this one included.
     /// @param dead VMs whose requests are forgotten.
--- a/daemon/controlpart.cpp
+++ b/daemon/controlpart.cpp
@@ -72,7 +72,10 @@
         d_->monitor.onMessage(from, incarnation, message);
         d_->dispatcher.onMessage(from, message);
     });
-    d_->peers.setAckHandler([this](const VmId &from, TimePoint sentAt) { d_->monitor.onAck(from, sentAt); });
+    d_->peers.setAckHandler(
+        [this](const VmId &from, TimePoint sentAt, const std::vector<std::uint64_t> &versions) { d_->monitor.onAck(from, sentAt, versions); });
+    d_->peers.setVersionSource([this] { return d_->lists.versions(); });
+    d_->dispatcher.setAssignmentCheck([this] { return d_->monitor.assignment(); });
     if (auto error = d_->peers.start(d_->settings.listenPeers, d_->settings.peerTls)) {
         return error;
     }
--- a/daemon/controlpart_test.cpp
+++ b/daemon/controlpart_test.cpp
@@ -156,7 +156,7 @@
     fixture.setFaults({.outage = true});
     Vm second(fixture.loop, "vm2", fixture.platform.port());
     REQUIRE(second.control.lists().admission());
-    CHECK(second.control.lists().admission()->code == ResultCode::NoLists);
+    CHECK((second.control.lists().admission()->code == ResultCode::NoLists));
     second.control.peers().setPeers({{.vm = VmId("vm1"), .address = {"127.0.0.1", first.control.peers().port()}, .zone = {}}});
     first.control.peers().setPeers({{.vm = VmId("vm2"), .address = {"127.0.0.1", second.control.peers().port()}, .zone = {}}});
     REQUIRE(TestLoop::waitUntil([&] { return second.control.lists().plans() && second.control.lists().limits(); }));
@@ -209,18 +209,18 @@
         fixture.loop.io, settings, clock, metrics, [](const VmId &, const PeerMessage &) { return false; }, 1);
     VmMonitor monitor(
         fixture.loop.io, settings, {.lists = lists, .platform = platform, .peers = peers, .dispatcher = dispatcher, .metrics = metrics, .clock = clock}, {});
-    CHECK(lists.admission()->code == ResultCode::NoLists);
+    CHECK((lists.admission()->code == ResultCode::NoLists));
     lists.offer(DocumentKind::Plans, {.number = 1, .changeId = "a"}, plansText(1));
     lists.offer(DocumentKind::Limits, {.number = 1, .changeId = "a"}, kLimits);
-    monitor.onAck(VmId("vm2"), clock.now());
+    monitor.onAck(VmId("vm2"), clock.now(), lists.versions());
     CHECK_FALSE(lists.admission());
     clock.advance(milliseconds(5000)); // The bound that design section 2.5 states.
     REQUIRE(lists.admission());
-    CHECK(lists.admission()->code == ResultCode::Isolated);
-    monitor.onAck(VmId("vm3"), clock.now());
+    CHECK((lists.admission()->code == ResultCode::Isolated));
+    monitor.onAck(VmId("vm3"), clock.now(), lists.versions());
     CHECK_FALSE(lists.admission());
     lists.setStopping();
-    CHECK(lists.admission()->code == ResultCode::Stopping);
+    CHECK((lists.admission()->code == ResultCode::Stopping));
     fixture.loop.stop();
 }
 
--- a/daemon/peer.capnp
+++ b/daemon/peer.capnp
@@ -10,7 +10,7 @@
   union {
     hello @0 :Hello;
     heartbeat @1 :Heartbeat;
-    ack @2 :UInt64;               # Sequence of the heartbeat or ping; sent back on the same connection.
+    ack @2 :Ack;                  # Answers a heartbeat or ping on the same connection.
     ping @3 :UInt64;
     documentRequest @4 :UInt8;    # Kind of document.
     document @5 :Document;
@@ -46,6 +46,11 @@
   heard @4 :List(Heard);          # Forwarded heartbeats of other VMs.
 }
 
+struct Ack {
+  sequence @0 :UInt64;
+  versions @1 :List(UInt64);      # Of the documents, by kind, at the moment of the answer.
+}
+
 struct CellDigest {
   cell @0 :Text;
   queuedUrgent @1 :UInt32;
@@ -64,6 +69,7 @@
   number @1 :UInt64;
   changeId @2 :Text;
   text @3 :Data;
+  vms @4 :List(Text);             # That the sender knows, itself included.
 }
 
 struct Work {
--- a/daemon/peer.capnp.h
+++ b/daemon/peer.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(e291714a758976f3);
 CAPNP_DECLARE_SCHEMA(9577bae68f172a6b);
 CAPNP_DECLARE_SCHEMA(c3a149f99ce16cd0);
+CAPNP_DECLARE_SCHEMA(a4fdce10ba90fa65);
 CAPNP_DECLARE_SCHEMA(a68ade8c00ab22f8);
 CAPNP_DECLARE_SCHEMA(f672d713e255fc62);
 CAPNP_DECLARE_SCHEMA(b86e1ef6a38c11c3);
@@ -110,6 +111,21 @@
   };
 };
 
+struct Ack {
+  Ack() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a4fdce10ba90fa65, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct CellDigest {
   CellDigest() = delete;
 
@@ -148,7 +164,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b86e1ef6a38c11c3, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(b86e1ef6a38c11c3, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -394,7 +410,8 @@
   inline  ::daisystream::wire::Heartbeat::Reader getHeartbeat() const;
 
   inline bool isAck() const;
-  inline  ::uint64_t getAck() const;
+  inline bool hasAck() const;
+  inline  ::daisystream::wire::Ack::Reader getAck() const;
 
   inline bool isPing() const;
   inline  ::uint64_t getPing() const;
@@ -508,8 +525,12 @@
   inline ::capnp::Orphan< ::daisystream::wire::Heartbeat> disownHeartbeat();
 
   inline bool isAck();
-  inline  ::uint64_t getAck();
-  inline void setAck( ::uint64_t value);
+  inline bool hasAck();
+  inline  ::daisystream::wire::Ack::Builder getAck();
+  inline void setAck( ::daisystream::wire::Ack::Reader value);
+  inline  ::daisystream::wire::Ack::Builder initAck();
+  inline void adoptAck(::capnp::Orphan< ::daisystream::wire::Ack>&& value);
+  inline ::capnp::Orphan< ::daisystream::wire::Ack> disownAck();
 
   inline bool isPing();
   inline  ::uint64_t getPing();
@@ -878,6 +899,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class Ack::Reader {
+public:
+  typedef Ack Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasVersions() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getVersions() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Ack::Builder {
+public:
+  typedef Ack Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasVersions();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getVersions();
+  inline void setVersions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setVersions(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initVersions(unsigned int size);
+  inline void adoptVersions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownVersions();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Ack::Pipeline {
+public:
+  typedef Ack Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class CellDigest::Reader {
 public:
   typedef CellDigest Reads;
@@ -1092,6 +1200,9 @@
   inline bool hasText() const;
   inline  ::capnp::Data::Reader getText() const;
 
+  inline bool hasVms() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getVms() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1140,6 +1251,14 @@
   inline void adoptText(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownText();
 
+  inline bool hasVms();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getVms();
+  inline void setVms( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setVms(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initVms(unsigned int size);
+  inline void adoptVms(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownVms();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2818,24 +2937,52 @@
 inline bool Message::Builder::isAck() {
   return which() == Message::ACK;
 }
-inline  ::uint64_t Message::Reader::getAck() const {
+inline bool Message::Reader::hasAck() const {
+  if (which() != Message::ACK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasAck() {
+  if (which() != Message::ACK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::daisystream::wire::Ack::Reader Message::Reader::getAck() const {
   KJ_IREQUIRE((which() == Message::ACK),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Ack>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Message::Builder::getAck() {
+inline  ::daisystream::wire::Ack::Builder Message::Builder::getAck() {
   KJ_IREQUIRE((which() == Message::ACK),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Ack>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setAck( ::uint64_t value) {
+inline void Message::Builder::setAck( ::daisystream::wire::Ack::Reader value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ACK);
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+  ::capnp::_::PointerHelpers< ::daisystream::wire::Ack>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::daisystream::wire::Ack::Builder Message::Builder::initAck() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ACK);
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Ack>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptAck(
+    ::capnp::Orphan< ::daisystream::wire::Ack>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::ACK);
+  ::capnp::_::PointerHelpers< ::daisystream::wire::Ack>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::daisystream::wire::Ack> Message::Builder::disownAck() {
+  KJ_IREQUIRE((which() == Message::ACK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Ack>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::isPing() const {
@@ -3930,6 +4077,58 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Ack::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Ack::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Ack::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Ack::Reader::hasVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Ack::Builder::hasVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Ack::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Ack::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Ack::Builder::setVersions( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Ack::Builder::setVersions(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Ack::Builder::initVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Ack::Builder::adoptVersions(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Ack::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool CellDigest::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4164,6 +4363,44 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Document::Reader::hasVms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Document::Builder::hasVms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Document::Reader::getVms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Document::Builder::getVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Document::Builder::setVms( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Document::Builder::setVms(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Document::Builder::initVms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Document::Builder::adoptVms(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Document::Builder::disownVms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Work::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peerlink.cpp
+++ b/daemon/peerlink.cpp
@@ -1,5 +1,6 @@
 #include "daemon/peerlink.h"
 
+#include "daemon/listtable.h"
 #include "daemon/tlscontext.h"
 
 #include <boost/asio/detached.hpp>
@@ -231,6 +232,7 @@
     Counter &mismatches;
     std::unique_ptr<TlsContexts> tls;
     PeerLink::AckHandler onAck;
+    PeerLink::VersionSource versions;
 };
 
 /// The connection on which messages go to one VM; connects again whenever it is lost.
@@ -382,7 +384,7 @@
             const auto *ack = std::get_if<AckMessage>(&*message);
             const auto sentAt = ack != nullptr ? confirm(ack->sequence) : std::nullopt;
             if (sentAt && shared_->onAck) {
-                shared_->onAck(peer_.vm, *sentAt);
+                shared_->onAck(peer_.vm, *sentAt, ack->versions);
             }
         }
         if (reason.code == ResultCode::PeerMalformedMessage) {
@@ -601,13 +603,14 @@
     {
         std::optional<AckMessage> ack;
         if (const auto *heartbeat = std::get_if<HeartbeatMessage>(&message)) {
-            ack = AckMessage{heartbeat->sequence};
+            ack = AckMessage{.sequence = heartbeat->sequence};
         } else if (const auto *ping = std::get_if<PingMessage>(&message)) {
-            ack = AckMessage{ping->sequence};
+            ack = AckMessage{.sequence = ping->sequence};
         }
         if (!ack) {
             return true;
         }
+        ack->versions = shared->versions ? shared->versions() : std::vector<std::uint64_t>(kDocumentKinds);
         error_code error;
         const std::string framed = withLength(encodeMessage(*ack, shared->clock.now()));
         channel.write(framed, yield, error);
@@ -720,6 +723,11 @@
     d_->shared->onAck = std::move(handler);
 }
 
+void PeerLink::setVersionSource(VersionSource source)
+{
+    d_->shared->versions = std::move(source);
+}
+
 void PeerLink::setMessageHandler(MessageHandler handler)
 {
     d_->handler = std::move(handler);
--- a/daemon/peerlink.h
+++ b/daemon/peerlink.h
@@ -50,7 +50,8 @@
 public:
     using MessageHandler = std::function<void(const VmId &from, std::uint64_t incarnation, const PeerMessage &)>;
 
-    using AckHandler = std::function<void(const VmId &, TimePoint sentAt)>;
+    using VersionSource = std::function<std::vector<std::uint64_t>()>;
+    using AckHandler = std::function<void(const VmId &, TimePoint sentAt, const std::vector<std::uint64_t> &versions)>;
 
     PeerLink(boost::asio::io_context &io, const PeerIdentity &identity, const Clock &clock, Metrics &metrics, PeerLinkOptions options);
     ~PeerLink() override;
@@ -60,9 +61,13 @@
     void setMessageHandler(MessageHandler handler);
 
     /// Sets who learns that a VM has confirmed a heartbeat. Set it before `start`.
-    /// @param handler gets the VM and the time at which this VM sent the confirmed heartbeat.
+    /// @param handler gets the VM, the time at which this VM sent the confirmed heartbeat, and the versions of the documents
+    ///     that the other VM had when it confirmed.
     void setAckHandler(AckHandler handler);
 
+    /// Sets where the versions come from that this VM states when it confirms. Set it before `start`.
+    void setVersionSource(VersionSource source);
+
     /// Listens for other VMs.
     /// @param listen nothing: this VM does not listen.
     /// @param tls nothing: plain TCP in both directions.
--- a/daemon/peerlink_test.cpp
+++ b/daemon/peerlink_test.cpp
@@ -149,7 +149,10 @@
     Result<OrderReply> forward(std::uint64_t incarnation)
     {
         std::promise<Result<OrderReply>> promise;
-        first.link.forwardOrder(VmId("vm2"), incarnation, {.ticket = "t"}, [&](const Result<OrderReply> &reply) { promise.set_value(reply); });
+        first.link.forwardOrder(VmId("vm2"),
+                                incarnation,
+                                {.ticket = "t", .team = {}, .service = {}, .method = {}, .target = {}, .headers = {}, .body = {}},
+                                [&](const Result<OrderReply> &reply) { promise.set_value(reply); });
         return promise.get_future().get();
     }
 
@@ -170,16 +173,16 @@
     const auto good = vms.forward(7);
     REQUIRE(std::holds_alternative<OrderReply>(good));
     CHECK(std::get<OrderReply>(good).body == "done");
-    CHECK(std::get<Error>(vms.forward(6)).code == ResultCode::TicketIssuerGone);
+    CHECK((std::get<Error>(vms.forward(6)).code == ResultCode::TicketIssuerGone));
     CHECK(runs == 1);
     vms.second.link.setOrderHandler([&](const ForwardedOrder &, const OrderForwarding::ReplyHandler &) {
         ++runs;
         vms.second.link.stop();
     });
-    CHECK(std::get<Error>(vms.forward(7)).code == ResultCode::OrderOutcomeUnknown);
+    CHECK((std::get<Error>(vms.forward(7)).code == ResultCode::OrderOutcomeUnknown));
     CHECK(runs == 2);
     REQUIRE(TestLoop::waitUntil([&] { return !vms.first.link.send(VmId("vm2"), PingMessage{1}); }));
-    CHECK(std::get<Error>(vms.forward(7)).code == ResultCode::PeerUnreachable);
+    CHECK((std::get<Error>(vms.forward(7)).code == ResultCode::PeerUnreachable));
     loop.stop();
 }
 
--- a/daemon/peermessage.cpp
+++ b/daemon/peermessage.cpp
@@ -141,6 +141,23 @@
     return {.cell = CellId(string(in.getCell())), .request = RequestId(string(in.getRequest()))};
 }
 
+void writeVersions(capnp::List<std::uint64_t>::Builder out, const std::vector<std::uint64_t> &versions)
+{
+    for (unsigned i = 0; i < versions.size(); ++i) {
+        out.set(i, versions[i]);
+    }
+}
+
+std::vector<std::uint64_t> readVersions(capnp::List<std::uint64_t>::Reader in)
+{
+    KJ_REQUIRE(in.size() == kDocumentKinds, "wrong number of versions");
+    std::vector<std::uint64_t> versions;
+    for (const auto version : in) {
+        versions.push_back(version);
+    }
+    return versions;
+}
+
 /// Writes one message of any kind.
 class Writer
 {
@@ -164,10 +181,7 @@
     {
         auto out = root_.initHeartbeat();
         out.setSequence(message.sequence);
-        auto versions = out.initVersions(static_cast<unsigned>(message.versions.size()));
-        for (unsigned i = 0; i < message.versions.size(); ++i) {
-            versions.set(i, message.versions[i]);
-        }
+        writeVersions(out.initVersions(static_cast<unsigned>(message.versions.size())), message.versions);
         out.setStopping(message.stopping);
         auto cells = out.initCells(static_cast<unsigned>(message.cells.size()));
         for (unsigned i = 0; i < message.cells.size(); ++i) {
@@ -186,7 +200,9 @@
 
     void operator()(const AckMessage &message)
     {
-        root_.setAck(message.sequence);
+        auto out = root_.initAck();
+        out.setSequence(message.sequence);
+        writeVersions(out.initVersions(static_cast<unsigned>(message.versions.size())), message.versions);
     }
 
     void operator()(const PingMessage &message)
@@ -206,6 +222,10 @@
         out.setNumber(message.number);
         out.setChangeId(text(message.changeId));
         out.setText(data(message.text));
+        auto vms = out.initVms(static_cast<unsigned>(message.vms.size()));
+        for (unsigned i = 0; i < message.vms.size(); ++i) {
+            vms.set(i, text(message.vms[i].value()));
+        }
     }
 
     void operator()(const AskMessage &message)
@@ -347,10 +367,7 @@
 HeartbeatMessage read(wire::Heartbeat::Reader in)
 {
     HeartbeatMessage message{.sequence = in.getSequence(), .versions = {}, .stopping = in.getStopping(), .cells = {}, .heard = {}};
-    KJ_REQUIRE(in.getVersions().size() == kDocumentKinds, "wrong number of versions");
-    for (const auto version : in.getVersions()) {
-        message.versions.push_back(version);
-    }
+    message.versions = readVersions(in.getVersions());
     for (const auto cell : in.getCells()) {
         message.cells.push_back({.cell = CellId(string(cell.getCell())),
                                  .queuedUrgent = cell.getQueuedUrgent(),
@@ -437,7 +454,11 @@
 DocumentMessage read(wire::Document::Reader in)
 {
     KJ_REQUIRE(in.getKind() < kDocumentKinds, "unknown kind of document");
-    return {.kind = in.getKind(), .number = in.getNumber(), .changeId = string(in.getChangeId()), .text = string(in.getText())};
+    DocumentMessage message{.kind = in.getKind(), .number = in.getNumber(), .changeId = string(in.getChangeId()), .text = string(in.getText())};
+    for (const auto vm : in.getVms()) {
+        message.vms.emplace_back(string(vm));
+    }
+    return message;
 }
 
 DoneMessage read(wire::Done::Reader in)
@@ -461,7 +482,7 @@
     case wire::Message::HEARTBEAT:
         return read(in.getHeartbeat());
     case wire::Message::ACK:
-        return AckMessage{in.getAck()};
+        return AckMessage{.sequence = in.getAck().getSequence(), .versions = readVersions(in.getAck().getVersions())};
     case wire::Message::PING:
         return PingMessage{in.getPing()};
     case wire::Message::DOCUMENT_REQUEST:
--- a/daemon/peermessage.h
+++ b/daemon/peermessage.h
@@ -76,6 +76,7 @@
 struct AckMessage
 {
     std::uint64_t sequence = 0;
+    std::vector<std::uint64_t> versions{}; ///< Of the documents, by kind, at the moment of the answer.
 
     friend auto operator<=>(const AckMessage &, const AckMessage &) = default;
 };
@@ -100,6 +101,7 @@
     std::uint64_t number = 0;
     std::string changeId;
     std::string text;
+    std::vector<VmId> vms{}; ///< That the sender knows, itself included.
 
     friend auto operator<=>(const DocumentMessage &, const DocumentMessage &) = default;
 };
--- a/daemon/peermessage_test.cpp
+++ b/daemon/peermessage_test.cpp
@@ -30,10 +30,10 @@
     return {
         HelloMessage{.vm = VmId("vm1"), .incarnation = 7, .zone = ZoneId("z1")},
         HeartbeatMessage{.sequence = 3, .versions = {1, 2, 3, 4}, .stopping = true, .cells = {{cell, 1, 2, 3}}, .heard = {{VmId("vm2"), 8, 9}}},
-        AckMessage{3},
+        AckMessage{3, {1, 2, 3, 4}},
         PingMessage{4},
         DocumentRequestMessage{1},
-        DocumentMessage{.kind = 1, .number = 5, .changeId = "c", .text = "{}"},
+        DocumentMessage{.kind = 1, .number = 5, .changeId = "c", .text = "{}", .vms = {VmId("vm2")}},
         AskMessage{cell, work(now)},
         QueuedMessage{cell, request},
         AssignMessage{cell, {request, EndpointId("e1"), 1}},
--- a/daemon/platformclient_test.cpp
+++ b/daemon/platformclient_test.cpp
@@ -56,9 +56,9 @@
 {
     Fixture fixture;
     CHECK(std::get<std::uint64_t>(fixture.put("a", IfNoneMatch{})) == 1);
-    CHECK(codeOf(fixture.put("b", IfNoneMatch{})) == ResultCode::WriteConflict);
+    CHECK((codeOf(fixture.put("b", IfNoneMatch{})) == ResultCode::WriteConflict));
     CHECK(std::get<std::uint64_t>(fixture.put("c", IfMatch{1})) == 2);
-    CHECK(codeOf(fixture.put("d", IfMatch{1})) == ResultCode::WriteConflict);
+    CHECK((codeOf(fixture.put("d", IfMatch{1})) == ResultCode::WriteConflict));
     CHECK(fixture.read() == "c@2");
 }
 
@@ -67,14 +67,14 @@
 {
     Fixture fixture;
     fixture.setFaults({.loseReplies = 1});
-    CHECK(codeOf(fixture.put("a", IfNoneMatch{})) == ResultCode::OutcomeOfWriteUnknown);
+    CHECK((codeOf(fixture.put("a", IfNoneMatch{})) == ResultCode::OutcomeOfWriteUnknown));
     CHECK(fixture.read() == "a@1");
     fixture.setFaults({.dropWrites = 1});
-    CHECK(codeOf(fixture.put("b", IfMatch{1})) == ResultCode::OutcomeOfWriteUnknown);
+    CHECK((codeOf(fixture.put("b", IfMatch{1})) == ResultCode::OutcomeOfWriteUnknown));
     CHECK(fixture.read() == "a@1");
     PlatformClient nowhere(fixture.loop.io, std::nullopt);
     const auto refused = fixture.loop.run([&](asio::yield_context yield) { return nowhere.putRow("lists", "plans", "x", IfNoneMatch{}, yield); });
-    CHECK(codeOf(refused) == ResultCode::PlatformUnavailable);
+    CHECK((codeOf(refused) == ResultCode::PlatformUnavailable));
 }
 
 // Guards against an idle connection that the platform closed during an outage and that makes the next read fail.
--- a/daemon/settings_test.cpp
+++ b/daemon/settings_test.cpp
@@ -65,9 +65,9 @@
     REQUIRE(std::holds_alternative<Settings>(result));
     const auto &settings = std::get<Settings>(result);
     CHECK(settings.vm == VmId("vm1"));
-    CHECK(settings.listenPeers == SocketAddress{"::1", 7000});
+    CHECK((settings.listenPeers == SocketAddress{"::1", 7000}));
     REQUIRE(settings.peers.size() == 1);
-    CHECK(settings.peers[0] == PeerSettings{VmId("vm2"), {"127.0.0.1", 7002}, ZoneId("z2")});
+    CHECK((settings.peers[0] == PeerSettings{VmId("vm2"), {"127.0.0.1", 7002}, ZoneId("z2")}));
     CHECK(settings.endpoints[0].service == ServiceId("booking"));
     CHECK_FALSE(settings.endpoints[0].honoursFencing);
     CHECK(settings.callers.writeTime == std::chrono::milliseconds(500));
--- a/daemon/vmmonitor.cpp
+++ b/daemon/vmmonitor.cpp
@@ -37,6 +37,8 @@
 constexpr std::size_t kGossipEntries = 8;
 // With 64 entries a second a fleet of 420 is heard of once in about 7 s, so that silence shows later than among few VMs.
 constexpr VmTableOptions kGossipTimes{.suspectedAfter = std::chrono::seconds(15), .deadAfter = std::chrono::seconds(30), .faults = {}};
+constexpr FreshnessOptions kGossipFreshness{
+    .contactLimit = std::chrono::milliseconds(4500), .peerLimit = std::chrono::seconds(15), .assignLimit = std::chrono::milliseconds(2500), .faults = {}};
 // Asked again when no reply has come, since a request is lost with its connection.
 constexpr auto kFetchAgainAfter = std::chrono::milliseconds(500);
 constexpr std::size_t kSealKeyBytes = 32;
@@ -72,6 +74,7 @@
         , pollFailures(links.metrics.counter("daisystream_platform_failures_total", "Polls of the platform without a usable reply."))
         , fetched(links.metrics.counter("daisystream_documents_from_peers_total", "Documents that came from another VM."))
         , table(with.vm, with.peers.size() > kDirectPeers ? kGossipTimes : VmTableOptions{})
+        , freshness(with.peers.size() > kDirectPeers ? kGossipFreshness : FreshnessOptions{})
     {
     }
 
@@ -280,7 +283,8 @@
             for (const auto &heard : message.heard) {
                 if (heard.vm != settings.vm && table.onHeartbeat({.vm = heard.vm, .incarnation = heard.incarnation, .sequence = heard.sequence}, now)) {
                     news.push_back(heard);
-                    freshness.onPeerContact(heard.vm, now);
+                    // Only among more VMs than send heartbeats to each other; its versions are not known.
+                    freshness.onPeerContact(heard.vm, now, false);
                 }
             }
             versions[from] = message.versions;
@@ -290,7 +294,6 @@
                     wanted.push_back(static_cast<std::uint8_t>(i));
                 }
             }
-            updateBehind(mine, now);
         }
         for (const auto &digest : message.cells) {
             parts.dispatcher.onDigest(from, digest);
@@ -301,26 +304,21 @@
         refreshView();
     }
 
-    /// A VM that knows of newer plans or limits for seconds without getting them refuses new work.
-    void updateBehind(const std::vector<std::uint64_t> &mine, TimePoint now)
-    {
-        bool newerKnown = false;
-        for (const auto &[vm, theirs] : versions) {
-            for (const DocumentKind kind : {DocumentKind::Plans, DocumentKind::Limits}) {
-                const auto index = static_cast<std::size_t>(kind);
-                newerKnown = newerKnown || theirs[index] > mine[index];
-            }
-        }
-        freshness.setBehind(newerKnown, now);
-    }
-
     void onDocumentRequest(const VmId &from, const DocumentRequestMessage &message)
     {
         const auto document = parts.lists.document(static_cast<DocumentKind>(message.kind));
-        if (document.version.number > 0) {
-            parts.peers.send(
-                from, DocumentMessage{.kind = message.kind, .number = document.version.number, .changeId = document.version.changeId, .text = document.text});
+        if (document.version.number == 0) {
+            return;
+        }
+        std::vector<VmId> vms;
+        {
+            const std::lock_guard lock(mutex);
+            vms = table.quorumPeers(parts.clock.now());
         }
+        vms.push_back(settings.vm);
+        parts.peers.send(
+            from,
+            DocumentMessage{.kind = message.kind, .number = document.version.number, .changeId = document.version.changeId, .text = document.text, .vms = vms});
     }
 
     void onDocument(const DocumentMessage &message)
@@ -328,9 +326,8 @@
         if (parts.lists.offer(static_cast<DocumentKind>(message.kind), {.number = message.number, .changeId = message.changeId}, message.text)) {
             fetched.add(1);
         }
-        const auto mine = parts.lists.versions();
         const std::lock_guard lock(mutex);
-        updateBehind(mine, parts.clock.now());
+        table.onPeerList(message.vms, parts.clock.now());
     }
 
     std::optional<Error> admission()
@@ -427,10 +424,25 @@
     }
 }
 
-void VmMonitor::onAck(const VmId &from, TimePoint sentAt)
+void VmMonitor::onAck(const VmId &from, TimePoint sentAt, const std::vector<std::uint64_t> &versions)
+{
+    const auto mine = d_->parts.lists.versions();
+    bool newer = false;
+    for (const DocumentKind kind : {DocumentKind::Plans, DocumentKind::Limits, DocumentKind::EndpointStates}) {
+        const auto index = static_cast<std::size_t>(kind);
+        newer = newer || versions[index] > mine[index];
+    }
+    const std::lock_guard lock(d_->mutex);
+    d_->freshness.onPeerContact(from, sentAt, newer);
+}
+
+std::optional<Error> VmMonitor::assignment() const
 {
+    if (!d_->parts.platform.isConfigured()) {
+        return std::nullopt;
+    }
     const std::lock_guard lock(d_->mutex);
-    d_->freshness.onPeerContact(from, sentAt);
+    return d_->freshness.assignment(d_->parts.clock.now());
 }
 
 void VmMonitor::beat()
--- a/daemon/vmmonitor.h
+++ b/daemon/vmmonitor.h
@@ -11,6 +11,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 /// @file
@@ -60,8 +61,14 @@
     /// Handles a message from another VM; ignores kinds that do not concern the view of VMs.
     void onMessage(const VmId &from, std::uint64_t incarnation, const PeerMessage &message);
 
-    /// A VM confirmed a heartbeat that was sent at that time.
-    void onAck(const VmId &from, TimePoint sentAt);
+    /// A VM confirmed a heartbeat.
+    /// @param sentAt when this VM sent the heartbeat.
+    /// @param versions of the documents that the other VM had then.
+    void onAck(const VmId &from, TimePoint sentAt, const std::vector<std::uint64_t> &versions);
+
+    /// @return nothing if an admitted request may be given to an endpoint; else `Isolated`, since the endpoint may be
+    ///     draining without this VM's knowledge.
+    [[nodiscard]] std::optional<Error> assignment() const;
 
     /// Does what is due at each heartbeat. A timer calls it; tests can.
     void beat();
