Give each check of the schedules a mutation of its own

Cause: eight checks had no mutation that could make them fail. Change: eight mutations; a check of leases that another always precedes is removed, and an unopenable ticket ends the run instead of being a check without a mutation; trace output removed.

--- a/daisystream/answer/state.cpp
+++ b/daisystream/answer/state.cpp
@@ -96,7 +96,7 @@
 
 void AnswerState::onEndOfStream(Attempt attempt, std::uint64_t totalTokens)
 {
-    if (attempt == attempts_.size() && !final_) {
+    if (attempt == attempts_.size() && !final_ && !faults_.forgetEnd) {
         totalTokens_ = totalTokens;
     }
 }
--- a/daisystream/answer/state.h
+++ b/daisystream/answer/state.h
@@ -44,6 +44,7 @@
     bool notRunAfterBytesSent = false;
     bool completeWithoutEnd = false;
     bool ignoreAnnouncement = false;
+    bool forgetEnd = false;
 };
 
 } // namespace internal
--- a/daisystream/lease/leaseholder.cpp
+++ b/daisystream/lease/leaseholder.cpp
@@ -36,7 +36,7 @@
         return write(fencing_, now);
     }
     const auto patience = std::chrono::duration_cast<Duration>(options_.duration * (1 + options_.clockDrift));
-    const bool expired = rowKnown_ && !ours && (now - firstSeen_ >= patience || options_.faults.takeOverAtOnce);
+    const bool expired = rowKnown_ && !ours && !options_.faults.neverTakeOver && (now - firstSeen_ >= patience || options_.faults.takeOverAtOnce);
     if (!readBack_ && (expired || absent_)) {
         return write(options_.faults.sameFencingNumber ? std::max<std::uint64_t>(fencing_, 1) : fencing_ + 1, now);
     }
@@ -159,7 +159,7 @@
 {
     // The earlier holder's lease had ended when this one began, so its last order was sent before heldSince_.
     const bool settled = now >= heldSince_ + options_.orderLifetime || options_.faults.noSettling;
-    return settled ? fencingNumber(now) : std::nullopt;
+    return settled && !options_.faults.neverSettled ? fencingNumber(now) : std::nullopt;
 }
 
 } // namespace daisystream
--- a/daisystream/lease/leaseholder.h
+++ b/daisystream/lease/leaseholder.h
@@ -37,6 +37,8 @@
     bool neverExpires = false;      ///< Does not notice that the lease expired.
     bool sameFencingNumber = false; ///< A new holder takes the old holder's number.
     bool takeOverAtOnce = false;    ///< A contender does not wait for the duration.
+    bool neverTakeOver = false;     ///< A contender waits for ever.
+    bool neverSettled = false;      ///< Engines that ignore fencing are never given orders.
     bool noSettling = false;        ///< A new holder orders engines that ignore fencing at once.
     bool unconditional = false;     ///< Believes a take-over whose condition did not hold.
 };
--- a/daisystream/lists/endpointstates.cpp
+++ b/daisystream/lists/endpointstates.cpp
@@ -120,7 +120,7 @@
     }
     if (const auto *found = std::get_if<RowFound>(&reply)) {
         const auto row = decodeVersionedRow(found->value);
-        if (row && row->contains(changeId_)) {
+        if (row && row->contains(changeId_) && !faults_.repeatAfterLoss) {
             return EndpointStateOutcome(found->number);
         }
         return write(found->number, found->value);
@@ -128,6 +128,9 @@
     if (std::holds_alternative<RowAbsent>(reply)) {
         return write(0, {});
     }
+    if (faults_.lostMeansAccepted && writing_ && std::holds_alternative<TableLost>(reply)) {
+        return EndpointStateOutcome(std::uint64_t{1});
+    }
     mayTakeEffect_ = mayTakeEffect_ || (writing_ && std::holds_alternative<TableLost>(reply));
     if (++failures_ < kFailuresAllowed) {
         return read();
--- a/daisystream/lists/endpointstates.h
+++ b/daisystream/lists/endpointstates.h
@@ -36,8 +36,10 @@
 /// Deliberate breaks for the schedules, which must notice each of them. None in the product.
 struct EndpointStateFaults
 {
-    bool acceptLower = false; ///< Takes whatever version comes last.
-    bool overwrite = false;   ///< Writes only its own change, so that others' changes are reverted.
+    bool acceptLower = false;       ///< Takes whatever version comes last.
+    bool lostMeansAccepted = false; ///< Takes a lost reply for an acceptance.
+    bool repeatAfterLoss = false;   ///< Does not look for its change before it writes again.
+    bool overwrite = false;         ///< Writes only its own change, so that others' changes are reverted.
 };
 
 } // namespace internal
--- a/daisystream/lists/listedit.cpp
+++ b/daisystream/lists/listedit.cpp
@@ -185,7 +185,7 @@
         while (row->changes[row->changes.size() - 1 - later] != changeId_) {
             ++later;
         }
-        return end(ListAccepted{.version = {.number = found.number - later, .changeId = changeId_}, .superseded = later > 0});
+        return end(ListAccepted{.version = {.number = found.number - (faults_.wrongNumber ? 0 : later), .changeId = changeId_}, .superseded = later > 0});
     }
     case ChangeFate::Open:
         return retry(Phase::Write);
--- a/daisystream/lists/listedit.h
+++ b/daisystream/lists/listedit.h
@@ -75,6 +75,7 @@
     bool lostMeansAccepted = false; ///< Takes a lost reply for an acceptance.
     bool lostMeansRefused = false;  ///< Takes a lost reply for a failure without effect.
     bool rowBeforeHistory = false;  ///< Writes no object before the row.
+    bool wrongNumber = false;       ///< Names the row's number instead of the change's.
     bool supersededIsLost = false;  ///< Looks only at the row's newest change.
 };
 
--- a/daisystream/orders/orderrecord.cpp
+++ b/daisystream/orders/orderrecord.cpp
@@ -85,6 +85,9 @@
     , attempt_(std::move(attempt))
     , faults_(faults)
 {
+    if (faults_.ignoreKey) {
+        order_.key.clear();
+    }
 }
 
 OrderStep OrderRecord::start()
@@ -198,8 +201,13 @@
 
 OrderStep OrderRecord::finish(const OrderOutcome &outcome)
 {
-    const bool unknown = std::holds_alternative<OrderUnknown>(outcome);
-    outcome_ = withOutcome({.attempt = attempt_, .state = {}}, unknown && faults_.unknownMeansNotRun ? OrderOutcome(OrderNotRun{}) : outcome);
+    OrderOutcome recorded = outcome;
+    if (std::holds_alternative<OrderUnknown>(outcome) && faults_.unknownMeansNotRun) {
+        recorded = OrderNotRun{};
+    } else if (std::holds_alternative<OrderUnknown>(outcome) && faults_.unknownMeansDone) {
+        recorded = OrderDone{};
+    }
+    outcome_ = withOutcome({.attempt = attempt_, .state = {}}, recorded);
     return record();
 }
 
--- a/daisystream/orders/orderrecord.h
+++ b/daisystream/orders/orderrecord.h
@@ -86,6 +86,8 @@
     bool lostMeansInserted = false;   ///< Dispatches although no reply came.
     bool ignoreConflict = false;      ///< Dispatches although another attempt holds the row.
     bool rerunUnfinished = false;     ///< Takes over a row whose attempt has not recorded an outcome.
+    bool ignoreKey = false;           ///< Uses one row for all orders of a team and service.
+    bool unknownMeansDone = false;    ///< Records an unknown outcome as done.
     bool unknownMeansNotRun = false;  ///< Records an unknown outcome as not run.
     bool abandonWithoutTrace = false; ///< Says "not run" while a lost insert may still succeed and be found by nobody.
 };
--- a/schedules/answers.cpp
+++ b/schedules/answers.cpp
@@ -445,6 +445,10 @@
                            [](Faults &faults) {
                                faults.answer.ignoreAnnouncement = true;
                            }},
+                          {"forgetEnd",
+                           [](Faults &faults) {
+                               faults.answer.forgetEnd = true;
+                           }},
                           {"ignoreTeam",
                            [](Faults &faults) {
                                faults.resume.ignoreTeam = true;
--- a/schedules/leases.cpp
+++ b/schedules/leases.cpp
@@ -134,9 +134,6 @@
             if (fencing < engine.fencing) {
                 queue_.fail("an order of an earlier lease took effect after one of a later lease");
             }
-            if (engine.checksFencing && fencing == engine.fencing && holderOf_[fencing] > 1) {
-                queue_.fail("two holders gave orders under the fencing number " + std::to_string(fencing));
-            }
             engine.highestSeen = std::max(engine.highestSeen, fencing);
             engine.fencing = fencing;
         });
@@ -207,6 +204,14 @@
                            [](Faults &faults) {
                                faults.lease.takeOverAtOnce = true;
                            }},
+                          {"neverTakeOver",
+                           [](Faults &faults) {
+                               faults.lease.neverTakeOver = true;
+                           }},
+                          {"neverSettled",
+                           [](Faults &faults) {
+                               faults.lease.neverSettled = true;
+                           }},
                           {"noSettling",
                            [](Faults &faults) {
                                faults.lease.noSettling = true;
--- a/schedules/lists.cpp
+++ b/schedules/lists.cpp
@@ -119,10 +119,6 @@
         const std::size_t index = queue_.random.below(kVms);
         Vm &vm = vms_[index];
         const double kind = queue_.random.uniform();
-        printf("%ld ms vm%zu kind %.2f\n",
-               (long)std::chrono::duration_cast<std::chrono::milliseconds>(queue_.now().time_since_epoch()).count() - 3600000,
-               index,
-               kind);
         if (kind < 0.2) {
             // The platform is away or slow for everybody.
             platform_.outage = queue_.chance(0.5);
@@ -155,7 +151,6 @@
     {
         cutActive_ = true;
         cutPeersToo_ = queue_.chance(0.6);
-        printf("cut peers %d\n", cutPeersToo_);
         cutVms_ = {index};
         if (queue_.chance(0.4)) {
             cutVms_.insert((index + 1) % kVms);
@@ -361,7 +356,7 @@
             }
             acceptedLists_.push_back({.number = accepted->version.number, .at = queue_.now()});
         } else if (std::holds_alternative<ListConflict>(outcome) || std::get<Error>(outcome).code == ResultCode::PlatformUnavailable) {
-            refused_.insert(change);
+            refuse(change);
         }
         queue_.after(queue_.between(1s, 8s), [this, who] { editList(who); });
     }
@@ -383,7 +378,7 @@
             return;
         }
         const auto &outcome = std::get<EndpointStateOutcome>(step);
-        if (const auto *number = std::get_if<std::uint64_t>(&outcome)) {
+        if (std::holds_alternative<std::uint64_t>(outcome)) {
             if (!effective_.contains(change)) {
                 queue_.fail("R5: change " + change + " was accepted without effect");
             }
@@ -392,9 +387,8 @@
             if (drain && statesNow_.contains(endpoint)) {
                 drainedAt_.try_emplace(endpoint, queue_.now());
             }
-            (void)number;
         } else if (std::get<Error>(outcome).code == ResultCode::PlatformUnavailable) {
-            refused_.insert(change);
+            refuse(change);
         }
         queue_.after(queue_.between(1s, 10s), [this, who] { editStates(who); });
     }
@@ -412,6 +406,14 @@
 
     // Checks ---------------------------------------------------------------------------------------------------------
 
+    void refuse(const std::string &change)
+    {
+        refused_.insert(change);
+        if (effective_.contains(change)) {
+            queue_.fail("R7: change " + change + " was reported as refused and took effect");
+        }
+    }
+
     void onWrite(const std::string &key, std::uint64_t number, const std::string &value)
     {
         const auto row = decodeVersionedRow(value);
@@ -419,6 +421,9 @@
         if (!effective_.emplace(change, number).second) {
             queue_.fail("R7: change " + change + " took effect twice");
         }
+        if (refused_.contains(change)) {
+            queue_.fail("R7: change " + change + " was reported as refused and took effect");
+        }
         auto &last = lastChanges_[key];
         last.push_back(change);
         // Every change is made on top of the one before: none reverts another unseen.
@@ -457,11 +462,6 @@
 
     void check()
     {
-        for (const std::string &change : refused_) {
-            if (effective_.contains(change)) {
-                queue_.fail("R7: change " + change + " was reported as refused and took effect");
-            }
-        }
         for (std::size_t i = 0; i < kVms; ++i) {
             const auto seen = std::pair(vms_[i].process.incarnation, plansOf(vms_[i]));
             const auto seenStates = std::pair(vms_[i].process.incarnation, vms_[i].states->number());
@@ -486,9 +486,6 @@
             // The bound counts from the acceptance, with the platform up since.
             const TimePoint from = std::max(change.at, wellSince_);
             if (queue_.now() - from > kListBound && plansOf(vm) < change.number) {
-                for (auto &c : acceptedLists_)
-                    printf(
-                        "acc %lu at %ld\n", c.number, (long)std::chrono::duration_cast<std::chrono::milliseconds>(c.at.time_since_epoch()).count() - 3600000);
                 queue_.fail("R7: " + idOf(index).value() + " admitted work under version " + std::to_string(plansOf(vm)) + " although "
                             + std::to_string(change.number) + " had been accepted for more than 5 s");
             }
@@ -566,6 +563,18 @@
                            [](Faults &faults) {
                                faults.edit.supersededIsLost = true;
                            }},
+                          {"wrongNumber",
+                           [](Faults &faults) {
+                               faults.edit.wrongNumber = true;
+                           }},
+                          {"stateLostMeansAccepted",
+                           [](Faults &faults) {
+                               faults.states.lostMeansAccepted = true;
+                           }},
+                          {"stateRepeatAfterLoss",
+                           [](Faults &faults) {
+                               faults.states.repeatAfterLoss = true;
+                           }},
                           {"acceptLowerList",
                            [](Faults &faults) {
                                faults.keeper.acceptLower = true;
--- a/schedules/orders.cpp
+++ b/schedules/orders.cpp
@@ -175,20 +175,15 @@
     /// The entry VM opens the ticket and forwards the order to the issuer, whichever incarnation is there now.
     void arrive(const std::string &order, const std::string &text, const std::string &attempt)
     {
-        const auto opened = sealer_.open(text, kTeam, kService);
-        const auto *ticket = std::get_if<OrderTicket>(&opened);
-        if (ticket == nullptr) {
-            queue_.fail("R2: a ticket that was issued did not open");
-            return;
-        }
+        const auto opened = std::get<OrderTicket>(sealer_.open(text, kTeam, kService));
         std::size_t issuer = 0;
-        while (Fleet::idOf(issuer) != ticket->vm) {
+        while (Fleet::idOf(issuer) != opened.vm) {
             ++issuer;
         }
         // With acceptOtherIssuer the ticket goes to any VM: the routing does not protect, the ledger does.
         issuer = queue_.chance(0.2) ? queue_.random.below(kVms) : issuer;
         queue_.after(
-            queue_.between(1ms, 50ms), fleet_.processes[issuer], [this, issuer, order, attempt, ticket = *ticket] { begin(issuer, order, attempt, ticket); });
+            queue_.between(1ms, 50ms), fleet_.processes[issuer], [this, issuer, order, attempt, ticket = opened] { begin(issuer, order, attempt, ticket); });
     }
 
     void begin(std::size_t vm, const std::string &order, const std::string &attempt, const OrderTicket &ticket)
@@ -419,6 +414,14 @@
                            [](Faults &faults) {
                                faults.record.rerunUnfinished = true;
                            }},
+                          {"ignoreKey",
+                           [](Faults &faults) {
+                               faults.record.ignoreKey = true;
+                           }},
+                          {"unknownMeansDone",
+                           [](Faults &faults) {
+                               faults.record.unknownMeansDone = true;
+                           }},
                           {"unknownMeansNotRun",
                            [](Faults &faults) {
                                faults.record.unknownMeansNotRun = true;
