--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -15,7 +15,7 @@
 DEFINE_string(model, "assistant", "model that answers");
 DEFINE_string(file, "", "file with the new text or the order's body, - for standard input");
 DEFINE_int64(base, -1, "version of the list that the new text was made from");
-DEFINE_int64(version, -1, "version of the list to show");
+DEFINE_int64(at, -1, "version of the list to show");
 DEFINE_uint32(max_tokens, 0, "longest answer in tokens, 0 for the plan's limit");
 DEFINE_bool(json, false, "print JSON");
 
@@ -27,7 +27,7 @@
 
 constexpr const char *kUsage = R"(daisystream: operate the system and call it.
 
-  daisystream plans|limits show [--version N]       print a list; its version goes to standard error
+  daisystream plans|limits show [--at N]            print a list; its version goes to standard error
   daisystream plans|limits edit --base N [--file F] replace version N by the text of F or of standard input
   daisystream plans|limits apply FILE               replace the version in force by the text of FILE
   daisystream plans|limits history                  print versions and their changes
@@ -82,8 +82,8 @@
     if (FLAGS_base >= 0) {
         options.base = static_cast<std::uint64_t>(FLAGS_base);
     }
-    if (FLAGS_version >= 0) {
-        options.version = static_cast<std::uint64_t>(FLAGS_version);
+    if (FLAGS_at >= 0) {
+        options.version = static_cast<std::uint64_t>(FLAGS_at);
     }
     return true;
 }
