--- a/daisystream/cell/cell_test.cpp
+++ b/daisystream/cell/cell_test.cpp
@@ -18,6 +18,7 @@
 std::vector<VmId> makeVms(int count)
 {
     std::vector<VmId> vms;
+    vms.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         vms.emplace_back("vm" + std::to_string(i));
     }
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -47,7 +47,7 @@
 // An urgent answer may start on an endpoint whose step is longer than promised by this factor, if the step is short
 // enough without the ordinary answers, which are not replaced when they end.
 constexpr double kTransientStepFactor = 1.6;
-constexpr double kLongestWait = 0.7;      // Of the promised first-token time, in the queue.
+constexpr double kLongestWait = 0.7; // Of the promised first-token time, in the queue.
 // Tokens of a running answer that its team is charged ahead: about ten seconds. A team is to get its share within such a
 // time, whereas charging whole answers would stop a team for minutes because of a few long ones.
 constexpr double kChargedAhead = 300;
