--- a/bench/harness.cpp
+++ b/bench/harness.cpp
@@ -1461,7 +1461,7 @@
         figures[prefix + "within SLO of begun"] = share(met, begun);
         figures[prefix + "refused"] = share(refused, all);
         figures[prefix + "lost"] = share(lost, all);
-        figures[prefix + "refused near the deadline"] = share(held, refused);
+        figures[prefix + "refused near the deadline"] = refused == 0 ? 0.0 : share(held, refused);
         figures[prefix + "refused after p50 ms"] = 1000 * wait.at(0.5);
         figures[prefix + "refused after p99 ms"] = 1000 * wait.at(0.99);
         figures[prefix + "first token p50 ms"] = 1000 * firstToken.at(0.5);
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -93,6 +93,7 @@
         std::printf("%-40s", name.c_str());
         for (const std::string &column : columns) {
             std::vector<double> values;
+            values.reserve(seeds.size());
             for (const SeedRuns &runs : seeds) {
                 values.push_back(runs.at(column).at(name));
             }
@@ -126,13 +127,14 @@
                     summary.most,
                     check.target.c_str());
         for (std::size_t i = 0; i < check.values.size(); ++i) {
+            const std::uint64_t seed = FLAGS_seed + i;
             if (check.atLeast ? check.values[i] < check.bound : check.values[i] > check.bound) {
                 std::printf("       seed %llu: %.4g; replay: bench/bench --scenario %s --fleet %s --seed %llu --check --only %s\n",
-                            static_cast<unsigned long long>(FLAGS_seed + i),
+                            static_cast<unsigned long long>(seed),
                             check.values[i],
                             FLAGS_scenario.c_str(),
                             FLAGS_fleet.c_str(),
-                            static_cast<unsigned long long>(FLAGS_seed + i),
+                            static_cast<unsigned long long>(seed),
                             check.name.c_str());
             }
         }
@@ -149,13 +151,15 @@
         return 100;
     }
     const Fleet fleet = FLAGS_fleet == "fizzwell" ? fizzwell() : murmeltier();
+    const std::uint64_t last = FLAGS_seed + FLAGS_seeds - 1;
     std::printf("scenario %s, fleet %s, seeds %llu to %llu: %s\n",
                 scenario->name.c_str(),
                 fleet.name.c_str(),
                 static_cast<unsigned long long>(FLAGS_seed),
-                static_cast<unsigned long long>(FLAGS_seed + FLAGS_seeds - 1),
+                static_cast<unsigned long long>(last),
                 scenario->purpose.c_str());
     std::vector<SeedRuns> seeds;
+    seeds.reserve(FLAGS_seeds);
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
         seeds.push_back(runSeed(fleet, *scenario, FLAGS_seed + i));
     }
