--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -18,7 +18,11 @@
 constexpr milliseconds kCancelSettle(50);
 // A request without first token is overdue after this multiple of the expected time, but not before the least time.
 constexpr double kOverdueFactor = 4.0;
-constexpr milliseconds kLeastOverdue(1000);
+constexpr milliseconds kLeastOverdue(300);
+constexpr double kSurelyOverdue = 2.0; // Multiple of the expected time below which nothing is overdue.
+// Overdue first tokens in a row, without another first token in between, that make an endpoint suspect even if it made
+// a token recently.
+constexpr std::uint32_t kOverdueSigns = 2;
 // An endpoint that made a token for any of its answers this recently is alive.
 constexpr milliseconds kAliveWindow(1500);
 // Interval at which waiting requests are checked for whether they can still be served.
@@ -35,11 +39,18 @@
 constexpr seconds kUrgentMemory(60);
 // Reserved endpoints are sized for this multiple of the present urgent work, so that its fluctuations find room.
 constexpr double kReservedHeadroom = 1.25;
+// Ordinary work joins urgent work on an engine only up to this part of the step for which reserved engines are sized.
+// Otherwise an overload of ordinary work would fill the headroom and lengthen the steps of urgent work.
+constexpr double kOrdinaryJoins = 0.8;
 // Prompts that an endpoint may have to read, in decode steps, when ordinary work is added.
 constexpr std::uint64_t kOrdinaryPromptSteps = 4;
 // An urgent answer may start on an endpoint whose step is longer than promised by this factor, if the step is short
 // enough without the ordinary answers, which are not replaced when they end.
 constexpr double kTransientStepFactor = 1.6;
+constexpr double kLongestWait = 0.7;      // Of the promised first-token time, in the queue.
+// Tokens of a running answer that its team is charged ahead: about ten seconds. A team is to get its share within such a
+// time, whereas charging whole answers would stop a team for minutes because of a few long ones.
+constexpr double kChargedAhead = 300;
 constexpr double kLongestAnswer = 131072; // Tokens, where the request gives no limit.
 constexpr double kLongestRetry = 30.0;    // Seconds.
 constexpr double kShortestRetry = 0.05;
@@ -131,7 +142,9 @@
     Request &request = requests_[slot];
     request.state = State::Queued;
     queue_.push(request.team, request.order, slot);
-    setTimer(slot, request.work.firstTokenDeadline);
+    // What has waited this long is refused while the caller can still do something else with the rest of the time.
+    const Duration promise = std::max(Duration{}, request.work.firstTokenDeadline - request.work.arrival);
+    setTimer(slot, request.work.arrival + std::chrono::duration_cast<Duration>(kLongestWait * promise));
 }
 
 void Pool::dequeue(Slot slot)
@@ -153,13 +166,16 @@
     request.progressAt = now;
     request.assignedAt = now;
     request.load.awaitingFirstToken = request.state == State::Assigned;
-    request.expected = lengths_.expectedRemaining(request.profile, request.generated, lengthLimit(request.work));
+    request.expected = std::min(kChargedAhead, lengths_.expectedRemaining(request.profile, request.generated, lengthLimit(request.work)));
     queue_.reserve(request.team, request.expected);
     endpoint.load.add(request.load);
     endpoint.requests.insert(slot);
     if (request.state == State::Assigned) {
         const double firstToken = endpoint.load.firstTokenMilliseconds(request.work.promptTokens) / 1000.0;
-        setTimer(slot, now + std::max<Duration>(kLeastOverdue, durationOf(kOverdueFactor * firstToken)));
+        const Duration late = std::max<Duration>(kLeastOverdue, durationOf(kOverdueFactor * firstToken));
+        // Half of the time left is kept for a second attempt.
+        const Duration half = std::max<Duration>((request.work.firstTokenDeadline - now) / 2, durationOf(kSurelyOverdue * firstToken));
+        setTimer(slot, now + std::min(late, half));
         if (request.work.rank == Rank::Ordinary) {
             ordinaryAwaiting_.emplace(now, slot);
         }
@@ -238,6 +254,7 @@
     request.generated = std::max(1U, request.generated);
     Endpoint &endpoint = *endpoints_[request.endpoint];
     endpoint.tokenAt = now;
+    endpoint.overdue = 0;
     endpoint.health.onFirstToken(now);
     reindex(request.endpoint);
 }
@@ -263,7 +280,7 @@
     const double limit = lengthLimit(request->work);
     endpoint.load.progress(request->load, MemoryForecast::contribution(lengths_, request->profile, request->work.promptTokens, generated, limit));
     queue_.generated(request->team, tokens, now);
-    const double expected = lengths_.expectedRemaining(request->profile, generated, limit);
+    const double expected = std::min(kChargedAhead, lengths_.expectedRemaining(request->profile, generated, limit));
     queue_.adjust(request->team, request->expected, expected);
     request->expected = expected;
     reindex(request->endpoint);
@@ -456,7 +473,10 @@
         }
     }
     reindex(index);
-    const std::optional<TimePoint> next = endpoint.health.nextCheck();
+    std::optional<TimePoint> next = endpoint.health.nextCheck();
+    if (next && *next <= now) {
+        next = now + options_.probeInterval / 2; // A frozen report that is ignored, see `checkEndpoint`.
+    }
     // A check moves later with every report. The timer is not moved along, but set anew when it fires.
     if (next && (!endpoint.timer || *next < *endpoint.timer)) {
         setEndpointTimer(index, next);
@@ -477,9 +497,6 @@
         actions.emplace_back(Probe{endpoint.load.info().id});
     }
     afterHealthChange(index, now);
-    if (!endpoint.timer && endpoint.health.nextCheck()) {
-        setEndpointTimer(index, std::max(*endpoint.health.nextCheck(), now + options_.probeInterval / 2));
-    }
 }
 
 void Pool::onLoadReport(const LoadReport &report, TimePoint now)
@@ -596,7 +613,8 @@
         refuse(slot, ResultCode::QueueDeadlinePassed, "no endpoint became free before the deadline", waitOf(request, 1, now), now, actions);
     } else if (request.state == State::Assigned) {
         Endpoint &endpoint = *endpoints_[request.endpoint];
-        if (now - endpoint.tokenAt >= kAliveWindow) {
+        if (++endpoint.overdue >= kOverdueSigns || now - endpoint.tokenAt >= kAliveWindow) {
+            endpoint.overdue = 0;
             endpoint.health.onFirstTokenOverdue(now);
             afterHealthChange(request.endpoint, now); // Takes this request back as well.
         }
@@ -764,23 +782,27 @@
     if (load.running() == 0) {
         return true; // An idle endpoint cannot do better later.
     }
-    if (load.memoryShare(memory, deviations_) > usable || !keepsPace(endpoint, work, floorTurn)) {
+    if (load.memoryShare(memory, deviations_) > usable || !keepsPace(endpoint, work, floorTurn, now)) {
         return false;
     }
-    return work.rank == Rank::Urgent || sparesUrgent(endpoint, work);
+    // At the turn of its floor, ordinary work is admitted like urgent work.
+    return work.rank == Rank::Urgent || floorTurn || sparesUrgent(endpoint, work);
 }
 
-bool Pool::keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn) const
+bool Pool::keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn, TimePoint now) const
 {
     const EndpointLoad &load = endpoint.load;
     const double step = load.stepMilliseconds(1, work.promptTokens);
-    const double limit = load.paceLimit(work.paceTokensPerSecond, options_.paceMargin);
+    // Urgent work stays below the margin, so that there is room for ordinary work when it is the turn of its floor.
+    const double limit = load.paceLimit(work.paceTokensPerSecond, floorTurn ? 1.0 : options_.paceMargin);
     if (work.rank == Rank::Urgent) {
-        return step <= limit || (load.urgentStepMilliseconds(1, work.promptTokens) <= limit && step <= kTransientStepFactor * limit);
+        // Ordinary answers make room only as long as they are not replaced, which they are at the floor.
+        const bool makesRoom = step <= kTransientStepFactor * limit && queue_.ordinaryAboveFloor(now);
+        return step <= limit || (makesRoom && load.urgentStepMilliseconds(1, work.promptTokens) <= limit);
     }
     const bool shared = endpoint.reserved || load.running(Rank::Urgent) > 0;
     const double fastest = endpoint.reserved ? std::max(urgentPace_, work.paceTokensPerSecond) : work.paceTokensPerSecond;
-    return step <= (shared && !floorTurn ? load.paceLimit(fastest, options_.urgentStepShare) : limit);
+    return step <= (shared && !floorTurn ? load.paceLimit(fastest, kOrdinaryJoins * options_.urgentStepShare) : limit);
 }
 
 // Whether prompts of ordinary work leave the first token of urgent work in time.
@@ -810,7 +832,7 @@
     request.load.memory = memory;
     request.generated = 0;
     attach(slot, choice.endpoint, now);
-    figures.expectedTokens = request.expected;
+    figures.expectedTokens = lengths_.expectedRemaining(request.profile, 0, lengthLimit(request.work));
     waits_.dispatched(request.work.rank, now);
     actions.emplace_back(Assign{request.work.id, load.info().id, static_cast<std::uint8_t>(request.work.rank), figures});
 }
@@ -829,7 +851,7 @@
     if (rank == Rank::Ordinary && queue_.queued(Rank::Urgent) > 0) {
         least *= options_.ordinaryFloor;
     }
-    const bool first = position <= 1 && queue_.isBehind(request.team);
+    const bool first = position <= 1 && queue_.isNext(request.team);
     return waits_.seconds(rank, position, first ? 1.0 : queue_.shareOf(request.team), least, now);
 }
 
@@ -838,7 +860,8 @@
 {
     const Index &index = general_.empty() ? reserved_ : general_;
     const double firstToken = endpoints_[index.begin()->second]->load.idleFirstTokenMilliseconds(request.work.promptTokens) / 1000.0;
-    return secondsOf(request.work.firstTokenDeadline - now) - firstToken;
+    const double promise = secondsOf(request.work.firstTokenDeadline - request.work.arrival);
+    return std::min(secondsOf(request.work.firstTokenDeadline - now) - firstToken, kLongestWait * promise - secondsOf(now - request.work.arrival));
 }
 
 bool Pool::refuseIfHopeless(const FairQueue::Item &item, TimePoint now, std::vector<Action> &actions)
