Give the monitor's timers their strand

Cause: the linter's analyzer takes the executor of a yield context for null. Change: the strand is captured instead. Alternatives: suppressing the check for the line was ruled out. Conclusion: behaviour is unchanged.

--- a/daemon/vmmonitor.cpp
+++ b/daemon/vmmonitor.cpp
@@ -82,10 +82,11 @@
     template<class Work>
     void repeat(std::chrono::milliseconds pause, Work work)
     {
+        const auto strand = asio::make_strand(io);
         asio::spawn(
-            asio::make_strand(io),
-            [self = shared_from_this(), pause, work](asio::yield_context yield) {
-                asio::steady_timer timer(yield.get_executor());
+            strand,
+            [self = shared_from_this(), strand, pause, work](asio::yield_context yield) {
+                asio::steady_timer timer(strand);
                 error_code error;
                 while (!self->stopped) {
                     work(yield);
