Send the reply to a forwarded order once the connection is up

Cause: scenario order_at_most_once got outcomeUnknown for an order that had run: the issuer dropped the reply because its own connection to the asking VM was not up yet, shortly after a start. Ruled out: replying on the incoming connection, which carries only acknowledgements; asking again, which would need a second deduplication. Change: the reply is tried again every 200 ms for 5 s; a unit test.

--- a/daemon/peerlink.cpp
+++ b/daemon/peerlink.cpp
@@ -41,6 +41,9 @@
 constexpr unsigned kMaxIncoming = 1000;
 // An incoming connection is probed by its other end at least every 2 s, so that one this silent is dead.
 constexpr auto kIncomingSilence = std::chrono::seconds(10);
+// 5 s in all: longer than a reconnection, shorter than the time for which the asking VM waits.
+constexpr unsigned kOrderReplyAttempts = 25;
+constexpr auto kOrderReplyPause = std::chrono::milliseconds(200);
 constexpr std::uint64_t kPingSequenceBit = 1ULL << 63U; // Keeps the sequences of pings and heartbeats apart.
 
 tcp::endpoint toTcp(const SocketAddress &address)
@@ -637,7 +640,7 @@
             run = orderHandler;
         }
         auto reply = [self = shared_from_this(), from, number = order.number](const Result<OrderReply> &result) {
-            self->send(from, OrderReplyMessage{.number = number, .reply = result});
+            self->sendOrderReply(from, {.number = number, .reply = result}, kOrderReplyAttempts);
         };
         if (order.incarnation != shared->identity.incarnation) {
             reply(Error{ResultCode::TicketIssuerGone, "the daemon that issued the ticket has been replaced", {}});
@@ -648,6 +651,21 @@
         }
     }
 
+    /// Sends the reply to a forwarded order. The order has run, so the reply is worth waiting for this VM's own connection
+    /// to the asking VM, which can still be down shortly after a start although the other direction is up.
+    void sendOrderReply(const VmId &to, const OrderReplyMessage &reply, unsigned attempts)
+    {
+        if (send(to, reply) || attempts == 0) {
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(shared->io, kOrderReplyPause);
+        timer->async_wait([self = shared_from_this(), timer, to, reply, attempts](const error_code &error) {
+            if (!error) {
+                self->sendOrderReply(to, reply, attempts - 1);
+            }
+        });
+    }
+
     void settle(std::uint64_t number, const Result<OrderReply> &result)
     {
         PendingOrder pending;
--- a/daemon/peerlink_test.cpp
+++ b/daemon/peerlink_test.cpp
@@ -186,5 +186,20 @@
     loop.stop();
 }
 
+// Guards against the loss of a reply while the issuer's own connection to the asking VM is not up yet, as after a start.
+TEST_CASE("the reply to a forwarded order waits for the connection to the asking VM")
+{
+    TestLoop loop;
+    OrderVms vms(loop);
+    vms.second.link.setPeers({});
+    REQUIRE(TestLoop::waitUntil([&] { return !vms.second.link.send(VmId("vm1"), PingMessage{1}); }));
+    vms.second.link.setOrderHandler([&](const ForwardedOrder &, const OrderForwarding::ReplyHandler &reply) {
+        reply(OrderReply{.status = 201, .headers = {}, .body = "done"});
+        vms.second.connect(vms.first);
+    });
+    CHECK(std::holds_alternative<OrderReply>(vms.forward(7)));
+    loop.stop();
+}
+
 } // namespace
 } // namespace daisystream
