--- a/schedules/orders.cpp
+++ b/schedules/orders.cpp
@@ -118,7 +118,7 @@
     TicketWorld(std::uint64_t seed, const Faults &faults)
         : faults_(faults)
         , queue_(seed)
-        , service_(queue_, queue_.random.below(3) * 0.15)
+        , service_(queue_, static_cast<double>(queue_.random.below(3)) * 0.15)
         , fleet_(queue_)
         , sealer_({SealingKey{.number = 1, .bytes = {7}}}, Random(seed))
     {
@@ -227,7 +227,7 @@
     KeyWorld(std::uint64_t seed, const Faults &faults)
         : faults_(faults)
         , queue_(seed)
-        , service_(queue_, queue_.random.below(3) * 0.1)
+        , service_(queue_, static_cast<double>(queue_.random.below(3)) * 0.1)
         , fleet_(queue_)
         , platform_(queue_)
     {
