--- a/schedules/main.cpp
+++ b/schedules/main.cpp
@@ -64,8 +64,8 @@
             return kExitViolation;
         }
     }
-    const auto count = static_cast<unsigned long long>(to - from + 1);
-    std::printf("property %s: %llu seeds, %s\n", property.name.c_str(), count, mutated ? "mutation not noticed" : "no violation");
+    const std::string count = std::to_string(to - from + 1);
+    std::printf("property %s: %s seeds, %s\n", property.name.c_str(), count.c_str(), mutated ? "mutation not noticed" : "no violation");
     return mutated ? kExitViolation : 0;
 }
 
