--- a/daisystream/fairness/fairqueue.cpp
+++ b/daisystream/fairness/fairqueue.cpp
@@ -18,10 +18,9 @@
 
 // Time over which the share of ordinary work is averaged.
 constexpr double kShareSeconds = 10.0;
-// How strongly a past deviation from the floor is corrected, and the largest surplus that counts. Without the bound,
-// ordinary work would have to pay back what it used before urgent work came.
+// How strongly a recent shortfall below the floor is made up for. A surplus is not paid back: it is mostly what ordinary
+// work used before urgent work came.
 constexpr double kFloorGain = 2.0;
-constexpr double kLargestSurplus = 0.25;
 // A team may lag behind the queue's virtual time by this much, so that a team that asks for little is served at once,
 // but cannot save up service for a later surge.
 constexpr double kCreditTokens = 2000;
@@ -93,7 +92,7 @@
     {
         TeamState &state = teams[team];
         RankState &rank = rankOf(state);
-        const double lag = rank.virtualTime - virtualKey(state) - (state.running > 0 ? kCreditTokens / state.weight : 0.0);
+        const double lag = rank.virtualTime - state.charged - (state.running > 0 ? kCreditTokens / state.weight : 0.0);
         state.charged += std::max(0.0, lag);
         state.key = virtualKey(state);
         rank.byKey.emplace(state.key, team);
@@ -124,7 +123,7 @@
     // Share of the running answers that ordinary work should have in order to keep its floor.
     [[nodiscard]] double wantedOrdinaryShare() const
     {
-        return floor + kFloorGain * (floor - std::min(ordinaryShare(), floor * (1.0 + kLargestSurplus)));
+        return floor + kFloorGain * (floor - std::min(ordinaryShare(), floor));
     }
 };
 
@@ -219,7 +218,8 @@
 {
     Private::TeamState &state = d_->teams[team];
     Private::RankState &rank = d_->rankOf(state);
-    rank.virtualTime = std::max(rank.virtualTime, Private::virtualKey(state));
+    // Only what was generated counts: a team that held all engines when others came must not start level with them.
+    rank.virtualTime = std::max(rank.virtualTime, state.charged);
     state.reserved += tokens;
     ++state.running;
     ++rank.running;
@@ -286,10 +286,11 @@
     return state.weight / (std::max(0.0, others) + state.weight);
 }
 
-bool FairQueue::isBehind(Team team) const
+bool FairQueue::isNext(Team team) const
 {
     const Private::TeamState &state = d_->teams[team];
-    return Private::virtualKey(state) <= d_->rankState(state.rank).virtualTime;
+    const auto &byKey = d_->rankState(state.rank).byKey;
+    return byKey.empty() || Private::virtualKey(state) <= byKey.begin()->first;
 }
 
 std::optional<FairQueue::Team> FairQueue::visitBacklogged()
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -19,6 +19,7 @@
 // A request without first token is overdue after this multiple of the expected time, but not before the least time.
 constexpr double kOverdueFactor = 4.0;
 constexpr milliseconds kLeastOverdue(300);
+constexpr double kSurelyOverdue = 2.0; // Multiple of the expected time below which nothing is overdue.
 // Overdue first tokens in a row, without another first token in between, that make an endpoint suspect even if it made
 // a token recently.
 constexpr std::uint32_t kOverdueSigns = 2;
@@ -38,12 +39,18 @@
 constexpr seconds kUrgentMemory(60);
 // Reserved endpoints are sized for this multiple of the present urgent work, so that its fluctuations find room.
 constexpr double kReservedHeadroom = 1.25;
+// Ordinary work joins urgent work on an engine only up to this part of the step for which reserved engines are sized.
+// Otherwise an overload of ordinary work would fill the headroom and lengthen the steps of urgent work.
+constexpr double kOrdinaryJoins = 0.8;
 // Prompts that an endpoint may have to read, in decode steps, when ordinary work is added.
 constexpr std::uint64_t kOrdinaryPromptSteps = 4;
 // An urgent answer may start on an endpoint whose step is longer than promised by this factor, if the step is short
 // enough without the ordinary answers, which are not replaced when they end.
 constexpr double kTransientStepFactor = 1.6;
-constexpr double kLongestWait = 0.7;      // Of the promised first-token time, in the queue.
+constexpr double kLongestWait = 0.7; // Of the promised first-token time, in the queue.
+// Tokens of a running answer that its team is charged ahead: about ten seconds. A team is to get its share within such a
+// time, whereas charging whole answers would stop a team for minutes because of a few long ones.
+constexpr double kChargedAhead = 300;
 constexpr double kLongestAnswer = 131072; // Tokens, where the request gives no limit.
 constexpr double kLongestRetry = 30.0;    // Seconds.
 constexpr double kShortestRetry = 0.05;
@@ -159,13 +166,16 @@
     request.progressAt = now;
     request.assignedAt = now;
     request.load.awaitingFirstToken = request.state == State::Assigned;
-    request.expected = lengths_.expectedRemaining(request.profile, request.generated, lengthLimit(request.work));
+    request.expected = std::min(kChargedAhead, lengths_.expectedRemaining(request.profile, request.generated, lengthLimit(request.work)));
     queue_.reserve(request.team, request.expected);
     endpoint.load.add(request.load);
     endpoint.requests.insert(slot);
     if (request.state == State::Assigned) {
         const double firstToken = endpoint.load.firstTokenMilliseconds(request.work.promptTokens) / 1000.0;
-        setTimer(slot, now + std::max<Duration>(kLeastOverdue, durationOf(kOverdueFactor * firstToken)));
+        const Duration late = std::max<Duration>(kLeastOverdue, durationOf(kOverdueFactor * firstToken));
+        // Half of the time left is kept for a second attempt.
+        const Duration half = std::max<Duration>((request.work.firstTokenDeadline - now) / 2, durationOf(kSurelyOverdue * firstToken));
+        setTimer(slot, now + std::min(late, half));
         if (request.work.rank == Rank::Ordinary) {
             ordinaryAwaiting_.emplace(now, slot);
         }
@@ -270,7 +280,7 @@
     const double limit = lengthLimit(request->work);
     endpoint.load.progress(request->load, MemoryForecast::contribution(lengths_, request->profile, request->work.promptTokens, generated, limit));
     queue_.generated(request->team, tokens, now);
-    const double expected = lengths_.expectedRemaining(request->profile, generated, limit);
+    const double expected = std::min(kChargedAhead, lengths_.expectedRemaining(request->profile, generated, limit));
     queue_.adjust(request->team, request->expected, expected);
     request->expected = expected;
     reindex(request->endpoint);
@@ -775,7 +785,8 @@
     if (load.memoryShare(memory, deviations_) > usable || !keepsPace(endpoint, work, floorTurn, now)) {
         return false;
     }
-    return work.rank == Rank::Urgent || sparesUrgent(endpoint, work, floorTurn);
+    // At the turn of its floor, ordinary work is admitted like urgent work.
+    return work.rank == Rank::Urgent || floorTurn || sparesUrgent(endpoint, work);
 }
 
 bool Pool::keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn, TimePoint now) const
@@ -791,15 +802,15 @@
     }
     const bool shared = endpoint.reserved || load.running(Rank::Urgent) > 0;
     const double fastest = endpoint.reserved ? std::max(urgentPace_, work.paceTokensPerSecond) : work.paceTokensPerSecond;
-    return step <= (shared && !floorTurn ? load.paceLimit(fastest, options_.urgentStepShare) : limit);
+    return step <= (shared && !floorTurn ? load.paceLimit(fastest, kOrdinaryJoins * options_.urgentStepShare) : limit);
 }
 
 // Whether prompts of ordinary work leave the first token of urgent work in time.
-bool Pool::sparesUrgent(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn) const
+bool Pool::sparesUrgent(const Endpoint &endpoint, const WorkRequest &work) const
 {
     const EndpointLoad &load = endpoint.load;
     const bool shared = endpoint.reserved || load.running(Rank::Urgent) > 0;
-    const std::uint64_t steps = shared && !floorTurn ? 1 : kOrdinaryPromptSteps;
+    const std::uint64_t steps = shared ? 1 : kOrdinaryPromptSteps;
     return load.pendingPromptTokens() == 0 || load.pendingPromptTokens() + work.promptTokens <= steps * load.info().stepCost.prefillTokensPerStep;
 }
 
@@ -821,7 +832,7 @@
     request.load.memory = memory;
     request.generated = 0;
     attach(slot, choice.endpoint, now);
-    figures.expectedTokens = request.expected;
+    figures.expectedTokens = lengths_.expectedRemaining(request.profile, 0, lengthLimit(request.work));
     waits_.dispatched(request.work.rank, now);
     actions.emplace_back(Assign{request.work.id, load.info().id, static_cast<std::uint8_t>(request.work.rank), figures});
 }
@@ -840,7 +851,7 @@
     if (rank == Rank::Ordinary && queue_.queued(Rank::Urgent) > 0) {
         least *= options_.ordinaryFloor;
     }
-    const bool first = position <= 1 && queue_.isBehind(request.team);
+    const bool first = position <= 1 && queue_.isNext(request.team);
     return waits_.seconds(rank, position, first ? 1.0 : queue_.shareOf(request.team), least, now);
 }
 
