Fix what the linter found in the dispatcher and the messages

Cause: a destructor that could throw, an implicit widening, a macro with a semicolon after a case. Change: the dispatcher's timer ends with its owner, the kind of a document is checked in a function. Alternatives: none.

--- a/daemon/celldispatcher.cpp
+++ b/daemon/celldispatcher.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
@@ -114,7 +113,7 @@
         , cells(CellMapOptions{})
         , asks(AskTrackerOptions{})
         , vms{settings.vm}
-        , timer(asio::make_strand(loop))
+        , timer(loop)
     {
         cells.setVms(vms);
         applyEndpoints();
@@ -825,10 +824,7 @@
     d_->sleep();
 }
 
-CellDispatcher::~CellDispatcher()
-{
-    asio::post(d_->timer.get_executor(), [d = d_] { d->timer.cancel(); });
-}
+CellDispatcher::~CellDispatcher() = default;
 
 void CellDispatcher::ask(const WorkRequest &work, AskHandler handler)
 {
--- a/daemon/peermessage.cpp
+++ b/daemon/peermessage.cpp
@@ -19,7 +19,7 @@
 
 // No message is more than a few levels deep; deeper nesting is malformed input.
 constexpr int kNestingLimit = 16;
-constexpr std::uint64_t kTraversalLimitWords = 2 * kMaxPeerMessageBytes / sizeof(capnp::word);
+constexpr std::uint64_t kTraversalLimitWords = std::uint64_t{2} * kMaxPeerMessageBytes / sizeof(capnp::word);
 // A work request that claims a longer deadline or age is malformed; it also keeps time arithmetic from overflowing.
 constexpr microseconds kLongestDuration = std::chrono::hours(24);
 
@@ -451,10 +451,15 @@
         .team = TeamId(string(in.getTeam())), .concurrency = in.getConcurrency(), .tokensPerSecond = in.getTokensPerSecond(), .heldGrant = in.getHeldGrant()};
 }
 
+std::uint8_t readKind(std::uint8_t kind)
+{
+    KJ_REQUIRE(kind < kDocumentKinds, "unknown kind of document");
+    return kind;
+}
+
 DocumentMessage read(wire::Document::Reader in)
 {
-    KJ_REQUIRE(in.getKind() < kDocumentKinds, "unknown kind of document");
-    DocumentMessage message{.kind = in.getKind(), .number = in.getNumber(), .changeId = string(in.getChangeId()), .text = string(in.getText())};
+    DocumentMessage message{.kind = readKind(in.getKind()), .number = in.getNumber(), .changeId = string(in.getChangeId()), .text = string(in.getText())};
     for (const auto vm : in.getVms()) {
         message.vms.emplace_back(string(vm));
     }
@@ -486,8 +491,7 @@
     case wire::Message::PING:
         return PingMessage{in.getPing()};
     case wire::Message::DOCUMENT_REQUEST:
-        KJ_REQUIRE(in.getDocumentRequest() < kDocumentKinds, "unknown kind of document");
-        return DocumentRequestMessage{in.getDocumentRequest()};
+        return DocumentRequestMessage{readKind(in.getDocumentRequest())};
     case wire::Message::DOCUMENT:
         return read(in.getDocument());
     case wire::Message::ASK:
