--- a/bench/relaycost/main.cpp
+++ b/bench/relaycost/main.cpp
@@ -112,11 +112,14 @@
 } // namespace
 
 int main(int argc, char **argv)
-{
+try {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     FLAGS_minloglevel = google::WARNING;
     google::InitGoogleLogging(argv[0]);
     doctest::Context context;
     context.setAsDefaultForAssertsOutOfTestCases();
     return measure();
+} catch (...) {
+    std::fputs("relaycost: unexpected exception\n", stderr);
+    return 1;
 }
--- a/daemon/operatorapi.cpp
+++ b/daemon/operatorapi.cpp
@@ -106,7 +106,11 @@
 
 OperatorApi::~OperatorApi()
 {
-    stop();
+    try {
+        stop();
+    } catch (...) {
+        // No memory to post the closing: the listener stays open until the process ends.
+    }
 }
 
 std::optional<Error> OperatorApi::start(const SocketAddress &listen)
--- a/daemon/platformclient.cpp
+++ b/daemon/platformclient.cpp
@@ -32,7 +32,8 @@
 using Response = http::response<http::string_body>;
 
 /// The outcome of one call.
-struct Exchange
+// The move of Beast's response is not declared noexcept, although it does not throw.
+struct Exchange // NOLINT(bugprone-exception-escape)
 {
     std::optional<Response> response;
     bool sent = false; ///< Some byte of the request may have arrived.
