Use the library's retry budget in the front end

Cause: the front end had a budget of its own, written before daisystream/retry was there; the two counted differently. Ruled out: the library's default allowance of one retry a team, which would end a request after one dead engine on a fleet with little traffic. Change: FrontendContext holds a RetryBudget with an allowance of three. Conclusion: one budget, with the same bound of a tenth.

--- a/daemon/frontendcontext.cpp
+++ b/daemon/frontendcontext.cpp
@@ -19,10 +19,8 @@
 
 // Several sealers, so that workers seldom wait for each other's events to be sealed.
 constexpr std::size_t kSealerShards = 8;
-// Retries may add a tenth to the load (design 2.8). The floor lets a VM or team with little traffic retry at all.
-constexpr double kRetryShare = 0.1;
-constexpr double kRetryFloor = 3;
-constexpr auto kRetryHalfLife = std::chrono::seconds(10);
+// A team or VM with little traffic may retry three times before the budget of a tenth of its requests binds.
+constexpr RetryBudgetOptions kRetryOptions{.teamAllowance = 3, .vmAllowance = 3};
 
 std::string hex(std::uint64_t value)
 {
@@ -132,6 +130,7 @@
     , parts(parts)
     , random_(parts.seed)
     , idPrefix_(hex(random_.bits()))
+    , retries_(kRetryOptions)
     , sealers_(std::make_unique<Sealers>(parts.lists, random_))
 {
     parts.dispatcher.setCancelHandler([this](const Cancel &cancel) { onCancel(cancel); });
@@ -139,44 +138,16 @@
 
 FrontendContext::~FrontendContext() = default;
 
-void FrontendContext::RetryCount::age(TimePoint now)
-{
-    if (now - since >= kRetryHalfLife) {
-        const bool recent = now - since < 2 * kRetryHalfLife;
-        requests = recent ? requests / 2 : 0;
-        retries = recent ? retries / 2 : 0;
-        since = now;
-    }
-}
-
-bool FrontendContext::RetryCount::allows() const
-{
-    return retries + 1 <= kRetryFloor + kRetryShare * requests;
-}
-
 void FrontendContext::countRequest(const TeamId &team)
 {
-    const auto now = parts.clock.now();
     const std::lock_guard lock(mutex_);
-    for (auto *count : {&retries_, &retriesOfTeam_[team]}) {
-        count->age(now);
-        count->requests += 1;
-    }
+    retries_.onRequest(team, parts.clock.now());
 }
 
 bool FrontendContext::takeRetry(const TeamId &team)
 {
-    const auto now = parts.clock.now();
     const std::lock_guard lock(mutex_);
-    auto &ofTeam = retriesOfTeam_[team];
-    retries_.age(now);
-    ofTeam.age(now);
-    if (!retries_.allows() || !ofTeam.allows()) {
-        return false;
-    }
-    retries_.retries += 1;
-    ofTeam.retries += 1;
-    return true;
+    return retries_.tryRetry(team, parts.clock.now());
 }
 
 FrontendStrand strandOf(const asio::any_io_executor &executor)
--- a/daemon/frontendcontext.h
+++ b/daemon/frontendcontext.h
@@ -3,6 +3,7 @@
 #include "daemon/httpfrontend.h"
 #include "daisystream/answer/sealer.h"
 #include "daisystream/orders/orderledger.h"
+#include "daisystream/retry/retrybudget.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
@@ -80,17 +81,6 @@
 private:
     class Sealers;
 
-    /// Recent requests and retries, halved every ten seconds.
-    struct RetryCount
-    {
-        double requests = 0;
-        double retries = 0;
-        TimePoint since{};
-
-        void age(TimePoint now);
-        [[nodiscard]] bool allows() const;
-    };
-
     void onCancel(const Cancel &cancel);
 
     std::mutex mutex_;
@@ -98,8 +88,7 @@
     std::uint64_t serial_ = 0;
     std::string idPrefix_;
     std::unordered_map<RequestId, std::function<void()>> cancels_;
-    RetryCount retries_;                                   ///< Of this VM.
-    std::unordered_map<TeamId, RetryCount> retriesOfTeam_; ///< As many as the list has teams.
+    RetryBudget retries_;
     std::unique_ptr<Sealers> sealers_;
 };
 
