Wait for the connection before an order is forwarded

Ruled out: asking again in the scenario, since a caller would meet the same. Change: an order that cannot be sent yet is tried every 50 ms for 1 s; only then PeerUnreachable is reported. Nothing is sent twice. Conclusion: the first second after a start no longer costs an order.

--- a/daemon/peerlink.cpp
+++ b/daemon/peerlink.cpp
@@ -43,6 +43,9 @@
 constexpr auto kIncomingSilence = std::chrono::seconds(10);
 // 5 s in all: longer than a reconnection, shorter than the time for which the asking VM waits.
 constexpr unsigned kOrderReplyAttempts = 25;
+// 1 s in all: longer than a first connection takes, short enough for a caller who then tries again.
+constexpr unsigned kOrderSendAttempts = 20;
+constexpr auto kOrderSendPause = std::chrono::milliseconds(50);
 constexpr auto kOrderReplyPause = std::chrono::milliseconds(200);
 constexpr std::uint64_t kPingSequenceBit = 1ULL << 63U; // Keeps the sequences of pings and heartbeats apart.
 
@@ -651,6 +654,37 @@
         }
     }
 
+    /// Sends an order to the VM that issued its ticket. Waits for the connection, which can still be down shortly after a
+    /// start; nothing has been sent until then, so the order certainly did not run.
+    /// @param replyTimer limits the wait for the reply once the order is sent.
+    void sendOrder(const VmId &issuer, const OrderMessage &order, const std::shared_ptr<asio::steady_timer> &replyTimer, unsigned attempts)
+    {
+        if (send(issuer, order)) {
+            replyTimer->async_wait([self = shared_from_this(), number = order.number](const error_code &cancelled) {
+                if (!cancelled) {
+                    self->settle(number, Error{ResultCode::OrderOutcomeUnknown, "no reply from the VM that issued the ticket", {}});
+                }
+            });
+            return;
+        }
+        if (attempts == 0) {
+            settle(order.number, Error{ResultCode::PeerUnreachable, issuer.value() + " cannot be reached", std::chrono::milliseconds(1000)});
+            return;
+        }
+        auto pause = std::make_shared<asio::steady_timer>(shared->io, kOrderSendPause);
+        pause->async_wait([self = shared_from_this(), pause, issuer, order, replyTimer, attempts](const error_code &error) {
+            if (!error && self->isPending(order.number)) {
+                self->sendOrder(issuer, order, replyTimer, attempts - 1);
+            }
+        });
+    }
+
+    [[nodiscard]] bool isPending(std::uint64_t number)
+    {
+        const std::lock_guard lock(mutex);
+        return orders.contains(number);
+    }
+
     /// Sends the reply to a forwarded order. The order has run, so the reply is worth waiting for this VM's own connection
     /// to the asking VM, which can still be down shortly after a start although the other direction is up.
     void sendOrderReply(const VmId &to, const OrderReplyMessage &reply, unsigned attempts)
@@ -877,15 +911,7 @@
         number = ++d_->lastOrder;
         d_->orders.emplace(number, Private::PendingOrder{.issuer = issuer, .handler = std::move(handler), .timer = timer});
     }
-    if (!d_->send(issuer, OrderMessage{.number = number, .incarnation = incarnation, .order = order})) {
-        d_->settle(number, Error{ResultCode::PeerUnreachable, issuer.value() + " cannot be reached", std::chrono::milliseconds(1000)});
-        return;
-    }
-    timer->async_wait([self = d_, number](const error_code &cancelled) {
-        if (!cancelled) {
-            self->settle(number, Error{ResultCode::OrderOutcomeUnknown, "no reply from the VM that issued the ticket", {}});
-        }
-    });
+    d_->sendOrder(issuer, {.number = number, .incarnation = incarnation, .order = order}, timer, kOrderSendAttempts);
 }
 
 void PeerLink::setOrderHandler(OrderHandler handler)
