Keep an unsent order pending when an earlier connection is lost

Cause: a new unit test failed: the loss of an earlier connection to the issuer ended an order as outcomeUnknown that had not been sent yet. Ruled out: ending unsent orders as not run at once; the next connection can carry them within the second that they wait. Change: pending orders know whether a byte may have been sent. Conclusion: only orders that may have been sent end as unknown.

--- a/daemon/peerlink.cpp
+++ b/daemon/peerlink.cpp
@@ -509,6 +509,7 @@
         VmId issuer;
         ReplyHandler handler;
         std::shared_ptr<asio::steady_timer> timer;
+        bool sent = false; ///< Some byte may have reached the issuer.
     };
 
     Private(asio::io_context &io, const PeerIdentity &identity, const Clock &clock, Metrics &metrics, PeerLinkOptions options)
@@ -659,6 +660,7 @@
     /// @param replyTimer limits the wait for the reply once the order is sent.
     void sendOrder(const VmId &issuer, const OrderMessage &order, const std::shared_ptr<asio::steady_timer> &replyTimer, unsigned attempts)
     {
+        setSent(order.number, true);
         if (send(issuer, order)) {
             replyTimer->async_wait([self = shared_from_this(), number = order.number](const error_code &cancelled) {
                 if (!cancelled) {
@@ -667,6 +669,7 @@
             });
             return;
         }
+        setSent(order.number, false);
         if (attempts == 0) {
             settle(order.number, Error{ResultCode::PeerUnreachable, issuer.value() + " cannot be reached", std::chrono::milliseconds(1000)});
             return;
@@ -679,6 +682,14 @@
         });
     }
 
+    void setSent(std::uint64_t number, bool sent)
+    {
+        const std::lock_guard lock(mutex);
+        if (const auto found = orders.find(number); found != orders.end()) {
+            found->second.sent = sent;
+        }
+    }
+
     [[nodiscard]] bool isPending(std::uint64_t number)
     {
         const std::lock_guard lock(mutex);
@@ -724,7 +735,7 @@
         {
             const std::lock_guard lock(mutex);
             for (const auto &[number, order] : orders) {
-                if (order.issuer == issuer) {
+                if (order.issuer == issuer && order.sent) {
                     lost.push_back(number);
                 }
             }
@@ -909,7 +920,7 @@
     {
         const std::lock_guard lock(d_->mutex);
         number = ++d_->lastOrder;
-        d_->orders.emplace(number, Private::PendingOrder{.issuer = issuer, .handler = std::move(handler), .timer = timer});
+        d_->orders.emplace(number, Private::PendingOrder{.issuer = issuer, .handler = std::move(handler), .timer = timer, .sent = false});
     }
     d_->sendOrder(issuer, {.number = number, .incarnation = incarnation, .order = order}, timer, kOrderSendAttempts);
 }
--- a/daemon/peerlink_test.cpp
+++ b/daemon/peerlink_test.cpp
@@ -201,5 +201,28 @@
     loop.stop();
 }
 
+// Guards against an order that fails only because the asking VM has just started and is not connected yet.
+TEST_CASE("an order waits for the connection to the VM that issued its ticket")
+{
+    TestLoop loop;
+    OrderVms vms(loop);
+    std::atomic<int> runs{0};
+    vms.second.link.setOrderHandler([&](const ForwardedOrder &, const OrderForwarding::ReplyHandler &reply) {
+        ++runs;
+        reply(OrderReply{.status = 201, .headers = {}, .body = "done"});
+    });
+    vms.first.link.setPeers({});
+    REQUIRE(TestLoop::waitUntil([&] { return !vms.first.link.send(VmId("vm2"), PingMessage{1}); }));
+    std::promise<Result<OrderReply>> promise;
+    vms.first.link.forwardOrder(VmId("vm2"),
+                                7,
+                                {.ticket = "t", .team = {}, .service = {}, .method = {}, .target = {}, .headers = {}, .body = {}},
+                                [&](const Result<OrderReply> &reply) { promise.set_value(reply); });
+    vms.first.connect(vms.second);
+    CHECK(std::holds_alternative<OrderReply>(promise.get_future().get()));
+    CHECK(runs == 1);
+    loop.stop();
+}
+
 } // namespace
 } // namespace daisystream
