--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -239,6 +239,37 @@
     post_faults(self.services[number].port, faults)
 end
 
+--- How many generations an engine has started.
+function Fleet:started(number)
+    local _, body = scenario.call{port = self.engines[number].port, target = "/faults"}
+    return scenario.decode(body).started
+end
+
+--- Waits until a round of requests through every VM starts nothing at an engine.
+function Fleet:wait_no_new_work(number)
+    fleet.eventually("no VM sends new work to " .. self.engines[number].id, function()
+        local before = self:started(number)
+        for _, vm in ipairs(self.vms) do
+            for _ = 1, 4 do
+                vm:ask{tokens = 1}:wait_end()
+            end
+        end
+        return self:started(number) == before
+    end)
+end
+
+--- Starts answers through all VMs in turn and waits until each streams.
+function Fleet:start_answers(count, tokens)
+    local answers = {}
+    for i = 1, count do
+        answers[i] = self.vms[i % #self.vms + 1]:ask{tokens = tokens}
+    end
+    for _, answer in ipairs(answers) do
+        answer:wait_tokens(2)
+    end
+    return answers
+end
+
 --- How often each order ran, over all service instances: a table from the order's body to a count.
 function Fleet:order_counts()
     local counts = {}
@@ -373,4 +404,13 @@
     end
 end
 
+--- Waits for the end of answers and checks that each is complete.
+function fleet.assert_all_complete(answers, tokens)
+    for _, answer in ipairs(answers) do
+        local final = answer:wait_end()
+        assert(final and final.state == "complete", "a running answer was cut off")
+        fleet.assert_whole((answer:tokens()), tokens)
+    end
+end
+
 return fleet
