Split the daemon's folder by component

They move unchanged, apart from their include paths, into frontend, endpoints, peers, cells, store, status and control, so that the routes of a platform find a place. Ruled out: splitting large files in the same step, which would hide the changes. No behaviour changes.

--- a/bench/relaycost/main.cpp
+++ b/bench/relaycost/main.cpp
@@ -1,5 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT
-#include "daemon/frontendfixture_test.h"
+#include "daemon/frontend/frontendfixture_test.h"
 
 #include <gflags/gflags.h>
 #include <glog/logging.h>
--- a/cli/commands_test.cpp
+++ b/cli/commands_test.cpp
@@ -2,7 +2,7 @@
 #include "cli/eventparser.h"
 #include "cli/exitcodes.h"
 
-#include "daemon/testloop.h"
+#include "daemon/control/testloop.h"
 #include "standins/platform/platformmodel.h"
 
 #include <doctest/doctest.h>
--- a/cli/httpcall.h
+++ b/cli/httpcall.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/settings.h"
+#include "daemon/control/settings.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
--- a/cli/listcommands.cpp
+++ b/cli/listcommands.cpp
@@ -1,7 +1,7 @@
 #include "cli/commands.h"
 #include "cli/exitcodes.h"
 
-#include "daemon/platformclient.h"
+#include "daemon/store/platformclient.h"
 #include "daisystream/lists/limitlist.h"
 #include "daisystream/lists/listedit.h"
 #include "daisystream/lists/planlist.h"
--- a/cli/operatorcommands.cpp
+++ b/cli/operatorcommands.cpp
@@ -2,7 +2,7 @@
 #include "cli/exitcodes.h"
 #include "cli/httpcall.h"
 
-#include "daemon/platformclient.h"
+#include "daemon/store/platformclient.h"
 #include "daisystream/lists/endpointstates.h"
 
 #include <boost/asio/steady_timer.hpp>
--- a/daemon/celldispatcher.h
+++ b/daemon/cells/celldispatcher.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "daemon/dispatcher.h"
-#include "daemon/listtable.h"
-#include "daemon/metrics.h"
-#include "daemon/peermessage.h"
+#include "daemon/cells/dispatcher.h"
+#include "daemon/peers/peermessage.h"
+#include "daemon/status/metrics.h"
+#include "daemon/store/listtable.h"
 #include "daisystream/base/clock.h"
 
 #include <boost/asio/io_context.hpp>
--- a/daemon/celldispatcher_test.cpp
+++ b/daemon/cells/celldispatcher_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/celldispatcher.h"
+#include "daemon/cells/celldispatcher.h"
 
 #include <doctest/doctest.h>
 
--- a/daemon/dispatcher.h
+++ b/daemon/cells/dispatcher.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/settings.h"
+#include "daemon/control/settings.h"
 #include "daisystream/scheduler/scheduler.h"
 
 #include <functional>
--- a/daemon/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -1,4 +1,4 @@
-#include "daemon/vmmonitor.h"
+#include "daemon/cells/vmmonitor.h"
 
 #include "daisystream/lists/endpointstates.h"
 #include "daisystream/lists/freshness.h"
--- a/daemon/vmmonitor.h
+++ b/daemon/cells/vmmonitor.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "daemon/celldispatcher.h"
-#include "daemon/listtable.h"
-#include "daemon/metrics.h"
-#include "daemon/peerlink.h"
-#include "daemon/platformclient.h"
+#include "daemon/cells/celldispatcher.h"
+#include "daemon/peers/peerlink.h"
+#include "daemon/status/metrics.h"
+#include "daemon/store/listtable.h"
+#include "daemon/store/platformclient.h"
 #include "daisystream/base/clock.h"
 
 #include <boost/asio/io_context.hpp>
--- a/daemon/controlpart.cpp
+++ b/daemon/control/controlpart.cpp
@@ -1,4 +1,4 @@
-#include "daemon/controlpart.h"
+#include "daemon/control/controlpart.h"
 
 #include <nlohmann/json.hpp>
 
--- a/daemon/controlpart.h
+++ b/daemon/control/controlpart.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "daemon/celldispatcher.h"
-#include "daemon/listtable.h"
-#include "daemon/loadpoller.h"
-#include "daemon/metrics.h"
-#include "daemon/peerlink.h"
-#include "daemon/platformclient.h"
-#include "daemon/settings.h"
-#include "daemon/vmmonitor.h"
+#include "daemon/cells/celldispatcher.h"
+#include "daemon/cells/vmmonitor.h"
+#include "daemon/control/settings.h"
+#include "daemon/endpoints/loadpoller.h"
+#include "daemon/peers/peerlink.h"
+#include "daemon/status/metrics.h"
+#include "daemon/store/listtable.h"
+#include "daemon/store/platformclient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json_fwd.hpp>
--- a/daemon/controlpart_test.cpp
+++ b/daemon/control/controlpart_test.cpp
@@ -1,7 +1,7 @@
-#include "daemon/controlpart.h"
+#include "daemon/control/controlpart.h"
 
-#include "daemon/bootclock.h"
-#include "daemon/testloop.h"
+#include "daemon/control/bootclock.h"
+#include "daemon/control/testloop.h"
 #include "daisystream/lists/endpointstates.h"
 #include "daisystream/lists/versionedrow.h"
 #include "standins/platform/platformmodel.h"
--- a/daemon/settings.cpp
+++ b/daemon/control/settings.cpp
@@ -1,4 +1,4 @@
-#include "daemon/settings.h"
+#include "daemon/control/settings.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <nlohmann/json.hpp>
--- a/daemon/settings_test.cpp
+++ b/daemon/control/settings_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/settings.h"
+#include "daemon/control/settings.h"
 
 #include <doctest/doctest.h>
 
--- a/daemon/endpointclient.cpp
+++ b/daemon/endpoints/endpointclient.cpp
@@ -1,4 +1,4 @@
-#include "daemon/endpointclient.h"
+#include "daemon/endpoints/endpointclient.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/daemon/endpointclient.h
+++ b/daemon/endpoints/endpointclient.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "daemon/frontendoptions.h"
-#include "daemon/settings.h"
-#include "daemon/ssereader.h"
+#include "daemon/control/settings.h"
+#include "daemon/endpoints/ssereader.h"
+#include "daemon/frontend/frontendoptions.h"
 #include "daisystream/answer/sequencer.h"
 
 #include <boost/asio/any_io_executor.hpp>
--- a/daemon/loadpoller.cpp
+++ b/daemon/endpoints/loadpoller.cpp
@@ -1,4 +1,4 @@
-#include "daemon/loadpoller.h"
+#include "daemon/endpoints/loadpoller.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/daemon/loadpoller.h
+++ b/daemon/endpoints/loadpoller.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "daemon/celldispatcher.h"
-#include "daemon/metrics.h"
+#include "daemon/cells/celldispatcher.h"
+#include "daemon/status/metrics.h"
 #include "daisystream/base/clock.h"
 
 #include <boost/asio/io_context.hpp>
--- a/daemon/serviceclient.cpp
+++ b/daemon/endpoints/serviceclient.cpp
@@ -1,4 +1,4 @@
-#include "daemon/serviceclient.h"
+#include "daemon/endpoints/serviceclient.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
--- a/daemon/serviceclient.h
+++ b/daemon/endpoints/serviceclient.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "daemon/frontendoptions.h"
-#include "daemon/httpreply.h"
-#include "daemon/settings.h"
+#include "daemon/control/settings.h"
+#include "daemon/frontend/frontendoptions.h"
+#include "daemon/frontend/httpreply.h"
 
 #include <boost/asio/spawn.hpp>
 
--- a/daemon/ssereader.cpp
+++ b/daemon/endpoints/ssereader.cpp
@@ -1,4 +1,4 @@
-#include "daemon/ssereader.h"
+#include "daemon/endpoints/ssereader.h"
 
 #include <utility>
 
--- a/daemon/answerrelay.cpp
+++ b/daemon/frontend/answerrelay.cpp
@@ -1,6 +1,6 @@
-#include "daemon/answerrelay.h"
+#include "daemon/frontend/answerrelay.h"
 
-#include "daemon/decisionlog.h"
+#include "daemon/status/decisionlog.h"
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
--- a/daemon/answerrelay.h
+++ b/daemon/frontend/answerrelay.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "daemon/callerauth.h"
-#include "daemon/completionencoder.h"
-#include "daemon/completionrequest.h"
-#include "daemon/endpointclient.h"
-#include "daemon/frontendcontext.h"
-#include "daemon/httpconnection.h"
+#include "daemon/endpoints/endpointclient.h"
+#include "daemon/frontend/callerauth.h"
+#include "daemon/frontend/completionencoder.h"
+#include "daemon/frontend/completionrequest.h"
+#include "daemon/frontend/frontendcontext.h"
+#include "daemon/frontend/httpconnection.h"
 #include "daisystream/answer/state.h"
 
 #include <memory>
--- a/daemon/answerrelay_test.cpp
+++ b/daemon/frontend/answerrelay_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/frontendfixture_test.h"
+#include "daemon/frontend/frontendfixture_test.h"
 
 #include "daisystream/base/random.h"
 
--- a/daemon/callerauth.cpp
+++ b/daemon/frontend/callerauth.cpp
@@ -1,4 +1,4 @@
-#include "daemon/callerauth.h"
+#include "daemon/frontend/callerauth.h"
 
 #include <boost/beast/core/string.hpp>
 
--- a/daemon/callerauth.h
+++ b/daemon/frontend/callerauth.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "daemon/httpreply.h"
-#include "daemon/listtable.h"
+#include "daemon/frontend/httpreply.h"
+#include "daemon/store/listtable.h"
 
 #include <memory>
 
--- a/daemon/completionencoder.cpp
+++ b/daemon/frontend/completionencoder.cpp
@@ -1,4 +1,4 @@
-#include "daemon/completionencoder.h"
+#include "daemon/frontend/completionencoder.h"
 
 #include <nlohmann/json.hpp>
 
--- a/daemon/completionrequest.cpp
+++ b/daemon/frontend/completionrequest.cpp
@@ -1,4 +1,4 @@
-#include "daemon/completionrequest.h"
+#include "daemon/frontend/completionrequest.h"
 
 #include <nlohmann/json.hpp>
 
--- a/daemon/completionrequest.h
+++ b/daemon/frontend/completionrequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/callerauth.h"
+#include "daemon/frontend/callerauth.h"
 
 #include <cstdint>
 #include <string>
--- a/daemon/frontendcontext.cpp
+++ b/daemon/frontend/frontendcontext.cpp
@@ -1,4 +1,4 @@
-#include "daemon/frontendcontext.h"
+#include "daemon/frontend/frontendcontext.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
--- a/daemon/frontendcontext.h
+++ b/daemon/frontend/frontendcontext.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/httpfrontend.h"
+#include "daemon/frontend/httpfrontend.h"
 #include "daisystream/answer/sealer.h"
 #include "daisystream/orders/orderledger.h"
 #include "daisystream/retry/retrybudget.h"
--- a/daemon/frontendfixture_test.h
+++ b/daemon/frontend/frontendfixture_test.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "daemon/httpfrontend.h"
-#include "daemon/ssereader.h"
+#include "daemon/endpoints/ssereader.h"
+#include "daemon/frontend/httpfrontend.h"
 #include "daisystream/lists/planlist.h"
 #include "standins/engine/engineserver.h"
 #include "standins/service/serviceserver.h"
--- a/daemon/httpconnection.cpp
+++ b/daemon/frontend/httpconnection.cpp
@@ -1,4 +1,4 @@
-#include "daemon/httpconnection.h"
+#include "daemon/frontend/httpconnection.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
--- a/daemon/httpconnection.h
+++ b/daemon/frontend/httpconnection.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "daemon/frontendoptions.h"
-#include "daemon/httpreply.h"
+#include "daemon/frontend/frontendoptions.h"
+#include "daemon/frontend/httpreply.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
--- a/daemon/httpfrontend.cpp
+++ b/daemon/frontend/httpfrontend.cpp
@@ -1,9 +1,9 @@
-#include "daemon/httpfrontend.h"
+#include "daemon/frontend/httpfrontend.h"
 
-#include "daemon/frontendcontext.h"
-#include "daemon/httpconnection.h"
-#include "daemon/orderrouter.h"
-#include "daemon/requesthandler.h"
+#include "daemon/frontend/frontendcontext.h"
+#include "daemon/frontend/httpconnection.h"
+#include "daemon/frontend/orderrouter.h"
+#include "daemon/frontend/requesthandler.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/daemon/httpfrontend.h
+++ b/daemon/frontend/httpfrontend.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "daemon/dispatcher.h"
-#include "daemon/frontendoptions.h"
-#include "daemon/listtable.h"
-#include "daemon/metrics.h"
-#include "daemon/orderrecords.h"
-#include "daemon/peerlink.h"
-#include "daemon/settings.h"
+#include "daemon/cells/dispatcher.h"
+#include "daemon/control/settings.h"
+#include "daemon/frontend/frontendoptions.h"
+#include "daemon/peers/peerlink.h"
+#include "daemon/status/metrics.h"
+#include "daemon/store/listtable.h"
+#include "daemon/store/orderrecords.h"
 #include "daisystream/base/clock.h"
 
 #include <boost/asio/io_context.hpp>
--- a/daemon/httpfrontend_test.cpp
+++ b/daemon/frontend/httpfrontend_test.cpp
@@ -1,7 +1,7 @@
-#include "daemon/frontendfixture_test.h"
+#include "daemon/frontend/frontendfixture_test.h"
 
-#include "daemon/decisionlog.h"
-#include "daemon/httprouter.h"
+#include "daemon/frontend/httprouter.h"
+#include "daemon/status/decisionlog.h"
 
 namespace daisystream::frontendtest
 {
--- a/daemon/httpreply.cpp
+++ b/daemon/frontend/httpreply.cpp
@@ -1,4 +1,4 @@
-#include "daemon/httpreply.h"
+#include "daemon/frontend/httpreply.h"
 
 #include <nlohmann/json.hpp>
 
--- a/daemon/httprouter.cpp
+++ b/daemon/frontend/httprouter.cpp
@@ -1,4 +1,4 @@
-#include "daemon/httprouter.h"
+#include "daemon/frontend/httprouter.h"
 
 #include <array>
 #include <charconv>
--- a/daemon/orderrouter.cpp
+++ b/daemon/frontend/orderrouter.cpp
@@ -1,8 +1,8 @@
-#include "daemon/orderrouter.h"
+#include "daemon/frontend/orderrouter.h"
 
-#include "daemon/decisionlog.h"
-#include "daemon/httprouter.h"
-#include "daemon/serviceclient.h"
+#include "daemon/endpoints/serviceclient.h"
+#include "daemon/frontend/httprouter.h"
+#include "daemon/status/decisionlog.h"
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
--- a/daemon/orderrouter.h
+++ b/daemon/frontend/orderrouter.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "daemon/callerauth.h"
-#include "daemon/frontendcontext.h"
+#include "daemon/frontend/callerauth.h"
+#include "daemon/frontend/frontendcontext.h"
 
 #include <boost/asio/spawn.hpp>
 
--- a/daemon/requesthandler.cpp
+++ b/daemon/frontend/requesthandler.cpp
@@ -1,8 +1,8 @@
-#include "daemon/requesthandler.h"
+#include "daemon/frontend/requesthandler.h"
 
-#include "daemon/answerrelay.h"
-#include "daemon/callerauth.h"
-#include "daemon/completionrequest.h"
+#include "daemon/frontend/answerrelay.h"
+#include "daemon/frontend/callerauth.h"
+#include "daemon/frontend/completionrequest.h"
 
 #include <nlohmann/json.hpp>
 
--- a/daemon/requesthandler.h
+++ b/daemon/frontend/requesthandler.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "daemon/frontendcontext.h"
-#include "daemon/httpconnection.h"
-#include "daemon/httprouter.h"
-#include "daemon/orderrouter.h"
+#include "daemon/frontend/frontendcontext.h"
+#include "daemon/frontend/httpconnection.h"
+#include "daemon/frontend/httprouter.h"
+#include "daemon/frontend/orderrouter.h"
 
 #include <boost/asio/spawn.hpp>
 
--- a/daemon/tlscontext.cpp
+++ b/daemon/frontend/tlscontext.cpp
@@ -1,4 +1,4 @@
-#include "daemon/tlscontext.h"
+#include "daemon/frontend/tlscontext.h"
 
 #include <glog/logging.h>
 
--- a/daemon/tlscontext.h
+++ b/daemon/frontend/tlscontext.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/settings.h"
+#include "daemon/control/settings.h"
 #include "daisystream/base/result.h"
 
 #include <boost/asio/ssl/context.hpp>
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,10 +1,10 @@
-#include "daemon/bootclock.h"
-#include "daemon/controlpart.h"
-#include "daemon/httpfrontend.h"
-#include "daemon/operatorapi.h"
-#include "daemon/orderrecords.h"
-#include "daemon/settings.h"
-#include "daemon/tlscontext.h"
+#include "daemon/control/bootclock.h"
+#include "daemon/control/controlpart.h"
+#include "daemon/control/settings.h"
+#include "daemon/frontend/httpfrontend.h"
+#include "daemon/frontend/tlscontext.h"
+#include "daemon/status/operatorapi.h"
+#include "daemon/store/orderrecords.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
--- a/daemon/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -1,6 +1,6 @@
 @0xd3c1a8f04b7e9256;
 # Messages between VMs. Each is packed and preceded by its length in bytes as four bytes, least significant first.
-# A change that an older daemon cannot read raises kPeerProtocolVersion in daemon/peermessage.h.
+# A change that an older daemon cannot read raises kPeerProtocolVersion in daemon/peers/peermessage.h.
 # Durations count microseconds from the moment of sending, because VMs share no clock.
 
 using Cxx = import "/capnp/c++.capnp";
--- a/daemon/peerlink.cpp
+++ b/daemon/peers/peerlink.cpp
@@ -1,7 +1,7 @@
-#include "daemon/peerlink.h"
+#include "daemon/peers/peerlink.h"
 
-#include "daemon/listtable.h"
-#include "daemon/tlscontext.h"
+#include "daemon/frontend/tlscontext.h"
+#include "daemon/store/listtable.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/daemon/peerlink.h
+++ b/daemon/peers/peerlink.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "daemon/metrics.h"
-#include "daemon/orderforwarding.h"
-#include "daemon/peermessage.h"
-#include "daemon/settings.h"
+#include "daemon/control/settings.h"
+#include "daemon/peers/orderforwarding.h"
+#include "daemon/peers/peermessage.h"
+#include "daemon/status/metrics.h"
 #include "daisystream/base/clock.h"
 
 #include <boost/asio/io_context.hpp>
--- a/daemon/peerlink_test.cpp
+++ b/daemon/peers/peerlink_test.cpp
@@ -1,7 +1,7 @@
-#include "daemon/peerlink.h"
+#include "daemon/peers/peerlink.h"
 
-#include "daemon/bootclock.h"
-#include "daemon/testloop.h"
+#include "daemon/control/bootclock.h"
+#include "daemon/control/testloop.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
--- a/daemon/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -1,7 +1,7 @@
-#include "daemon/peermessage.h"
+#include "daemon/peers/peermessage.h"
 
-#include "daemon/listtable.h"
-#include "daemon/peer.capnp.h"
+#include "daemon/peers/peer.capnp.h"
+#include "daemon/store/listtable.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
--- a/daemon/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemon/orderforwarding.h"
+#include "daemon/peers/orderforwarding.h"
 #include "daisystream/cell/cellmap.h"
 #include "daisystream/scheduler/scheduler.h"
 
@@ -12,7 +12,7 @@
 #include <vector>
 
 /// @file
-/// The messages between VMs and their encoding (daemon/peer.capnp, packed).
+/// The messages between VMs and their encoding (daemon/peers/peer.capnp, packed).
 ///
 /// Example:
 /// @code
--- a/daemon/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/peermessage.h"
+#include "daemon/peers/peermessage.h"
 
 #include "daisystream/base/random.h"
 
--- a/daemon/decisionlog.cpp
+++ b/daemon/status/decisionlog.cpp
@@ -1,6 +1,6 @@
-#include "daemon/decisionlog.h"
+#include "daemon/status/decisionlog.h"
 
-#include "daemon/httprouter.h"
+#include "daemon/frontend/httprouter.h"
 
 #include <glog/logging.h>
 
--- a/daemon/metrics.cpp
+++ b/daemon/status/metrics.cpp
@@ -1,4 +1,4 @@
-#include "daemon/metrics.h"
+#include "daemon/status/metrics.h"
 
 #include <map>
 #include <mutex>
--- a/daemon/operatorapi.cpp
+++ b/daemon/status/operatorapi.cpp
@@ -1,4 +1,4 @@
-#include "daemon/operatorapi.h"
+#include "daemon/status/operatorapi.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/daemon/listtable.cpp
+++ b/daemon/store/listtable.cpp
@@ -1,4 +1,4 @@
-#include "daemon/listtable.h"
+#include "daemon/store/listtable.h"
 
 #include <glog/logging.h>
 
--- a/daemon/orderrecords.cpp
+++ b/daemon/store/orderrecords.cpp
@@ -1,6 +1,6 @@
-#include "daemon/orderrecords.h"
+#include "daemon/store/orderrecords.h"
 
-#include "daemon/platformclient.h"
+#include "daemon/store/platformclient.h"
 
 namespace daisystream
 {
--- a/daemon/platformclient.cpp
+++ b/daemon/store/platformclient.cpp
@@ -1,4 +1,4 @@
-#include "daemon/platformclient.h"
+#include "daemon/store/platformclient.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/daemon/platformclient_test.cpp
+++ b/daemon/store/platformclient_test.cpp
@@ -1,6 +1,6 @@
-#include "daemon/platformclient.h"
+#include "daemon/store/platformclient.h"
 
-#include "daemon/testloop.h"
+#include "daemon/control/testloop.h"
 #include "standins/platform/platformmodel.h"
 
 #include <doctest/doctest.h>
--- a/standins/engine/engineserver.cpp
+++ b/standins/engine/engineserver.cpp
@@ -1,6 +1,6 @@
 #include "standins/engine/engineserver.h"
 
-#include "daemon/completionrequest.h"
+#include "daemon/frontend/completionrequest.h"
 #include "standins/http/standinserver.h"
 
 #include <boost/asio/steady_timer.hpp>
