--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -37,6 +37,15 @@
 template<class... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
+SchedulerOptions optionsOf(const Settings &settings)
+{
+    SchedulerOptions options;
+    if (settings.gateway) {
+        options.memoryQuantile = settings.gateway->memoryQuantile;
+    }
+    return options;
+}
+
 /// A request of this VM's callers.
 struct LocalRequest
 {
@@ -103,6 +112,8 @@
         : io(loop)
         , self(settings.vm)
         , endpoints(settings.endpoints)
+        , schedulerOptions(optionsOf(settings))
+        , stepCost(settings.gateway ? settings.gateway->stepCost : StepCost{})
         , clock(source)
         , sender(std::move(send))
         , assigned(metrics.counter("daisystream_assigned_total", "Requests of this VM's callers that got an endpoint."))
@@ -169,6 +180,8 @@
             info.model = endpoint.model;
             info.zone = endpoint.zone;
             info.memoryCapacityTokens = endpoint.memoryTokens;
+            info.maxBatch = endpoint.slots > 0 ? endpoint.slots : info.maxBatch;
+            info.stepCost = stepCost;
             info.state = stateOf(endpoint.id);
             infos.push_back(std::move(info));
         }
@@ -197,7 +210,7 @@
     {
         auto found = owned.find(id);
         if (found == owned.end()) {
-            found = owned.try_emplace(id, SchedulerOptions{}, Random(random.bits())).first;
+            found = owned.try_emplace(id, schedulerOptions, Random(random.bits())).first;
             found->second.scheduler.setEndpoints(cells.endpointsOf(id), now);
         }
         found->second.lastUsed = now;
@@ -791,7 +804,9 @@
 
     asio::io_context &io;
     const VmId self;
-    const std::vector<EndpointSettings> endpoints;
+    std::vector<EndpointSettings> endpoints;
+    const SchedulerOptions schedulerOptions;
+    const StepCost stepCost;
     const Clock &clock;
     const Sender sender;
     Counter &assigned;
@@ -956,6 +971,13 @@
     return std::nullopt;
 }
 
+bool CellDispatcher::isInService(const EndpointId &endpoint) const
+{
+    const std::lock_guard lock(d_->mutex);
+    const bool isKnown = std::any_of(d_->endpoints.begin(), d_->endpoints.end(), [&](const auto &candidate) { return candidate.id == endpoint; });
+    return isKnown && d_->stateOf(endpoint) == EndpointState::InService;
+}
+
 void CellDispatcher::setVms(const std::vector<VmId> &live, const std::vector<VmId> &dead)
 {
     d_->apply([&](TimePoint now) {
@@ -977,6 +999,19 @@
     });
 }
 
+void CellDispatcher::setEndpoints(const std::vector<EndpointSettings> &endpoints)
+{
+    d_->apply([&](TimePoint now) {
+        if (endpoints == d_->endpoints) {
+            return;
+        }
+        d_->endpoints = endpoints;
+        d_->applyEndpoints();
+        d_->takeOwnership(now);
+        d_->resync(now);
+    });
+}
+
 void CellDispatcher::setDraining(const std::vector<EndpointId> &endpoints)
 {
     d_->apply([&](TimePoint /*now*/) { d_->replaceEndpoints(d_->draining, endpoints); });
--- a/daemon/cells/celldispatcher.h
+++ b/daemon/cells/celldispatcher.h
@@ -48,6 +48,9 @@
     [[nodiscard]] std::vector<EndpointSettings> serviceEndpoints(const ServiceId &service) const override;
     [[nodiscard]] std::optional<EndpointSettings> findEndpoint(const EndpointId &endpoint) const override;
 
+    /// @return whether the endpoint is known and takes new work.
+    [[nodiscard]] bool isInService(const EndpointId &endpoint) const;
+
     /// Sets what decides whether an endpoint may be given work now; see `VmMonitor::assignment`. It runs without locks.
     void setAssignmentCheck(std::function<std::optional<Error>()> check);
 
@@ -56,6 +59,9 @@
     /// @param dead VMs whose requests are forgotten.
     void setVms(const std::vector<VmId> &live, const std::vector<VmId> &dead);
 
+    /// Replaces the endpoints themselves, which begin as those of the settings.
+    void setEndpoints(const std::vector<EndpointSettings> &endpoints);
+
     /// Replaces the endpoints that operators drain.
     void setDraining(const std::vector<EndpointId> &endpoints);
 
--- a/daemon/cells/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -43,7 +43,7 @@
 constexpr auto kFetchAgainAfter = std::chrono::milliseconds(500);
 constexpr std::size_t kSealKeyBytes = 32;
 
-constexpr std::array<DocumentKind, kDocumentKinds> kAllKinds{DocumentKind::Plans, DocumentKind::Limits, DocumentKind::EndpointStates, DocumentKind::SealKeys};
+constexpr std::array kPolledKinds{DocumentKind::Plans, DocumentKind::Limits, DocumentKind::EndpointStates, DocumentKind::SealKeys};
 
 /// @return the text of a first set of sealing keys.
 std::string makeSealKeys()
@@ -74,7 +74,7 @@
         , pollFailures(links.metrics.counter("daisystream_platform_failures_total", "Polls of the platform without a usable reply."))
         , fetched(links.metrics.counter("daisystream_documents_from_peers_total", "Documents that came from another VM."))
         , table(with.vm, with.peers.size() > kDirectPeers ? kGossipTimes : VmTableOptions{})
-        , freshness(with.peers.size() > kDirectPeers ? kGossipFreshness : FreshnessOptions{})
+        , freshness(times.freshness.value_or(with.peers.size() > kDirectPeers ? kGossipFreshness : FreshnessOptions{}))
     {
     }
 
@@ -100,10 +100,10 @@
     void start()
     {
         repeat(options.heartbeatEvery, [this](asio::yield_context) { beat(); });
-        if (!parts.platform.isConfigured()) {
+        if (!parts.platform.isConfigured() || !options.polls) {
             return;
         }
-        for (const DocumentKind kind : kAllKinds) {
+        for (const DocumentKind kind : kPolledKinds) {
             const auto pause = kind == DocumentKind::SealKeys ? options.sealKeysEvery : options.pollEvery;
             repeat(pause, [this, kind](asio::yield_context yield) { poll(kind, yield); });
         }
@@ -172,10 +172,15 @@
             pollFailures.add(1);
             return;
         }
+        onVms(*vms);
+    }
+
+    void onVms(const std::vector<ListedVm> &vms)
+    {
         std::vector<PlatformVm> listed;
         std::vector<PeerSettings> peers = settings.peers;
         std::vector<EndpointId> leaving;
-        for (const auto &vm : *vms) {
+        for (const auto &vm : vms) {
             if (!vm.peerAddress) {
                 // The VM of an endpoint, which has the endpoint's name.
                 if (vm.leaving) {
@@ -425,6 +430,24 @@
     }
 }
 
+void VmMonitor::onVms(const std::vector<ListedVm> &vms)
+{
+    d_->onVms(vms);
+    d_->refreshView();
+}
+
+void VmMonitor::onStoreContact(TimePoint asOf)
+{
+    const std::lock_guard lock(d_->mutex);
+    d_->freshness.onPlatformContact(asOf);
+}
+
+std::size_t VmMonitor::knownVms() const
+{
+    const std::lock_guard lock(d_->mutex);
+    return d_->table.quorumPeers(d_->parts.clock.now()).size() + 1;
+}
+
 void VmMonitor::onAck(const VmId &from, TimePoint sentAt, const std::vector<std::uint64_t> &versions)
 {
     const auto mine = d_->parts.lists.versions();
--- a/daemon/cells/vmmonitor.h
+++ b/daemon/cells/vmmonitor.h
@@ -6,6 +6,7 @@
 #include "daemon/store/listtable.h"
 #include "daemon/store/platformclient.h"
 #include "daisystream/base/clock.h"
+#include "daisystream/lists/freshness.h"
 
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json_fwd.hpp>
@@ -31,6 +32,9 @@
     std::chrono::milliseconds heartbeatEvery{500};
     std::chrono::milliseconds pollEvery{2000};      ///< Of the platform.
     std::chrono::milliseconds sealKeysEvery{10000}; ///< Sealing keys change seldom.
+    bool polls = true;                              ///< False: a `StoreWatch` tells the monitor what the platform holds.
+    /// When this VM refuses work; nothing: by the size of the fleet.
+    std::optional<FreshnessOptions> freshness{};
 };
 
 /// What the monitor works on. All of it must outlive the monitor.
@@ -61,6 +65,15 @@
     /// Handles a message from another VM; ignores kinds that do not concern the view of VMs.
     void onMessage(const VmId &from, std::uint64_t incarnation, const PeerMessage &message);
 
+    /// Takes the platform's list of VMs.
+    void onVms(const std::vector<ListedVm> &vms);
+
+    /// The platform showed what was in force at a moment.
+    void onStoreContact(TimePoint asOf);
+
+    /// @return the VMs that are known, live or not, this one included.
+    [[nodiscard]] std::size_t knownVms() const;
+
     /// A VM confirmed a heartbeat.
     /// @param sentAt when this VM sent the heartbeat.
     /// @param versions of the documents that the other VM had then.
--- a/daemon/control/controlpart.cpp
+++ b/daemon/control/controlpart.cpp
@@ -2,7 +2,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <fstream>
+#include <mutex>
+#include <set>
 #include <sstream>
 
 namespace daisystream
@@ -25,6 +28,44 @@
     return std::nullopt;
 }
 
+// Part of the revocation time after which a VM that cannot see the configuration refuses work. The rest is for the time
+// between a caller's sending and this VM's check.
+constexpr double kContactShare = 0.9;
+
+VmMonitorOptions monitorOptions(VmMonitorOptions options, const Settings &settings)
+{
+    if (settings.gateway) {
+        const auto limit = std::chrono::duration_cast<Duration>(kContactShare * settings.gateway->revocationTime);
+        options.polls = false;
+        options.freshness = FreshnessOptions{.contactLimit = limit, .peerLimit = {}, .assignLimit = limit, .peersVouch = false};
+    }
+    return options;
+}
+
+EndpointSettings toSettings(const EndpointEntry &entry, const RouteTable *routes)
+{
+    EndpointSettings endpoint;
+    endpoint.id = entry.id();
+    endpoint.name = entry.name;
+    endpoint.zone = entry.zone;
+    endpoint.slots = entry.slots;
+    endpoint.isCold = entry.coldFor.count() > 0;
+    endpoint.service = entry.service;
+    endpoint.kind = EndpointKind::Service;
+    if (const auto address = parseSocketAddress(entry.address)) {
+        endpoint.address = *address;
+    }
+    const auto *service = routes == nullptr ? nullptr : routes->service(entry.service);
+    if (service != nullptr && service->engine) {
+        endpoint.kind = EndpointKind::Engine;
+        // All engines of a service run its models, so that the service names them for the dispatcher.
+        endpoint.model = ModelId(entry.service.value());
+        endpoint.memoryTokens = service->engine->memoryTokens;
+        endpoint.slots = service->engine->batch;
+    }
+    return endpoint;
+}
+
 } // namespace
 
 class ControlPart::Private
@@ -32,14 +73,75 @@
 public:
     Private(boost::asio::io_context &io, const Settings &with, const Clock &clock, const ControlOptions &options)
         : settings(with)
-        , platform(io, with.platform)
+        , lists(options.adapter.parseRoutes)
+        , platform(io, with.platform, options.adapter.store)
         , peers(io, {.vm = with.vm, .zone = with.zone, .incarnation = options.incarnation}, clock, metrics, options.peers)
         , dispatcher(
               io, with, clock, metrics, [this](const VmId &to, const PeerMessage &message) { return peers.send(to, message); }, options.seed)
-        , monitor(
-              io, with, {.lists = lists, .platform = platform, .peers = peers, .dispatcher = dispatcher, .metrics = metrics, .clock = clock}, options.monitor)
+        , monitor(io,
+                  with,
+                  {.lists = lists, .platform = platform, .peers = peers, .dispatcher = dispatcher, .metrics = metrics, .clock = clock},
+                  monitorOptions(options.monitor, with))
         , load(io, dispatcher, clock, metrics, options.load)
     {
+        if (options.adapter.watch) {
+            watch.emplace(io,
+                          with,
+                          *options.adapter.watch,
+                          StoreWatchParts{.lists = lists, .platform = platform, .metrics = metrics, .clock = clock},
+                          StoreWatchHandlers{.onEndpoints = [this](const auto &entries) { onEndpoints(entries); },
+                                             .onVms = [this](const auto &vms) { onVms(vms); },
+                                             .onContact =
+                                                 [this](TimePoint asOf) {
+                                                     monitor.onStoreContact(asOf);
+                                                 }});
+        }
+    }
+
+    /// Gives the dispatcher the endpoints that the store lists, and tells who runs work at those that leave.
+    void onEndpoints(const std::vector<EndpointEntry> &entries)
+    {
+        {
+            const std::lock_guard lock(mutex);
+            latest = entries;
+        }
+        applyEndpoints();
+    }
+
+    void applyEndpoints()
+    {
+        const std::lock_guard order(applying);
+        const auto routes = lists.routes();
+        std::vector<EndpointSettings> endpoints;
+        std::vector<EndpointId> draining;
+        std::set<EndpointId> inService;
+        {
+            const std::lock_guard lock(mutex);
+            for (const auto &entry : latest) {
+                endpoints.push_back(toSettings(entry, routes.get()));
+                if (entry.state == EndpointState::InService) {
+                    inService.insert(entry.id());
+                } else {
+                    draining.push_back(entry.id());
+                }
+            }
+        }
+        std::vector<EndpointId> leaving;
+        std::set_difference(known.begin(), known.end(), inService.begin(), inService.end(), std::back_inserter(leaving));
+        known = std::move(inService);
+        dispatcher.setDraining(draining);
+        dispatcher.setEndpoints(endpoints);
+        if (!leaving.empty() && endpointHandler) {
+            endpointHandler(leaving);
+        }
+    }
+
+    void onVms(const std::vector<ListedVm> &vms)
+    {
+        monitor.onVms(vms);
+        if (vmHandler) {
+            vmHandler(vms.size());
+        }
     }
 
     const Settings settings;
@@ -50,6 +152,13 @@
     CellDispatcher dispatcher;
     VmMonitor monitor;
     LoadPoller load;
+    std::optional<StoreWatch> watch;
+    std::function<void(const std::vector<EndpointId> &)> endpointHandler;
+    std::function<void(std::size_t)> vmHandler;
+    std::mutex applying; // Taken before every other lock; keeps an older set from replacing a newer one.
+    std::mutex mutex;    // Lock order 3.
+    std::vector<EndpointEntry> latest;
+    std::set<EndpointId> known; ///< In service, guarded by `applying`.
 };
 
 ControlPart::ControlPart(boost::asio::io_context &io, const Settings &settings, const Clock &clock, const ControlOptions &options)
@@ -59,6 +168,16 @@
 
 ControlPart::~ControlPart() = default;
 
+void ControlPart::setEndpointHandler(std::function<void(const std::vector<EndpointId> &leaving)> handler)
+{
+    d_->endpointHandler = std::move(handler);
+}
+
+void ControlPart::setVmHandler(std::function<void(std::size_t count)> handler)
+{
+    d_->vmHandler = std::move(handler);
+}
+
 std::optional<Error> ControlPart::start()
 {
     const ListFiles &files = d_->settings.listFiles;
@@ -80,7 +199,17 @@
         return error;
     }
     d_->monitor.start();
-    d_->load.start();
+    if (d_->watch) {
+        // Which endpoints are engines is said by the routes.
+        d_->lists.onChange([this](DocumentKind kind) {
+            if (kind == DocumentKind::Routes) {
+                d_->applyEndpoints();
+            }
+        });
+        d_->watch->start(d_->peers.port());
+    } else {
+        d_->load.start();
+    }
     return std::nullopt;
 }
 
@@ -92,6 +221,9 @@
 
 void ControlPart::stop()
 {
+    if (d_->watch) {
+        d_->watch->stop();
+    }
     d_->load.stop();
     d_->monitor.stop();
     d_->peers.stop();
--- a/daemon/control/controlpart.h
+++ b/daemon/control/controlpart.h
@@ -2,6 +2,7 @@
 
 #include "daemon/cells/celldispatcher.h"
 #include "daemon/cells/vmmonitor.h"
+#include "daemon/control/platformadapter.h"
 #include "daemon/control/settings.h"
 #include "daemon/endpoints/loadpoller.h"
 #include "daemon/peers/peerlink.h"
@@ -34,6 +35,7 @@
     PeerLinkOptions peers{};
     VmMonitorOptions monitor{};
     LoadPollerOptions load{};
+    PlatformAdapter adapter{};
 };
 
 /// Owns the control part and connects its pieces. Destroy it only after the event loop has stopped.
@@ -46,6 +48,10 @@
     ControlPart(const ControlPart &) = delete;
     ControlPart &operator=(const ControlPart &) = delete;
 
+    /// Sets who learns which endpoints leave, and how many VMs there are. Set it before `start`.
+    void setEndpointHandler(std::function<void(const std::vector<EndpointId> &leaving)> handler);
+    void setVmHandler(std::function<void(std::size_t count)> handler);
+
     /// Reads list files, listens and starts all timers.
     /// @return nothing, or why it cannot start.
     [[nodiscard]] std::optional<Error> start();
--- a/daemon/control/settings.cpp
+++ b/daemon/control/settings.cpp
@@ -120,6 +120,19 @@
         target = std::chrono::milliseconds(value);
     }
 
+    void real(const char *name, double &target, double least, double most)
+    {
+        const json *value = find(name);
+        if (value == nullptr) {
+            return;
+        }
+        if (!value->is_number() || value->get<double>() < least || value->get<double>() > most) {
+            faults_.add(pathOf(name), "must be a number from " + std::to_string(least) + " to " + std::to_string(most));
+            return;
+        }
+        target = value->get<double>();
+    }
+
     void flag(const char *name, bool &target)
     {
         const json *value = find(name);
@@ -271,6 +284,41 @@
     fields.refuseUnknown();
 }
 
+void readStepCost(Fields &parent, StepCost &cost, Faults &faults)
+{
+    constexpr double kMostMilliseconds = 10000;
+    const json *value = parent.find("engineSteps");
+    if (value == nullptr) {
+        return;
+    }
+    Fields fields(*value, parent.pathOf("engineSteps"), faults);
+    fields.real("baseMs", cost.baseMilliseconds, 0.01, kMostMilliseconds);
+    fields.real("perAnswerMs", cost.perSequenceMilliseconds, 0, kMostMilliseconds);
+    fields.real("perThousandTokensMs", cost.perThousandTokensMilliseconds, 0, kMostMilliseconds);
+    fields.real("promptMsPerThousandTokens", cost.prefillMillisecondsPerThousandTokens, 0, kMostMilliseconds);
+    fields.number("promptTokensPerStep", cost.prefillTokensPerStep, 1, std::numeric_limits<std::uint32_t>::max());
+    fields.refuseUnknown();
+}
+
+void readGateway(Fields &parent, std::optional<GatewaySettings> &target, Faults &faults)
+{
+    const json *value = parent.find("gateway");
+    if (value == nullptr) {
+        return;
+    }
+    GatewaySettings gateway;
+    Fields fields(*value, parent.pathOf("gateway"), faults);
+    fields.milliseconds("revocationMs", gateway.revocationTime);
+    fields.milliseconds("graceMs", gateway.graceTime);
+    fields.real("retryRatio", gateway.retryRatio, 0, 1);
+    fields.real("retryAllowance", gateway.retryAllowance, 0, 1000000);
+    fields.milliseconds("retryWindowMs", gateway.retryWindow);
+    fields.real("memoryQuantile", gateway.memoryQuantile, 0.5, 0.999999);
+    readStepCost(fields, gateway.stepCost, faults);
+    fields.refuseUnknown();
+    target = gateway;
+}
+
 void readListFiles(Fields &parent, ListFiles &files, Faults &faults)
 {
     const json *value = parent.find("listFiles");
@@ -305,6 +353,9 @@
     if (settings.listenPeers && *settings.listenPeers == settings.listen && settings.listen.port != 0) {
         faults.add("listenPeers", "must differ from listen");
     }
+    if (settings.gateway && !settings.platform) {
+        faults.add("platform", "is missing, although requests are forwarded by routes");
+    }
     if (settings.platform && !settings.listFiles.plans.empty()) {
         faults.add("listFiles", "cannot be combined with platform");
     }
@@ -359,7 +410,10 @@
     }
     settings.listenPeers = fields.address("listenPeers", false);
     settings.listenOperators = fields.address("listenOperators", false);
+    settings.listenReadiness = fields.address("listenReadiness", false);
     settings.platform = fields.address("platform", false);
+    fields.text("platformProtocol", settings.platformProtocol, false);
+    readGateway(fields, settings.gateway, faults);
     fields.number("workers", settings.workers, 1, kMaxWorkers);
     fields.array("peers", [&](const json &value, const std::string &path) { settings.peers.push_back(readPeer(value, path, faults)); });
     // One settings file can list all VMs, this one included.
--- a/daemon/control/settings.h
+++ b/daemon/control/settings.h
@@ -2,6 +2,7 @@
 
 #include "daisystream/base/ids.h"
 #include "daisystream/base/result.h"
+#include "daisystream/endpoint/endpointinfo.h"
 
 #include <chrono>
 #include <cstdint>
@@ -55,6 +56,9 @@
     bool honoursFencing = true;        ///< Rejects orders with an outdated fencing number.
     bool checksCaller = false;         ///< Verifies who sends it work.
     std::string authorizationHeader{}; ///< Sent to an endpoint that checks its caller.
+    std::string name{};                ///< Under which the endpoint registered itself; it can verify that it is meant.
+    std::uint32_t slots = 0;           ///< Requests that it works on at the same time; 0: not known.
+    bool isCold = false;               ///< Started a moment ago and slow.
 
     friend auto operator<=>(const EndpointSettings &, const EndpointSettings &) = default;
 };
@@ -105,6 +109,20 @@
     friend auto operator<=>(const CallerBounds &, const CallerBounds &) = default;
 };
 
+/// What a deployment promises whose callers do not speak the own API but are forwarded by routes.
+struct GatewaySettings
+{
+    std::chrono::milliseconds revocationTime{5000}; ///< After this no request with a key that was taken away may run.
+    std::chrono::milliseconds graceTime{8000};      ///< From SIGTERM until the platform kills the process.
+    double retryRatio = 0.2;                        ///< Repeats that a service may get for each request for it.
+    double retryAllowance = 10;                     ///< Repeats that it may get beside these, within the window.
+    std::chrono::milliseconds retryWindow{10000};
+    double memoryQuantile = 0.9; ///< Probability with which an engine's memory must suffice for what it is given.
+    StepCost stepCost{};         ///< Expected cost of a step of the engines.
+
+    friend auto operator<=>(const GatewaySettings &, const GatewaySettings &) = default;
+};
+
 /// Everything that a daemon learns at its start.
 struct Settings
 {
@@ -116,7 +134,10 @@
     std::optional<SocketAddress> listenPeers;     ///< Where other VMs connect.
     std::vector<PeerSettings> peers;              ///< Without this VM; the platform's VM list adds to them.
     std::optional<SocketAddress> listenOperators; ///< Where operators read status and metrics.
+    std::optional<SocketAddress> listenReadiness; ///< Where the balancer asks whether this VM takes requests.
     std::optional<SocketAddress> platform;
+    std::string platformProtocol = "own";   ///< Which protocol the platform, its callers and its endpoints speak.
+    std::optional<GatewaySettings> gateway; ///< Set if callers are forwarded by routes.
     ListFiles listFiles;
     std::optional<TlsSettings> callerTls;
     std::optional<TlsSettings> peerTls;
--- /dev/null
+++ b/daemon/endpoints/endpointexchange.cpp
@@ -0,0 +1,193 @@
+#include "daemon/endpoints/endpointexchange.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace daisystream
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace
+{
+
+// Probes on a connection without traffic find an endpoint that lost power within 3 s.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr int kUserTimeoutMilliseconds = 3000;
+constexpr std::uint32_t kHeaderLimitBytes = 65536;
+
+void detectSilence(asio::ip::tcp::socket &socket)
+{
+    const auto set = [handle = socket.native_handle()](int level, int name, int value) {
+        ::setsockopt(handle, level, name, &value, sizeof value);
+    };
+    set(IPPROTO_TCP, TCP_NODELAY, 1);
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
+}
+
+} // namespace
+
+const char *toString(ExchangeFault::Kind kind)
+{
+    switch (kind) {
+    case ExchangeFault::Kind::Unreachable:
+        return "unreachable";
+    case ExchangeFault::Kind::Silent:
+        return "silent";
+    case ExchangeFault::Kind::Broken:
+        return "broken";
+    case ExchangeFault::Kind::Malformed:
+        return "malformed";
+    case ExchangeFault::Kind::Aborted:
+        break;
+    }
+    return "aborted";
+}
+
+class EndpointExchange::Private : public std::enable_shared_from_this<Private>
+{
+public:
+    Private(const asio::any_io_executor &executor, SocketAddress target)
+        : address(std::move(target))
+        , stream(executor)
+    {
+        parser.body_limit(boost::none);
+        parser.header_limit(kHeaderLimitBytes);
+        parser.eager(true);
+    }
+
+    [[nodiscard]] ExchangeFault faultOf(const error_code &error, const char *during) const
+    {
+        auto kind = ExchangeFault::Kind::Broken;
+        if (aborted) {
+            kind = ExchangeFault::Kind::Aborted;
+        } else if (error == beast::error::timeout) {
+            kind = ExchangeFault::Kind::Silent;
+        } else if (error.category() == http::make_error_code(http::error::end_of_stream).category() && error != http::error::end_of_stream
+                   && error != http::error::partial_message) {
+            kind = ExchangeFault::Kind::Malformed;
+        }
+        return {.kind = kind, .detail = std::string(during) + ": " + error.message()};
+    }
+
+    void startWriting()
+    {
+        bytesSent = true;
+        http::async_write(stream, request, [self = shared_from_this()](const error_code &error, std::size_t) {
+            self->written = !error; // A failure shows in the response that does not come.
+        });
+    }
+
+    const SocketAddress address;
+    beast::tcp_stream stream;
+    Request request;
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    bool bytesSent = false;
+    bool written = false;
+    bool aborted = false;
+};
+
+EndpointExchange::EndpointExchange(const asio::any_io_executor &executor, SocketAddress address)
+    : d_(std::make_shared<Private>(executor, std::move(address)))
+{
+}
+
+EndpointExchange::~EndpointExchange()
+{
+    // Ends a write that is still under way, so that the endpoint gets no other bytes where the rest of the body is due.
+    d_->stream.close();
+}
+
+std::optional<ExchangeFault> EndpointExchange::open(Request request, const ExchangeTimes &times, asio::yield_context yield)
+{
+    const auto d = d_;
+    d->request = std::move(request);
+    d->request.prepare_payload();
+    error_code error;
+    const auto ip = asio::ip::make_address(d->address.ip, error);
+    if (!error) {
+        d->stream.expires_after(times.connect);
+        d->stream.async_connect(asio::ip::tcp::endpoint(ip, d->address.port), yield[error]);
+    }
+    if (error || d->aborted) {
+        const auto kind = d->aborted ? ExchangeFault::Kind::Aborted : ExchangeFault::Kind::Unreachable;
+        return ExchangeFault{.kind = kind, .detail = "connect: " + error.message()};
+    }
+    detectSilence(d->stream.socket());
+    d->stream.expires_after(times.header);
+    d->startWriting();
+    http::async_read_header(d->stream, d->buffer, d->parser, yield[error]);
+    if (error || d->aborted) {
+        return d->faultOf(error, "header");
+    }
+    return std::nullopt;
+}
+
+const EndpointExchange::Response &EndpointExchange::response() const
+{
+    return d_->parser.get();
+}
+
+std::variant<std::string, ExchangeFault> EndpointExchange::read(std::chrono::milliseconds silence, asio::yield_context yield)
+{
+    const auto d = d_;
+    if (d->parser.is_done()) {
+        return std::exchange(d->parser.get().body(), {});
+    }
+    error_code error;
+    d->stream.expires_after(silence);
+    http::async_read_some(d->stream, d->buffer, d->parser, yield[error]);
+    std::string part = std::exchange(d->parser.get().body(), {});
+    if ((error || d->aborted) && (part.empty() || d->aborted)) {
+        return d->faultOf(error, "body");
+    }
+    return part;
+}
+
+std::optional<ExchangeFault> EndpointExchange::readAll(std::chrono::milliseconds time, std::uint64_t limitBytes, asio::yield_context yield)
+{
+    const auto d = d_;
+    error_code error;
+    d->stream.expires_after(time);
+    while (!error && !d->aborted && !d->parser.is_done() && d->parser.get().body().size() <= limitBytes) {
+        http::async_read_some(d->stream, d->buffer, d->parser, yield[error]);
+    }
+    if (d->parser.is_done() && !d->aborted) {
+        return std::nullopt;
+    }
+    return d->faultOf(error, "body");
+}
+
+bool EndpointExchange::isComplete() const
+{
+    return d_->parser.is_done();
+}
+
+bool EndpointExchange::bytesSent() const
+{
+    return d_->bytesSent;
+}
+
+void EndpointExchange::abort()
+{
+    d_->aborted = true;
+    d_->stream.close();
+}
+
+} // namespace daisystream
--- a/daemon/endpoints/ssereader.cpp
+++ b/daemon/endpoints/ssereader.cpp
@@ -1,5 +1,6 @@
 #include "daemon/endpoints/ssereader.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace daisystream
@@ -14,15 +15,24 @@
 
 void SseReader::feed(std::string_view bytes)
 {
-    if (consumed_ == buffer_.size()) {
-        buffer_.clear();
-    } else if (consumed_ > 0) {
-        buffer_.erase(0, consumed_);
-    }
-    consumed_ = 0;
+    // Whoever does not ask for the raw bytes does not want them.
+    const std::size_t keep = rawAsked_ ? rawBegin_ : eventEnd_;
+    const std::size_t drop = std::min(keep, consumed_);
+    buffer_.erase(0, drop);
+    consumed_ -= drop;
+    eventEnd_ -= drop;
+    rawBegin_ = rawBegin_ > drop ? rawBegin_ - drop : 0;
     buffer_.append(bytes);
 }
 
+std::string SseReader::takeRaw()
+{
+    rawAsked_ = true;
+    std::string raw = buffer_.substr(rawBegin_, eventEnd_ - rawBegin_);
+    rawBegin_ = eventEnd_;
+    return raw;
+}
+
 std::optional<std::string_view> SseReader::takeLine()
 {
     const auto end = buffer_.find('\n', consumed_);
@@ -46,6 +56,7 @@
             return std::nullopt;
         }
         if (line->empty()) {
+            eventEnd_ = consumed_;
             if (std::exchange(hasFields_, false)) {
                 return std::exchange(current_, SseEvent());
             }
--- a/daemon/endpoints/ssereader.h
+++ b/daemon/endpoints/ssereader.h
@@ -39,6 +39,15 @@
     /// @return the next complete event, or nothing until more bytes are fed.
     [[nodiscard]] std::optional<SseEvent> next();
 
+    /// @return the bytes of the events that `next` returned since the last call, as they came.
+    [[nodiscard]] std::string takeRaw();
+
+    /// @return bytes of an event that is not complete yet.
+    [[nodiscard]] std::size_t pending() const
+    {
+        return buffer_.size() - eventEnd_;
+    }
+
     /// @return true once an event is larger than 256 KiB, after which `next` returns nothing.
     [[nodiscard]] bool failed() const
     {
@@ -49,9 +58,12 @@
     std::optional<std::string_view> takeLine();
 
     std::string buffer_;
-    std::size_t consumed_ = 0;
+    std::size_t consumed_ = 0; ///< Lines before this position were read.
+    std::size_t eventEnd_ = 0; ///< End of the last event that was returned.
+    std::size_t rawBegin_ = 0; ///< End of what `takeRaw` returned.
     SseEvent current_;
     bool hasFields_ = false;
+    bool rawAsked_ = false;
     bool failed_ = false;
 };
 
--- a/daemon/frontend/httpconnection.cpp
+++ b/daemon/frontend/httpconnection.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 
 namespace daisystream
@@ -178,6 +179,24 @@
     return writeRaw(kEventsHeader, framing, keepAlive_ ? "\r\n" : "Connection: close\r\n\r\n", yield);
 }
 
+bool HttpConnection::startStream(HttpResponse header, asio::yield_context yield)
+{
+    if (broken_) {
+        return false;
+    }
+    header.version(version_);
+    // HTTP/1.0 has no chunks: the end of the connection is the end of the answer.
+    keepAlive_ = keepAlive_ && version_ == 11;
+    header.keep_alive(keepAlive_);
+    header.chunked(version_ == 11);
+    error_code error;
+    tcp().expires_after(options_.writeTimeout);
+    http::response_serializer<http::string_body> serializer(header);
+    with([&](auto &stream) { return http::async_write_header(stream, serializer, yield[error]); });
+    broken_ = static_cast<bool>(error);
+    return !broken_;
+}
+
 bool HttpConnection::writeEvents(std::string_view bytes, asio::yield_context yield)
 {
     if (version_ != 11) {
@@ -206,6 +225,50 @@
     return ::recv(tcp().socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+void HttpConnection::watchPeer(std::function<void()> onLeft)
+{
+    watch_ = std::make_shared<std::function<void()>>(std::move(onLeft));
+    waitForPeer();
+}
+
+void HttpConnection::waitForPeer()
+{
+    tcp().socket().async_wait(Socket::wait_read, [this, weak = std::weak_ptr(watch_)](const error_code &error) {
+        const auto watch = weak.lock();
+        if (!watch || watch != watch_) {
+            return; // The connection is gone or serves another request.
+        }
+        char byte = 0;
+        const auto count = error ? -1 : ::recv(tcp().socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (count > 0) {
+            return;
+        }
+        if (count < 0 && !error && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            waitForPeer();
+            return;
+        }
+        watch_.reset();
+        (*watch)();
+    });
+}
+
+void HttpConnection::stopWatching()
+{
+    watch_.reset();
+}
+
+void HttpConnection::closeAfterResponse()
+{
+    keepAlive_ = false;
+}
+
+void HttpConnection::abort()
+{
+    broken_ = true;
+    error_code ignored;
+    tcp().socket().close(ignored);
+}
+
 void HttpConnection::close(asio::yield_context yield)
 {
     error_code error;
--- a/daemon/frontend/httpconnection.h
+++ b/daemon/frontend/httpconnection.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/ssl/ssl_stream.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -52,6 +53,11 @@
     /// @return false if the caller has gone away.
     bool startEvents(boost::asio::yield_context yield);
 
+    /// Writes the header of a streamed response.
+    /// @param header its fields that concern the connection are replaced.
+    /// @return false if the caller has gone away.
+    bool startStream(HttpResponse header, boost::asio::yield_context yield);
+
     /// Writes a part of a streamed response.
     /// @param bytes not empty.
     /// @return false if the caller has gone away or does not read.
@@ -63,6 +69,18 @@
     /// @return true if the caller has closed at least its side of the connection.
     [[nodiscard]] bool peerClosed();
 
+    /// Calls a function once if the caller closes its side or resets the connection. Call it when a request was read; the
+    /// watch ends with `stopWatching` and when the caller sends further bytes.
+    void watchPeer(std::function<void()> onLeft);
+
+    void stopWatching();
+
+    /// The next response is the last one on this connection.
+    void closeAfterResponse();
+
+    /// Closes the connection at once, so that a response that has begun cannot be taken for a whole one.
+    void abort();
+
     /// Ends the connection. The peer gets the chance to read what was written before.
     void close(boost::asio::yield_context yield);
 
@@ -77,6 +95,7 @@
     auto with(Function &&function);
     [[nodiscard]] bool waitForRequest(boost::asio::yield_context yield);
     void refuse(const boost::system::error_code &error, boost::asio::yield_context yield);
+    void waitForPeer();
     bool writeRaw(std::string_view first, std::string_view second, std::string_view third, boost::asio::yield_context yield);
 
     FrontendOptions options_;
@@ -85,7 +104,8 @@
     boost::beast::flat_buffer buffer_;
     unsigned version_ = 11;
     bool keepAlive_ = true;
-    bool broken_ = false; ///< A read or write failed: only an abrupt end is possible.
+    std::shared_ptr<std::function<void()>> watch_; ///< Its address tells one watch from the next.
+    bool broken_ = false;                          ///< A read or write failed: only an abrupt end is possible.
 };
 
 } // namespace daisystream
--- a/daemon/frontend/httpfrontend.cpp
+++ b/daemon/frontend/httpfrontend.cpp
@@ -4,6 +4,7 @@
 #include "daemon/frontend/httpconnection.h"
 #include "daemon/frontend/orderrouter.h"
 #include "daemon/frontend/requesthandler.h"
+#include "daemon/gateway/gatewayhandler.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -40,6 +41,11 @@
         , handler_(context_, *orders_)
         , acceptor_(asio::make_strand(io))
     {
+        if (parts.gateway) {
+            gateway_
+                = std::make_unique<GatewayContext>(context_, parts.gateway->dispatcher, parts.gateway->dialect, parts.gateway->settings, parts.gateway->zone);
+            forwarder_ = std::make_unique<GatewayHandler>(*gateway_);
+        }
     }
 
     void accept(asio::yield_context yield)
@@ -69,7 +75,7 @@
         ++connections_;
         auto executor = socket.get_executor();
         auto tls = std::atomic_load(&tls_);
-        auto connection = std::make_shared<HttpConnection>(std::move(socket), std::move(tls), context_.options);
+        auto connection = std::make_shared<HttpConnection>(std::move(socket), std::move(tls), optionsNow());
         asio::spawn(
             executor,
             [self = shared_from_this(), connection](asio::yield_context yield) {
@@ -79,13 +85,31 @@
             asio::detached);
     }
 
+    /// @return the bounds of the settings or, where they set some, of the routes in force.
+    [[nodiscard]] FrontendOptions optionsNow() const
+    {
+        FrontendOptions options = context_.options;
+        if (const auto routes = forwarder_ ? context_.parts.lists.routes() : nullptr) {
+            const CallerLimits &limits = routes->limits();
+            options.headerLimitBytes = limits.headerBytes;
+            options.bodyLimitBytes = limits.bodyBytes;
+            options.headerTimeout = limits.headerTime;
+            options.idleTimeout = limits.idleTime;
+        }
+        return options;
+    }
+
     void serve(HttpConnection &connection, asio::yield_context yield)
     {
         if (!connection.handshake(yield)) {
             return;
         }
         while (const auto request = connection.read(yield)) {
-            handler_.serve(connection, *request, yield);
+            if (forwarder_) {
+                forwarder_->serve(connection, *request, yield);
+            } else {
+                handler_.serve(connection, *request, yield);
+            }
         }
         connection.close(yield);
     }
@@ -94,6 +118,8 @@
     FrontendContext context_;
     std::shared_ptr<OrderRouter> orders_;
     RequestHandler handler_;
+    std::unique_ptr<GatewayContext> gateway_; ///< Null if callers use the own API.
+    std::unique_ptr<GatewayHandler> forwarder_;
     tcp::acceptor acceptor_;
     std::shared_ptr<asio::ssl::context> tls_;
     std::atomic<std::size_t> connections_{0};
@@ -155,6 +181,11 @@
     return *d_->context_.running;
 }
 
+GatewayContext *HttpFrontend::gateway()
+{
+    return d_->gateway_.get();
+}
+
 void HttpFrontend::close()
 {
     asio::post(strandOf(d_->acceptor_.get_executor()), [self = d_] {
--- a/daemon/frontend/httpfrontend.h
+++ b/daemon/frontend/httpfrontend.h
@@ -29,16 +29,30 @@
 namespace daisystream
 {
 
+class CellDispatcher;
+class GatewayContext;
+class GatewayDialect;
+
+/// What the front end needs beside its other parts where callers are forwarded by routes.
+struct GatewayParts
+{
+    CellDispatcher &dispatcher;
+    const GatewayDialect &dialect;
+    GatewaySettings settings;
+    ZoneId zone; ///< Of this VM.
+};
+
 /// The parts of the daemon that the front end needs. All of them must outlive the event loop.
 struct FrontendParts
 {
-    ListTable &lists;       ///< Plans, limits and sealing keys.
-    Dispatcher &dispatcher; ///< Chooses endpoints. The front end sets its cancel handler.
-    OrderForwarding &peers; ///< Forwards orders with a ticket to its issuer. The front end sets its order handler.
-    OrderRecords &records;  ///< Records of orders with a caller's own key.
-    Metrics &metrics;       ///< Shown at `/metrics`.
-    const Clock &clock;     ///< Time of deadlines.
-    std::uint64_t seed = 1; ///< Of request ids and jitter; must differ between two runs.
+    ListTable &lists;                      ///< Plans, limits and sealing keys.
+    Dispatcher &dispatcher;                ///< Chooses endpoints. The front end sets its cancel handler.
+    OrderForwarding &peers;                ///< Forwards orders with a ticket to its issuer. The front end sets its order handler.
+    OrderRecords &records;                 ///< Records of orders with a caller's own key.
+    Metrics &metrics;                      ///< Shown at `/metrics`.
+    const Clock &clock;                    ///< Time of deadlines.
+    std::uint64_t seed = 1;                ///< Of request ids and jitter; must differ between two runs.
+    std::optional<GatewayParts> gateway{}; ///< Set: callers are forwarded by routes instead of using the own API.
 };
 
 /// Accepts callers' connections, relays answers from engines and routes orders to plain services. Thread-safe.
@@ -70,6 +84,9 @@
     /// Stops to accept connections.
     void close();
 
+    /// @return the gateway, null if callers use the own API.
+    [[nodiscard]] GatewayContext *gateway();
+
 private:
     class Private;
     std::shared_ptr<Private> d_;
--- a/daemon/frontend/httpreply.cpp
+++ b/daemon/frontend/httpreply.cpp
@@ -54,6 +54,8 @@
         return http::status::not_found;
     case ResultCode::CallerTooSlow:
         return http::status::request_timeout;
+    case ResultCode::TimeLimitPassed:
+        return http::status::gateway_timeout;
     case ResultCode::ConcurrencyLimit:
     case ResultCode::RateLimit:
         return http::status::too_many_requests;
--- a/daemon/frontend/httprouter.cpp
+++ b/daemon/frontend/httprouter.cpp
@@ -11,7 +11,7 @@
 constexpr std::string_view kServicesPrefix = "/v1/services/";
 constexpr std::string_view kOrdersPrefix = "/orders/";
 
-Route serviceRoute(std::string_view rest)
+ApiRoute serviceRoute(std::string_view rest)
 {
     const auto slash = rest.find('/');
     const ServiceId service{std::string(rest.substr(0, slash))};
@@ -35,7 +35,7 @@
 
 } // namespace
 
-Route routeOf(std::string_view target)
+ApiRoute routeOf(std::string_view target)
 {
     const auto path = target.substr(0, target.find('?'));
     if (path == "/v1/chat/completions") {
--- a/daemon/frontend/httprouter.h
+++ b/daemon/frontend/httprouter.h
@@ -11,7 +11,7 @@
 ///
 /// Example:
 /// @code
-///   const Route route = routeOf("/v1/services/booking/seats");
+///   const ApiRoute route = routeOf("/v1/services/booking/seats");
 ///   if (const auto *call = std::get_if<ServiceCall>(&route)) { ... }
 /// @endcode
 
@@ -68,11 +68,11 @@
 {
 };
 
-using Route = std::variant<UnknownRoute, HealthRoute, ReadyRoute, MetricsRoute, ModelsRoute, CompletionRoute, TicketRoute, OrderQueryRoute, ServiceCall>;
+using ApiRoute = std::variant<UnknownRoute, HealthRoute, ReadyRoute, MetricsRoute, ModelsRoute, CompletionRoute, TicketRoute, OrderQueryRoute, ServiceCall>;
 
 /// @param target path of a request, with or without a query.
 /// @return what serves it.
-[[nodiscard]] Route routeOf(std::string_view target);
+[[nodiscard]] ApiRoute routeOf(std::string_view target);
 
 /// @return the text with every byte other than letters, digits, '-', '_' and '.' as %XX, so that it is safe in a path,
 ///     a row name and a log line.
--- a/daemon/frontend/requesthandler.cpp
+++ b/daemon/frontend/requesthandler.cpp
@@ -33,7 +33,7 @@
     return jsonReply(nlohmann::json{{"object", "list"}, {"data", models}}.dump());
 }
 
-const ServiceId *serviceOf(const Route &route)
+const ServiceId *serviceOf(const ApiRoute &route)
 {
     if (const auto *ticket = std::get_if<TicketRoute>(&route)) {
         return &ticket->service;
@@ -86,7 +86,7 @@
 }
 
 void RequestHandler::serveGranted(
-    const Route &route, const CallerGrant &grant, HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield)
+    const ApiRoute &route, const CallerGrant &grant, HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield)
 {
     if (const auto *completion = std::get_if<CompletionRoute>(&route)) {
         if (request.count(kLastEventId) > 0 && (request.method() == http::verb::get || request.method() == http::verb::post)) {
@@ -129,7 +129,7 @@
     AnswerRelay(context_, connection, grant).resume(std::get<ResumePoint>(point), chat, yield);
 }
 
-HttpResponse RequestHandler::serviceReply(const Route &route, const CallerGrant &grant, const HttpRequest &request, boost::asio::yield_context yield)
+HttpResponse RequestHandler::serviceReply(const ApiRoute &route, const CallerGrant &grant, const HttpRequest &request, boost::asio::yield_context yield)
 {
     if (const auto refusal = checkService(grant, *serviceOf(route))) {
         return errorReply(*refusal, FinalState::NotRun);
--- a/daemon/frontend/requesthandler.h
+++ b/daemon/frontend/requesthandler.h
@@ -32,10 +32,11 @@
     void serve(HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield);
 
 private:
-    void serveGranted(const Route &route, const CallerGrant &grant, HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield);
+    void
+    serveGranted(const ApiRoute &route, const CallerGrant &grant, HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield);
     void complete(bool chat, const CallerGrant &grant, HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield);
     void resume(bool chat, const CallerGrant &grant, HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield);
-    [[nodiscard]] HttpResponse serviceReply(const Route &route, const CallerGrant &grant, const HttpRequest &request, boost::asio::yield_context yield);
+    [[nodiscard]] HttpResponse serviceReply(const ApiRoute &route, const CallerGrant &grant, const HttpRequest &request, boost::asio::yield_context yield);
     [[nodiscard]] HttpResponse readiness() const;
 
     FrontendContext &context_;
--- /dev/null
+++ b/daemon/gateway/answermove.cpp
@@ -0,0 +1,183 @@
+#include "daemon/gateway/answermove.h"
+
+#include "daemon/endpoints/endpointexchange.h"
+#include "daemon/status/decisionlog.h"
+
+#include <boost/asio/detached.hpp>
+
+namespace daisystream
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// A copy that took at most this long shows that no others wait for the links, so that the last one is short as well.
+constexpr milliseconds kShortCopy{60};
+// Copies while the answer runs. Each brings what is new since the one before; after these the answer is stopped anyway.
+constexpr unsigned kMostCopies = 4;
+constexpr unsigned kMostTargets = 3;
+// A copy of the largest answers takes some 0.3 s, and several wait for each other.
+constexpr milliseconds kCopyTime{4000};
+constexpr milliseconds kConnectTime{300};
+constexpr milliseconds kRetryPause{50};
+constexpr std::uint64_t kReplyLimitBytes = 65536;
+
+} // namespace
+
+std::shared_ptr<AnswerMove> AnswerMove::start(GatewayContext &gateway, FrontendStrand strand, MovePlan plan)
+{
+    auto move = std::make_shared<AnswerMove>(gateway, strand, std::move(plan));
+    asio::spawn(
+        strand, [move](asio::yield_context yield) { move->run(yield); }, asio::detached);
+    return move;
+}
+
+AnswerMove::AnswerMove(GatewayContext &gateway, FrontendStrand strand, MovePlan plan)
+    : gateway_(gateway)
+    , strand_(strand)
+    , plan_(std::move(plan))
+    , asking_(gateway)
+    , ended_(strand_, asio::steady_timer::time_point::max())
+{
+}
+
+std::optional<MovedAnswer> AnswerMove::wait(asio::yield_context yield)
+{
+    while (phase_ == Phase::Copying || phase_ == Phase::Stopping) {
+        boost::system::error_code ignored;
+        ended_.async_wait(yield[ignored]);
+    }
+    return phase_ == Phase::Moved ? moved_ : std::nullopt;
+}
+
+void AnswerMove::cancel()
+{
+    cancelled_ = true;
+    asking_.giveUp({ResultCode::CallerLeft, "the answer has ended", {}});
+    if (phase_ == Phase::Moved && moved_) {
+        asio::spawn(
+            strand_, [self = shared_from_this()](asio::yield_context yield) { self->release(yield); }, asio::detached);
+    }
+}
+
+void AnswerMove::end(Phase phase)
+{
+    phase_ = phase;
+    ended_.cancel();
+}
+
+void AnswerMove::pause(milliseconds time, asio::yield_context yield)
+{
+    boost::system::error_code ignored;
+    asio::steady_timer timer(strand_, time);
+    timer.async_wait(yield[ignored]);
+}
+
+void AnswerMove::run(asio::yield_context yield)
+{
+    const auto begin = gateway_.now();
+    auto reply = MoveReply{};
+    for (unsigned tries = 0; tries < kMostTargets && !cancelled_ && phase_ != Phase::Moved; ++tries) {
+        const auto target = findTarget(yield);
+        if (!target || cancelled_) {
+            break;
+        }
+        if (!copyWhileRunning(*target, yield)) {
+            release(yield);
+            continue;
+        }
+        phase_ = Phase::Stopping;
+        reply = copy(*target, true, yield);
+        if (reply.outcome == MoveReply::Outcome::Copied) {
+            moved_ = MovedAnswer{.target = *target, .memory = {.holder = plan_.source.address, .handle = reply.handle}, .work = plan_.work.id};
+        } else if (!reply.handle.empty()) {
+            // The source has stopped the answer and keeps its memory, so that it can go on there.
+            moved_ = MovedAnswer{.target = plan_.source, .memory = {.holder = plan_.source.address, .handle = reply.handle}, .work = plan_.work.id};
+        }
+        break;
+    }
+    DecisionLine("move")
+        .field("request", plan_.attempt)
+        .field("from", plan_.source.id.value())
+        .field("choice", moved_ ? moved_->target.id.value() : "none")
+        .field("took_ms", std::to_string(std::chrono::duration_cast<milliseconds>(gateway_.now() - begin).count()))
+        .field("reason",
+               cancelled_   ? "answer_ended"
+                   : moved_ ? "moved"
+                            : "failed")
+        .write();
+    if (!moved_ || cancelled_) {
+        release(yield);
+    }
+    end(moved_ ? Phase::Moved : Phase::Failed);
+}
+
+std::optional<EndpointSettings> AnswerMove::findTarget(asio::yield_context yield)
+{
+    plan_.work.id = gateway_.frontend.newRequestId();
+    const auto answer = asking_.ask(plan_.work, plan_.deadline, yield);
+    const auto *assign = std::get_if<Assign>(&answer);
+    if (assign == nullptr) {
+        return std::nullopt;
+    }
+    assigned_ = true;
+    auto target = gateway_.dispatcher.findEndpoint(assign->endpoint);
+    if (!target || target->id == plan_.source.id) {
+        release(yield);
+        return std::nullopt;
+    }
+    return target;
+}
+
+bool AnswerMove::copyWhileRunning(const EndpointSettings &target, asio::yield_context yield)
+{
+    for (unsigned round = 0; round < kMostCopies && !cancelled_; ++round) {
+        const auto begin = gateway_.now();
+        const auto reply = copy(target, false, yield);
+        if (reply.outcome == MoveReply::Outcome::InProgress) {
+            pause(kRetryPause, yield);
+            continue;
+        }
+        if (reply.outcome != MoveReply::Outcome::Copied) {
+            return false;
+        }
+        handle_ = reply.handle;
+        if (gateway_.now() - begin <= kShortCopy) {
+            break;
+        }
+    }
+    return !cancelled_;
+}
+
+MoveReply AnswerMove::copy(const EndpointSettings &target, bool isLast, asio::yield_context yield)
+{
+    EndpointExchange exchange(strand_, plan_.source.address);
+    const auto request = gateway_.dialect.moveRequest(plan_.attempt, target.address, isLast);
+    if (exchange.open(request, {.connect = kConnectTime, .header = kCopyTime}, yield)) {
+        return {};
+    }
+    if (exchange.readAll(kCopyTime, kReplyLimitBytes, yield)) {
+        return {};
+    }
+    return gateway_.dialect.readMove(exchange.response());
+}
+
+void AnswerMove::release(asio::yield_context yield)
+{
+    if (std::exchange(assigned_, false)) {
+        gateway_.dispatcher.onFinished(plan_.work.id, 0, FinishReason::MovedAway);
+    }
+    if (handle_.empty()) {
+        return;
+    }
+    EndpointExchange exchange(strand_, plan_.source.address);
+    const auto request = gateway_.dialect.dropRequest(std::exchange(handle_, {}));
+    // Without a reply the engines drop the copy by themselves, when its life ends.
+    (void)exchange.open(request, {.connect = kConnectTime, .header = kCopyTime}, yield);
+}
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/gateway/gatewaycontext.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "daemon/cells/celldispatcher.h"
+#include "daemon/frontend/frontendcontext.h"
+#include "daemon/frontend/httpconnection.h"
+#include "daemon/gateway/gatewaydialect.h"
+#include "daisystream/balancing/servicebalancer.h"
+#include "daisystream/retry/servicebudget.h"
+#include "daisystream/routes/routetable.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+/// @file
+/// What the parts of the gateway share.
+///
+/// Example:
+/// @code
+///   GatewayContext gateway(context, dialect, settings);
+///   if (const auto endpoint = gateway.chooseEndpoint(service, tried)) { ... }
+/// @endcode
+
+namespace daisystream
+{
+
+/// A request that passed the checks of its route and its key.
+struct RoutedRequest
+{
+    const HttpRequest &http;
+    CallerHead head{};
+    RequestId id{};                            ///< Ours; differs between all requests of all VMs.
+    std::shared_ptr<const RouteTable> table{}; ///< Keeps `route` and `engine` alive.
+    const Route *route = nullptr;
+    const EngineProfile *engine = nullptr; ///< Set if engines serve it.
+    ServiceId service{};
+    std::optional<TeamId> team{};
+    std::uint32_t priority = 0; ///< 0 is the most urgent.
+    TimePoint arrival{};
+    TimePoint deadline{}; ///< The final answer is due.
+};
+
+/// Thread-safe. Its lock belongs to level 7 (connections) and nothing is called while it is held.
+class GatewayContext
+{
+public:
+    /// All parameters must outlive the event loop.
+    GatewayContext(FrontendContext &frontend, CellDispatcher &dispatcher, const GatewayDialect &dialect, const GatewaySettings &settings, const ZoneId &zone);
+
+    FrontendContext &frontend;
+    CellDispatcher &dispatcher;
+    const GatewayDialect &dialect;
+    const GatewaySettings settings;
+
+    [[nodiscard]] TimePoint now() const;
+
+    /// @return the time until a deadline, at least one millisecond.
+    [[nodiscard]] std::chrono::milliseconds timeUntil(TimePoint deadline) const;
+
+    /// @return an endpoint of a plain service; nothing if none is left that was not tried. It counts as having one more
+    ///     call until `onCallEnded`.
+    [[nodiscard]] std::optional<EndpointSettings> startCall(const ServiceId &service, const std::vector<EndpointId> &tried);
+    void onCallEnded(const EndpointId &endpoint, CallResult result, const std::optional<StatedLoad> &load);
+
+    /// Counts a request, which the retry budget of its service grows with.
+    void countRequest(const ServiceId &service);
+
+    /// @return whether a request may be sent to one more endpoint.
+    [[nodiscard]] bool takeRepeat(const ServiceId &service);
+
+    /// Sets how many VMs share the retry budgets.
+    void setVms(std::size_t count);
+
+    /// Calls a function when an endpoint announces that it leaves, until the returned token is destroyed.
+    [[nodiscard]] std::shared_ptr<void> watchEndpoint(const EndpointId &endpoint, std::function<void()> onLeaving);
+
+    /// Tells the answers at these endpoints that they leave.
+    void announceLeaving(const std::vector<EndpointId> &endpoints);
+
+    /// @return whether the endpoint is in service.
+    [[nodiscard]] bool isInService(const EndpointId &endpoint) const;
+
+private:
+    using Watches = std::multimap<EndpointId, std::weak_ptr<std::function<void()>>>;
+
+    std::mutex mutex_;
+    const ZoneId zone_;
+    Random random_;
+    ServiceBalancer balancer_;
+    ServiceRetryBudget budget_;
+    Watches watches_;
+};
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/gateway/gatewayhandler.cpp
@@ -0,0 +1,111 @@
+#include "daemon/gateway/gatewayhandler.h"
+
+#include "daemon/gateway/callforwarder.h"
+#include "daemon/gateway/gatewayreply.h"
+#include "daemon/gateway/streamforwarder.h"
+#include "daemon/status/decisionlog.h"
+
+#include <algorithm>
+
+namespace daisystream
+{
+
+namespace
+{
+
+// Bounds the wait of a request whose caller and route state no limit.
+constexpr std::chrono::milliseconds kLongestWait{120000};
+// A long answer that starts after SIGTERM would be cut when the process is killed; another VM takes it at once.
+constexpr std::chrono::milliseconds kRetryElsewhere{0};
+
+std::chrono::milliseconds waitOf(const CallerHead &head, const Route &route)
+{
+    auto wait = std::min(kLongestWait, head.wait.value_or(kLongestWait));
+    return route.timeout.count() > 0 ? std::min(wait, route.timeout) : wait;
+}
+
+bool isLongAnswer(const RequestKind &kind)
+{
+    const auto *stream = std::get_if<AnswerStream>(&kind);
+    return stream != nullptr && !stream->resumable;
+}
+
+} // namespace
+
+GatewayHandler::GatewayHandler(GatewayContext &gateway)
+    : gateway_(gateway)
+{
+}
+
+void GatewayHandler::serve(HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield)
+{
+    const RunningGuard guard(gateway_.frontend);
+    if (gateway_.frontend.parts.lists.isStopping()) {
+        connection.closeAfterResponse();
+    }
+    const auto admitted = admit(request);
+    if (const auto *error = std::get_if<Error>(&admitted)) {
+        DecisionLine("refuse").field("target", {request.target().data(), request.target().size()}).field("reason", toString(error->code)).write();
+        connection.write(gatewayReply(gateway_.dialect, *error, GivenUp::NotRun), yield);
+        return;
+    }
+    const auto &routed = std::get<RoutedRequest>(admitted);
+    if (routed.engine != nullptr && std::holds_alternative<AnswerStream>(routed.route->kind)) {
+        forwardStream(gateway_, connection, routed, yield);
+    } else {
+        forwardCall(gateway_, connection, routed, yield);
+    }
+}
+
+Result<RoutedRequest> GatewayHandler::admit(const HttpRequest &request) const
+{
+    // What the routes do not allow is only certain while they are known to be in force.
+    if (const auto refusal = gateway_.frontend.parts.lists.routeAdmission()) {
+        return *refusal;
+    }
+    const auto arrival = gateway_.now();
+    const auto table = gateway_.frontend.parts.lists.routes();
+    const auto host = request[boost::beast::http::field::host];
+    const auto *route = table->find({host.data(), host.size()}, {request.target().data(), request.target().size()});
+    if (route == nullptr) {
+        return Error{ResultCode::UnknownPath, "no route leads there", {}};
+    }
+    RoutedRequest routed{.http = request, .head = gateway_.dialect.readCaller(request), .id = gateway_.frontend.newRequestId(), .table = table};
+    routed.route = route;
+    routed.priority = route->priority;
+    if (table->needsKeys() && !route->isPublic) {
+        const auto *team = table->findTeam(routed.head.key);
+        if (team == nullptr) {
+            return Error{routed.head.key.empty() ? ResultCode::MissingKey : ResultCode::UnknownKey, "the key is not known", {}};
+        }
+        routed.team = team->id;
+        routed.priority = team->priority.value_or(route->priority);
+    }
+    if (gateway_.frontend.parts.lists.isStopping() && isLongAnswer(route->kind)) {
+        return Error{ResultCode::Stopping, "this VM is shutting down", kRetryElsewhere};
+    }
+    routed.service = chooseService(*route);
+    const auto *service = table->service(routed.service);
+    routed.engine = service != nullptr && service->engine ? &*service->engine : nullptr;
+    routed.arrival = arrival;
+    routed.deadline = arrival + waitOf(routed.head, *route);
+    return routed;
+}
+
+ServiceId GatewayHandler::chooseService(const Route &route) const
+{
+    double total = 0;
+    for (const auto &share : route.services) {
+        total += share.weight;
+    }
+    double left = total * gateway_.frontend.uniform();
+    for (const auto &share : route.services) {
+        left -= share.weight;
+        if (left < 0) {
+            return share.service;
+        }
+    }
+    return route.services.back().service;
+}
+
+} // namespace daisystream
--- /dev/null
+++ b/daemon/gateway/gatewayreply.cpp
@@ -0,0 +1,43 @@
+#include "daemon/gateway/gatewayreply.h"
+
+#include <nlohmann/json.hpp>
+
+namespace daisystream
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+http::status gatewayStatus(const Error &error, GivenUp givenUp)
+{
+    const auto status = statusOf(error.code);
+    if (givenUp == GivenUp::OutcomeUnknown) {
+        return status == http::status::gateway_timeout ? status : http::status::bad_gateway;
+    }
+    // A request that was sent nowhere and cannot be served any more has not run: that is worth more than how it failed.
+    const bool isServerError = static_cast<unsigned>(status) >= 500;
+    return isServerError ? http::status::service_unavailable : status;
+}
+
+} // namespace
+
+HttpResponse gatewayReply(const GatewayDialect &dialect, const Error &error, GivenUp givenUp)
+{
+    HttpResponse response(gatewayStatus(error, givenUp), 11);
+    response.set(http::field::content_type, "application/json");
+    const bool mayReturn = response.result() == http::status::service_unavailable || response.result() == http::status::too_many_requests;
+    if (mayReturn && error.retryAfter) {
+        response.set(http::field::retry_after, dialect.retryAfterText(*error.retryAfter));
+    }
+    const nlohmann::json body = {{"error",
+                                  {{"message", error.detail.empty() ? toString(error.code) : error.detail},
+                                   {"code", static_cast<unsigned>(error.code)},
+                                   {"notRun", givenUp == GivenUp::NotRun}}}};
+    // A detail may quote a caller's bytes, which need not be valid UTF-8.
+    response.body() = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return response;
+}
+
+} // namespace daisystream
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -3,9 +3,12 @@
 #include "daemon/control/settings.h"
 #include "daemon/frontend/httpfrontend.h"
 #include "daemon/frontend/tlscontext.h"
+#include "daemon/gateway/gatewaycontext.h"
 #include "daemon/status/operatorapi.h"
 #include "daemon/store/orderrecords.h"
 
+#include "platform/adapter.h"
+
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/spawn.hpp>
@@ -36,6 +39,8 @@
 
 constexpr auto kShutdownCheck = std::chrono::milliseconds(50);
 constexpr auto kCertificateCheck = std::chrono::seconds(10);
+// The balancer asks every second and stops after two refusals.
+constexpr auto kRotationTime = std::chrono::milliseconds(3200);
 // Leaves time for messages to other VMs, such as the last Done, to be sent before connections are closed.
 constexpr auto kFarewellTime = std::chrono::milliseconds(200);
 
@@ -67,6 +72,24 @@
     return options;
 }
 
+/// @return the adapter that the settings name, nothing if there is none of that name.
+std::optional<PlatformAdapter> adapterOf(const Settings &settings)
+{
+    if (settings.platformProtocol == platform::kProtocol) {
+        return platform::adapter();
+    }
+    return settings.platformProtocol == "own" ? std::optional(PlatformAdapter{}) : std::nullopt;
+}
+
+/// @return the page by which the balancer learns whether this VM takes requests.
+std::map<std::string, OperatorPage> readinessPages(ControlPart &control)
+{
+    return {{"/readyz", {"text/plain", [&control] {
+                             const bool isReady = !control.lists().isStopping() && !control.lists().routeAdmission();
+                             return isReady ? "ready\n" : "";
+                         }}}};
+}
+
 std::map<std::string, OperatorPage> operatorPages(ControlPart &control)
 {
     return {{"/healthz",
@@ -93,9 +116,10 @@
 class Daemon
 {
 public:
-    explicit Daemon(const Settings &settings)
+    Daemon(const Settings &settings, const PlatformAdapter &adapter)
         : settings_(settings)
-        , control_(io_, settings, clock_, {.seed = randomSeed(), .incarnation = makeIncarnation()})
+        , adapter_(adapter)
+        , control_(io_, settings, clock_, {.seed = randomSeed(), .incarnation = makeIncarnation(), .adapter = adapter})
         , records_(control_.platform())
         , frontend_(io_,
                     settings.listen,
@@ -106,9 +130,15 @@
                      .records = records_,
                      .metrics = control_.metrics(),
                      .clock = clock_,
-                     .seed = randomSeed()})
+                     .seed = randomSeed(),
+                     .gateway = gatewayParts()})
         , operators_(io_, operatorPages(control_))
+        , readiness_(io_, readinessPages(control_))
     {
+        if (auto *gateway = frontend_.gateway()) {
+            control_.setEndpointHandler([gateway](const std::vector<EndpointId> &leaving) { gateway->announceLeaving(leaving); });
+            control_.setVmHandler([gateway](std::size_t count) { gateway->setVms(count); });
+        }
     }
 
     /// @return the exit code.
@@ -124,6 +154,9 @@
         if (!error && settings_.listenOperators) {
             error = operators_.start(*settings_.listenOperators);
         }
+        if (!error && settings_.listenReadiness) {
+            error = readiness_.start(*settings_.listenReadiness);
+        }
         if (error) {
             LOG(ERROR) << error->detail;
             return kExitCannotStart;
@@ -133,6 +166,8 @@
                   << " operator_port=" << (settings_.listenOperators ? operators_.port() : 0);
         asio::spawn(
             io_, [this](asio::yield_context yield) { shutDownOnSignal(yield); }, asio::detached);
+        asio::spawn(
+            io_, [this](asio::yield_context yield) { checkSettingsOnSignal(yield); }, asio::detached);
         std::vector<std::jthread> workers;
         for (unsigned i = 0; i < settings_.workers; ++i) {
             workers.emplace_back([this] { io_.run(); });
@@ -141,6 +176,14 @@
     }
 
 private:
+    [[nodiscard]] std::optional<GatewayParts> gatewayParts()
+    {
+        if (!settings_.gateway || !adapter_.gateway) {
+            return std::nullopt;
+        }
+        return GatewayParts{.dispatcher = control_.dispatcher(), .dialect = *adapter_.gateway, .settings = *settings_.gateway, .zone = settings_.zone};
+    }
+
     std::optional<Error> loadCallerTls()
     {
         if (!settings_.callerTls) {
@@ -167,11 +210,15 @@
 
     void shutDownOnSignal(asio::yield_context yield)
     {
-        asio::signal_set signals(io_, SIGTERM, SIGINT);
-        signals.async_wait(yield);
+        stopSignals_.async_wait(yield);
         LOG(INFO) << "event=shutdown_begun running=" << frontend_.running();
         control_.beginShutdown();
         asio::steady_timer timer(io_);
+        if (settings_.listenReadiness) {
+            // Until the balancer has noticed, new connections still come here.
+            timer.expires_after(kRotationTime);
+            timer.async_wait(yield);
+        }
         while (frontend_.running() > 0) {
             timer.expires_after(kShutdownCheck);
             timer.async_wait(yield);
@@ -184,13 +231,29 @@
         io_.stop();
     }
 
+    /// Settings take effect at the next start; SIGHUP shows in the log whether the file can be used then.
+    void checkSettingsOnSignal(asio::yield_context yield)
+    {
+        for (;;) {
+            reloadSignals_.async_wait(yield);
+            const auto result = readSettings(FLAGS_settings);
+            const auto *fault = std::get_if<Error>(&result);
+            LOG(INFO) << "event=settings_checked valid=" << (fault == nullptr) << (fault == nullptr ? "" : " reason=\"" + fault->detail + '"');
+        }
+    }
+
     const Settings settings_;
+    const PlatformAdapter adapter_;
     const BootClock clock_;
     asio::io_context io_;
+    // Created before any thread runs: two threads that both create their first signal set leave one without its pipe.
+    asio::signal_set stopSignals_{io_, SIGTERM, SIGINT};
+    asio::signal_set reloadSignals_{io_, SIGHUP};
     ControlPart control_;
     PlatformOrderRecords records_;
     HttpFrontend frontend_;
     OperatorApi operators_;
+    OperatorApi readiness_;
     std::optional<TlsContexts> callerTls_;
 };
 
@@ -210,7 +273,13 @@
     if (FLAGS_check) {
         return 0;
     }
-    Daemon daemon(std::get<Settings>(result));
+    const auto &settings = std::get<Settings>(result);
+    const auto adapter = adapterOf(settings);
+    if (!adapter) {
+        std::fprintf(stderr, "%s: platformProtocol: \"%s\" is not a known protocol\n", FLAGS_settings.c_str(), settings.platformProtocol.c_str());
+        return kExitInvalidSettings;
+    }
+    Daemon daemon(settings, *adapter);
     const int status = daemon.run();
     google::FlushLogFiles(google::INFO);
     // Suspended coroutines of the event loop refer to members that would be destroyed before it. All threads have ended and
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -86,6 +86,9 @@
   deadlineIn @10 :Int64;
   age @11 :Int64;
   prefixHash @12 :UInt64;
+  lengthClass @13 :Text;
+  fixed @14 :Bool;                # Stays at its endpoint once it is assigned.
+  heldTokens @15 :UInt32;
 }
 
 struct Reference {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -179,7 +179,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e733484531a31e03, 7, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(e733484531a31e03, 7, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1333,6 +1333,13 @@
 
   inline  ::uint64_t getPrefixHash() const;
 
+  inline bool hasLengthClass() const;
+  inline  ::capnp::Text::Reader getLengthClass() const;
+
+  inline bool getFixed() const;
+
+  inline  ::uint32_t getHeldTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1420,6 +1427,19 @@
   inline  ::uint64_t getPrefixHash();
   inline void setPrefixHash( ::uint64_t value);
 
+  inline bool hasLengthClass();
+  inline  ::capnp::Text::Builder getLengthClass();
+  inline void setLengthClass( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLengthClass(unsigned int size);
+  inline void adoptLengthClass(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLengthClass();
+
+  inline bool getFixed();
+  inline void setFixed(bool value);
+
+  inline  ::uint32_t getHeldTokens();
+  inline void setHeldTokens( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4683,6 +4703,68 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Work::Reader::hasLengthClass() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Work::Builder::hasLengthClass() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Work::Reader::getLengthClass() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Work::Builder::getLengthClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Work::Builder::setLengthClass( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Work::Builder::initLengthClass(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Work::Builder::adoptLengthClass(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Work::Builder::disownLengthClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool Work::Reader::getFixed() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool Work::Builder::getFixed() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setFixed(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Work::Reader::getHeldTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Work::Builder::getHeldTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setHeldTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Reference::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -88,6 +88,9 @@
     out.setDeadlineIn(toMicroseconds(work.firstTokenDeadline - now).count());
     out.setAge(toMicroseconds(now - work.arrival).count());
     out.setPrefixHash(work.prefixHash);
+    out.setLengthClass(text(work.lengthClass));
+    out.setFixed(!work.mayMove);
+    out.setHeldTokens(work.heldTokens);
 }
 
 WorkRequest read(wire::Work::Reader in, TimePoint now)
@@ -107,6 +110,9 @@
     work.firstTokenDeadline = now + readDuration(in.getDeadlineIn());
     work.arrival = now - readDuration(in.getAge());
     work.prefixHash = in.getPrefixHash();
+    work.lengthClass = string(in.getLengthClass());
+    work.mayMove = !in.getFixed();
+    work.heldTokens = in.getHeldTokens();
     return work;
 }
 
--- a/daemon/peers/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -17,6 +17,9 @@
     request.entry = VmId("vm1");
     request.model = ModelId("assistant");
     request.promptTokens = 30;
+    request.lengthClass = "summary";
+    request.heldTokens = 12;
+    request.mayMove = false;
     request.firstTokenDeadline = now + std::chrono::milliseconds(660);
     request.arrival = now - std::chrono::milliseconds(2);
     return request;
@@ -29,8 +32,8 @@
     const ForwardedOrder order{"ticket", TeamId("t"), ServiceId("booking"), "POST", "/seats", {{"content-type", "text/plain"}}, std::string("a\0b", 3)};
     return {
         HelloMessage{.vm = VmId("vm1"), .incarnation = 7, .zone = ZoneId("z1")},
-        HeartbeatMessage{.sequence = 3, .versions = {1, 2, 3, 4}, .stopping = true, .cells = {{cell, 1, 2, 3}}, .heard = {{VmId("vm2"), 8, 9}}},
-        AckMessage{3, {1, 2, 3, 4}},
+        HeartbeatMessage{.sequence = 3, .versions = {1, 2, 3, 4, 5, 6}, .stopping = true, .cells = {{cell, 1, 2, 3}}, .heard = {{VmId("vm2"), 8, 9}}},
+        AckMessage{3, {1, 2, 3, 4, 5, 6}},
         PingMessage{4},
         DocumentRequestMessage{1},
         DocumentMessage{.kind = 1, .number = 5, .changeId = "c", .text = "{}", .vms = {VmId("vm2")}},
--- a/daemon/store/listtable.cpp
+++ b/daemon/store/listtable.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr auto kRetryWhileUnavailable = std::chrono::milliseconds(2000);
+// A VM without routes has just started and reads them within this time.
+constexpr auto kRetryWithoutRoutes = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -26,6 +28,10 @@
         return "endpoints/state";
     case DocumentKind::SealKeys:
         return "keys/seal";
+    case DocumentKind::Routes:
+        return "routes";
+    case DocumentKind::Endpoints:
+        return "endpoints";
     }
     return "?";
 }
@@ -33,22 +39,29 @@
 class ListTable::Private
 {
 public:
+    explicit Private(RouteParser parser)
+        : parseRoutes(std::move(parser))
+    {
+    }
+
     [[nodiscard]] const SharedDocument &of(DocumentKind kind) const
     {
         return documents[static_cast<std::size_t>(kind)];
     }
 
+    const RouteParser parseRoutes;
     mutable std::mutex mutex; // Lock order 1.
     std::array<SharedDocument, kDocumentKinds> documents;
     std::shared_ptr<const PlanList> plans;
     std::shared_ptr<const LimitList> limits;
+    std::shared_ptr<const RouteTable> routes;
     std::vector<ChangeHandler> handlers;
     bool stopping = false;
     ContactCheck contactCheck;
 };
 
-ListTable::ListTable()
-    : d_(std::make_unique<Private>())
+ListTable::ListTable(RouteParser parseRoutes)
+    : d_(std::make_unique<Private>(std::move(parseRoutes)))
 {
 }
 
@@ -66,6 +79,25 @@
     return d_->limits;
 }
 
+std::shared_ptr<const RouteTable> ListTable::routes() const
+{
+    const std::lock_guard lock(d_->mutex);
+    return d_->routes;
+}
+
+std::optional<Error> ListTable::routeAdmission() const
+{
+    ContactCheck check;
+    {
+        const std::lock_guard lock(d_->mutex);
+        if (!d_->routes) {
+            return Error{ResultCode::NoLists, "no routes could be obtained yet", kRetryWithoutRoutes};
+        }
+        check = d_->contactCheck;
+    }
+    return check ? check() : std::nullopt;
+}
+
 std::optional<Error> ListTable::admission() const
 {
     ContactCheck check;
@@ -106,6 +138,7 @@
     // Parsing takes milliseconds for a large list, so it happens without the lock.
     std::shared_ptr<const PlanList> plans;
     std::shared_ptr<const LimitList> limits;
+    std::shared_ptr<const RouteTable> routes;
     std::optional<Error> fault;
     const auto keep = [&fault]<class List>(Result<List> parsed, std::shared_ptr<const List> &target) {
         if (const auto *error = std::get_if<Error>(&parsed)) {
@@ -118,6 +151,8 @@
         keep(PlanList::parse(text, toString(kind)), plans);
     } else if (kind == DocumentKind::Limits) {
         keep(LimitList::parse(text, toString(kind)), limits);
+    } else if (kind == DocumentKind::Routes && d_->parseRoutes) {
+        keep(d_->parseRoutes(text), routes);
     }
     if (fault) {
         LOG(ERROR) << "event=document_refused document=" << toString(kind) << " version=" << version.number << " reason=\"" << fault->detail << '"';
@@ -133,6 +168,7 @@
         current = {.version = version, .text = text};
         d_->plans = plans ? plans : d_->plans;
         d_->limits = limits ? limits : d_->limits;
+        d_->routes = routes ? routes : d_->routes;
         handlers = d_->handlers;
     }
     LOG(INFO) << "event=document_in_force document=" << toString(kind) << " version=" << version.number << " change=" << version.changeId;
--- a/daemon/store/listtable.h
+++ b/daemon/store/listtable.h
@@ -3,6 +3,7 @@
 #include "daisystream/lists/limitlist.h"
 #include "daisystream/lists/listkeeper.h"
 #include "daisystream/lists/planlist.h"
+#include "daisystream/routes/routetable.h"
 
 #include <cstdint>
 #include <functional>
@@ -13,7 +14,7 @@
 
 /// @file
 /// The documents that operators and the VMs share through the platform: plans, limits, endpoint states and sealing
-/// keys. A version is only ever replaced by a higher one.
+/// keys, or routes and endpoints where the platform keeps these. A version is only ever replaced by a higher one.
 ///
 /// Example:
 /// @code
@@ -32,9 +33,11 @@
     Limits = 1,
     EndpointStates = 2,
     SealKeys = 3,
+    Routes = 4,    ///< The configuration of a deployment whose operators do not keep plans and limits.
+    Endpoints = 5, ///< The endpoints that registered themselves; see `encodeEndpoints`.
 };
 
-constexpr std::size_t kDocumentKinds = 4;
+constexpr std::size_t kDocumentKinds = 6;
 
 /// @return table and key of the row that holds a document, as "lists/plans".
 [[nodiscard]] const char *toString(DocumentKind kind);
@@ -52,8 +55,10 @@
 public:
     using ContactCheck = std::function<std::optional<Error>()>;
     using ChangeHandler = std::function<void(DocumentKind)>;
+    using RouteParser = std::function<Result<RouteTable>(std::string_view)>;
 
-    ListTable();
+    /// @param parseRoutes reads documents of the kind `Routes`; null: this VM takes none.
+    explicit ListTable(RouteParser parseRoutes = nullptr);
     ~ListTable();
 
     /// @return the plans in force, or null if none was obtained yet.
@@ -62,6 +67,13 @@
     /// @return the limits in force, or null if none was obtained yet.
     [[nodiscard]] std::shared_ptr<const LimitList> limits() const;
 
+    /// @return the routes in force, or null if none were obtained yet.
+    [[nodiscard]] std::shared_ptr<const RouteTable> routes() const;
+
+    /// @return why this VM cannot know that its routes are in force (`NoLists` or `Isolated`), or nothing. Unlike
+    ///     `admission`, it admits requests during a shutdown.
+    [[nodiscard]] std::optional<Error> routeAdmission() const;
+
     /// @return why new work must be refused as not run (`Stopping`, `NoLists` or `Isolated`), or nothing.
     [[nodiscard]] std::optional<Error> admission() const;
 
--- a/daemon/store/platformclient.cpp
+++ b/daemon/store/platformclient.cpp
@@ -8,7 +8,6 @@
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
-#include <charconv>
 #include <mutex>
 
 namespace daisystream
@@ -23,6 +22,7 @@
 {
 
 constexpr auto kCallTimeout = std::chrono::seconds(2);
+constexpr auto kConnectTimeout = std::chrono::seconds(1);
 // Bounds what one VM can ask of the platform at the same time; further calls fail at once, since they would only wait.
 constexpr unsigned kMaxCalls = 64;
 constexpr std::size_t kIdleConnections = 8;
@@ -40,35 +40,32 @@
     std::string reason;
 };
 
-std::uint64_t versionOf(const Response &response)
-{
-    const auto etag = response[http::field::etag];
-    std::uint64_t version = 0;
-    if (etag.size() > 2) {
-        std::from_chars(etag.data() + 1, etag.data() + etag.size() - 1, version);
-    }
-    return version;
-}
-
 Error unavailable(const std::string &reason)
 {
     return {ResultCode::PlatformUnavailable, "platform: " + reason, kCallTimeout};
 }
 
 /// @return the error of a write that was not confirmed.
-Error failedWrite(const Exchange &exchange)
+Error failedWrite(const StoreReply &reply)
 {
-    if (!exchange.response) {
-        return exchange.sent ? Error{ResultCode::OutcomeOfWriteUnknown, "platform: no reply to a write: " + exchange.reason, kCallTimeout}
-                             : unavailable(exchange.reason);
-    }
-    if (exchange.response->result() == http::status::precondition_failed) {
+    if (std::holds_alternative<StoreConflict>(reply)) {
         return {ResultCode::WriteConflict, "platform: the row has another version", {}};
     }
-    // A server error does not prove that nothing was written.
-    const bool mayHaveTakenEffect = exchange.response->result_int() >= 500;
-    const std::string reason = "status " + std::to_string(exchange.response->result_int());
-    return mayHaveTakenEffect ? Error{ResultCode::OutcomeOfWriteUnknown, "platform: " + reason, kCallTimeout} : unavailable(reason);
+    if (const auto *refused = std::get_if<StoreRefused>(&reply)) {
+        return unavailable(refused->reason);
+    }
+    const auto *unclear = std::get_if<StoreUnclear>(&reply);
+    return {ResultCode::OutcomeOfWriteUnknown, "platform: no reply to a write: " + (unclear != nullptr ? unclear->reason : "unexpected reply"), kCallTimeout};
+}
+
+/// @return the error of a read that brought nothing.
+Error failedRead(const StoreReply &reply)
+{
+    if (const auto *refused = std::get_if<StoreRefused>(&reply)) {
+        return unavailable(refused->reason);
+    }
+    const auto *unclear = std::get_if<StoreUnclear>(&reply);
+    return unavailable(unclear != nullptr ? unclear->reason : "unexpected reply");
 }
 
 TableReply toReply(const Error &error)
@@ -90,9 +87,11 @@
     return {key.substr(0, slash), slash == std::string::npos ? "" : key.substr(slash + 1)};
 }
 
-std::string rowTarget(const std::string &table, const std::string &key)
+/// @return how long the platform may hold a call back.
+std::chrono::milliseconds waitOf(const StoreCall &call)
 {
-    return "/v1/tables/" + table + "/rows/" + key;
+    const auto *watch = std::get_if<WatchTable>(&call);
+    return watch == nullptr ? std::chrono::milliseconds(0) : watch->wait;
 }
 
 } // namespace
@@ -100,9 +99,10 @@
 class PlatformClient::Private
 {
 public:
-    Private(asio::io_context &loop, std::optional<SocketAddress> platform)
+    Private(asio::io_context &loop, std::optional<SocketAddress> platform, std::shared_ptr<const StoreDialect> speech)
         : io(loop)
         , address(std::move(platform))
+        , dialect(std::move(speech))
     {
     }
 
@@ -149,7 +149,20 @@
         --calls;
     }
 
-    Exchange call(Request request, asio::yield_context yield)
+    StoreReply call(const StoreCall &call, asio::yield_context yield)
+    {
+        auto request = dialect->encode(call);
+        if (!request) {
+            return StoreRefused{"this platform has no such call"};
+        }
+        const auto exchange = send(std::move(*request), isRead(call), kCallTimeout + waitOf(call), yield);
+        if (exchange.response) {
+            return dialect->decode(call, *exchange.response);
+        }
+        return exchange.sent ? StoreReply(StoreUnclear{exchange.reason}) : StoreReply(StoreRefused{exchange.reason});
+    }
+
+    Exchange send(Request request, bool read, std::chrono::milliseconds timeout, asio::yield_context yield)
     {
         if (!address) {
             return {.response = {}, .sent = false, .reason = "no address is set"};
@@ -161,18 +174,17 @@
         request.prepare_payload();
         // An idle connection may have gone silent or been closed. A read is repeated once on a new connection; a write
         // always uses a new one, so that its outcome is not in doubt for this reason.
-        const bool isRead = request.method() == http::verb::get;
         Exchange exchange;
-        auto stream = isRead ? takeIdle() : nullptr;
+        auto stream = read ? takeIdle() : nullptr;
         if (stream) {
-            exchange = onStrandOf(*stream, yield, [&](asio::yield_context inner) { return roundTrip(stream, request, inner); });
+            exchange = onStrandOf(*stream, yield, [&](asio::yield_context inner) { return roundTrip(stream, request, timeout, inner); });
             if (!exchange.response) {
                 dropIdle();
             }
         }
         if (!exchange.response) {
             stream = std::make_shared<beast::tcp_stream>(asio::make_strand(io));
-            exchange = onStrandOf(*stream, yield, [&](asio::yield_context inner) { return connectAndSend(stream, request, inner); });
+            exchange = onStrandOf(*stream, yield, [&](asio::yield_context inner) { return connectAndSend(stream, request, timeout, inner); });
         }
         endCall();
         return exchange;
@@ -195,21 +207,21 @@
         return asio::async_initiate<asio::yield_context, void(Exchange)>(start, yield);
     }
 
-    Exchange connectAndSend(const Stream &stream, const Request &request, asio::yield_context yield)
+    Exchange connectAndSend(const Stream &stream, const Request &request, std::chrono::milliseconds timeout, asio::yield_context yield)
     {
         error_code error;
-        stream->expires_after(kCallTimeout);
+        stream->expires_after(kConnectTimeout);
         stream->async_connect(asio::ip::tcp::endpoint(asio::ip::make_address(address->ip), address->port), yield[error]);
         if (error) {
             return {.response = {}, .sent = false, .reason = error.message()};
         }
-        return roundTrip(stream, request, yield);
+        return roundTrip(stream, request, timeout, yield);
     }
 
-    Exchange roundTrip(const Stream &stream, const Request &request, asio::yield_context yield)
+    Exchange roundTrip(const Stream &stream, const Request &request, std::chrono::milliseconds timeout, asio::yield_context yield)
     {
         error_code error;
-        stream->expires_after(kCallTimeout);
+        stream->expires_after(timeout);
         http::async_write(*stream, request, yield[error]);
         beast::flat_buffer buffer;
         http::response_parser<http::string_body> parser;
@@ -230,13 +242,14 @@
 
     asio::io_context &io;
     const std::optional<SocketAddress> address;
+    const std::shared_ptr<const StoreDialect> dialect;
     std::mutex mutex; // Lock order 7.
     std::vector<Stream> idle;
     unsigned calls = 0;
 };
 
-PlatformClient::PlatformClient(asio::io_context &io, std::optional<SocketAddress> address)
-    : d_(std::make_shared<Private>(io, std::move(address)))
+PlatformClient::PlatformClient(asio::io_context &io, std::optional<SocketAddress> address, std::shared_ptr<const StoreDialect> dialect)
+    : d_(std::make_shared<Private>(io, std::move(address), std::move(dialect)))
 {
 }
 
@@ -247,73 +260,53 @@
     return d_->address.has_value();
 }
 
+StoreReply PlatformClient::call(const StoreCall &call, asio::yield_context yield)
+{
+    return d_->call(call, yield);
+}
+
 Result<std::optional<Row>> PlatformClient::getRow(const std::string &table, const std::string &key, asio::yield_context yield)
 {
-    const auto exchange = d_->call(Request(http::verb::get, rowTarget(table, key), 11), yield);
-    if (!exchange.response) {
-        return unavailable(exchange.reason);
+    const auto reply = d_->call(ReadRow{.table = table, .key = key}, yield);
+    const auto *found = std::get_if<StoreRows>(&reply);
+    if (found == nullptr) {
+        return failedRead(reply);
     }
-    if (exchange.response->result() == http::status::not_found) {
+    if (found->rows.empty()) {
         return std::optional<Row>();
     }
-    if (exchange.response->result() != http::status::ok) {
-        return unavailable("status " + std::to_string(exchange.response->result_int()));
-    }
-    return std::optional<Row>(Row{.text = exchange.response->body(), .version = versionOf(*exchange.response)});
+    return std::optional<Row>(Row{.text = found->rows.front().text, .version = found->rows.front().version});
 }
 
 Result<std::uint64_t>
 PlatformClient::putRow(const std::string &table, const std::string &key, const std::string &text, const RowCondition &condition, asio::yield_context yield)
 {
-    Request request(http::verb::put, rowTarget(table, key), 11);
-    if (const auto *match = std::get_if<IfMatch>(&condition)) {
-        request.set(http::field::if_match, '"' + std::to_string(match->version) + '"');
-    } else {
-        request.set(http::field::if_none_match, "*");
+    const auto reply = d_->call(WriteRow{.table = table, .key = key, .text = text, .condition = condition}, yield);
+    if (const auto *written = std::get_if<StoreWritten>(&reply)) {
+        return written->version;
     }
-    request.body() = text;
-    const auto exchange = d_->call(std::move(request), yield);
-    if (exchange.response && exchange.response->result() == http::status::ok) {
-        return versionOf(*exchange.response);
-    }
-    return failedWrite(exchange);
+    return failedWrite(reply);
 }
 
 std::optional<Error> PlatformClient::deleteRow(const std::string &table, const std::string &key, IfMatch condition, asio::yield_context yield)
 {
-    Request request(http::verb::delete_, rowTarget(table, key), 11);
-    request.set(http::field::if_match, '"' + std::to_string(condition.version) + '"');
-    const auto exchange = d_->call(std::move(request), yield);
-    if (exchange.response && exchange.response->result() == http::status::ok) {
-        return std::nullopt;
-    }
-    return failedWrite(exchange);
+    const auto reply = d_->call(DeleteRow{.table = table, .key = key, .condition = condition}, yield);
+    return std::holds_alternative<StoreWritten>(reply) ? std::nullopt : std::optional(failedWrite(reply));
 }
 
 Result<std::optional<std::string>> PlatformClient::getObject(const std::string &key, asio::yield_context yield)
 {
-    const auto exchange = d_->call(Request(http::verb::get, "/v1/objects/" + key, 11), yield);
-    if (!exchange.response) {
-        return unavailable(exchange.reason);
-    }
-    if (exchange.response->result() == http::status::not_found) {
-        return std::optional<std::string>();
-    }
-    if (exchange.response->result() != http::status::ok) {
-        return unavailable("status " + std::to_string(exchange.response->result_int()));
+    const auto reply = d_->call(ReadObject{key}, yield);
+    if (const auto *found = std::get_if<StoreObject>(&reply)) {
+        return found->content;
     }
-    return std::optional<std::string>(exchange.response->body());
+    return failedRead(reply);
 }
 
 std::optional<Error> PlatformClient::putObject(const std::string &key, const std::string &content, asio::yield_context yield)
 {
-    Request request(http::verb::put, "/v1/objects/" + key, 11);
-    request.body() = content;
-    const auto exchange = d_->call(std::move(request), yield);
-    if (exchange.response && exchange.response->result() == http::status::ok) {
-        return std::nullopt;
-    }
-    return failedWrite(exchange);
+    const auto reply = d_->call(WriteObject{.key = key, .content = content}, yield);
+    return std::holds_alternative<StoreWritten>(reply) ? std::nullopt : std::optional(failedWrite(reply));
 }
 
 TableReply PlatformClient::perform(const TableAction &action, asio::yield_context yield)
@@ -343,23 +336,43 @@
 
 Result<std::vector<ListedVm>> PlatformClient::listVms(asio::yield_context yield)
 {
-    const auto exchange = d_->call(Request(http::verb::get, "/v1/vms", 11), yield);
-    if (!exchange.response || exchange.response->result() != http::status::ok) {
-        return unavailable(exchange.response ? "status " + std::to_string(exchange.response->result_int()) : exchange.reason);
+    const auto reply = d_->call(ListVms{}, yield);
+    const auto *found = std::get_if<StoreRows>(&reply);
+    if (found == nullptr) {
+        return failedRead(reply);
     }
     std::vector<ListedVm> vms;
-    try {
-        for (const auto &entry : nlohmann::json::parse(exchange.response->body())) {
-            const auto peerAddress = parseSocketAddress(entry.value("peerAddress", std::string()));
-            vms.push_back({.vm = VmId(entry.at("vm").get<std::string>()),
-                           .zone = ZoneId(entry.value("zone", std::string())),
-                           .peerAddress = peerAddress,
-                           .leaving = entry.value("leaving", false)});
+    for (const auto &row : found->rows) {
+        auto vm = parseListedVm(row.text);
+        if (!vm) {
+            return unavailable("the list of VMs is malformed");
         }
-    } catch (const nlohmann::json::exception &fault) {
-        return unavailable(std::string("the list of VMs is malformed: ") + fault.what());
+        vms.push_back(std::move(*vm));
     }
     return vms;
 }
 
+std::optional<ListedVm> parseListedVm(const std::string &text)
+{
+    const auto entry = nlohmann::json::parse(text, nullptr, false);
+    if (!entry.is_object() || !entry.contains("vm") || !entry["vm"].is_string()) {
+        return std::nullopt;
+    }
+    try {
+        return ListedVm{.vm = VmId(entry["vm"].get<std::string>()),
+                        .zone = ZoneId(entry.value("zone", std::string())),
+                        .peerAddress = parseSocketAddress(entry.value("peerAddress", std::string())),
+                        .leaving = entry.value("leaving", false)};
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt; // A field has another type.
+    }
+}
+
+std::string encodeListedVm(const ListedVm &vm)
+{
+    return nlohmann::json{
+        {"vm", vm.vm.value()}, {"zone", vm.zone.value()}, {"peerAddress", vm.peerAddress ? toString(*vm.peerAddress) : ""}, {"leaving", vm.leaving}}
+        .dump();
+}
+
 } // namespace daisystream
--- a/daemon/store/platformclient.h
+++ b/daemon/store/platformclient.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "daemon/control/settings.h"
+#include "daemon/store/owndialect.h"
+#include "daemon/store/storecall.h"
 #include "daisystream/base/result.h"
 #include "daisystream/base/table.h"
 
@@ -33,19 +35,6 @@
     std::uint64_t version = 0; ///< Rises with each write.
 };
 
-/// The row must have this version.
-struct IfMatch
-{
-    std::uint64_t version = 0;
-};
-
-/// The row must not exist.
-struct IfNoneMatch
-{
-};
-
-using RowCondition = std::variant<IfMatch, IfNoneMatch>;
-
 /// A VM in the platform's list.
 struct ListedVm
 {
@@ -55,17 +44,28 @@
     bool leaving = false;
 };
 
+/// @return the VM that a row of the list describes, or nothing if the row is malformed.
+[[nodiscard]] std::optional<ListedVm> parseListedVm(const std::string &text);
+
+/// @return the row that describes a VM.
+[[nodiscard]] std::string encodeListedVm(const ListedVm &vm);
+
 /// Calls to the platform, each within 2 s. Thread-safe.
 class PlatformClient
 {
 public:
     /// @param address of the platform; without it every call returns `PlatformUnavailable`.
-    PlatformClient(boost::asio::io_context &io, std::optional<SocketAddress> address);
+    /// @param dialect how the platform's store speaks.
+    PlatformClient(boost::asio::io_context &io, std::optional<SocketAddress> address, std::shared_ptr<const StoreDialect> dialect = ownStoreDialect());
     ~PlatformClient();
 
     /// @return whether an address is set.
     [[nodiscard]] bool isConfigured() const;
 
+    /// Performs any call. A watch may take as long as it waits beside the 2 s.
+    /// @return the reply; `StoreRefused` if the call was not sent, `StoreUnclear` if no reply to it came.
+    [[nodiscard]] StoreReply call(const StoreCall &call, boost::asio::yield_context yield);
+
     /// @return the row, nothing if it does not exist, or `PlatformUnavailable`.
     [[nodiscard]] Result<std::optional<Row>> getRow(const std::string &table, const std::string &key, boost::asio::yield_context yield);
 
--- /dev/null
+++ b/daisystream/balancing/servicebalancer_test.cpp
@@ -0,0 +1,112 @@
+#include "daisystream/balancing/servicebalancer.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+namespace daisystream
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+std::vector<ServiceCandidate> candidates(std::size_t count)
+{
+    std::vector<ServiceCandidate> list;
+    for (std::size_t i = 0; i < count; ++i) {
+        list.push_back({.id = EndpointId("e" + std::to_string(i)), .slots = 6});
+    }
+    return list;
+}
+
+TEST_CASE("calls go to the endpoint with the fewest of them")
+{
+    ServiceBalancer balancer;
+    Random random(1);
+    std::map<EndpointId, int> chosen;
+    for (int i = 0; i < 30; ++i) {
+        const auto endpoint = balancer.choose(candidates(3), {}, random, kNow);
+        REQUIRE(endpoint);
+        balancer.onStarted(*endpoint, kNow);
+        ++chosen[*endpoint];
+    }
+    for (const auto &[endpoint, count] : chosen) {
+        CHECK(count == 10);
+    }
+}
+
+TEST_CASE("an endpoint that was tried is not chosen again")
+{
+    ServiceBalancer balancer;
+    Random random(1);
+    const auto second = balancer.choose(candidates(2), {EndpointId("e0")}, random, kNow);
+    REQUIRE(second);
+    CHECK(*second == EndpointId("e1"));
+    CHECK_FALSE(balancer.choose(candidates(1), {EndpointId("e0")}, random, kNow));
+}
+
+// Pattern: one endpoint in three fails half of its calls while its health check is good.
+TEST_CASE("an endpoint that fails part of its calls loses them and gets them back by single trials")
+{
+    ServiceBalancer balancer;
+    Random random(7);
+    TimePoint now = kNow;
+    std::map<EndpointId, int> during;
+    const EndpointId bad("e0");
+    bool isBad = true;
+    const auto play = [&](milliseconds time, std::map<EndpointId, int> &counts) {
+        for (const TimePoint end = now + time; now < end; now += milliseconds(20)) {
+            const auto endpoint = balancer.choose(candidates(3), {}, random, now);
+            REQUIRE(endpoint);
+            balancer.onStarted(*endpoint, now);
+            const bool fails = isBad && *endpoint == bad && random.below(2) == 0;
+            balancer.onEnded(*endpoint, fails ? CallResult::Failed : CallResult::Answered, now);
+            ++counts[*endpoint];
+        }
+    };
+    play(milliseconds(6000), during);
+    CHECK(during[bad] < 30); // Of 300 calls; a third would be 100.
+    isBad = false;
+    std::map<EndpointId, int> recovering;
+    play(milliseconds(9000), recovering);
+    CHECK_FALSE(balancer.isEjected(bad));
+    std::map<EndpointId, int> after;
+    play(milliseconds(3000), after);
+    CHECK(after[bad] > 30);
+}
+
+TEST_CASE("a service of which every endpoint fails is still used")
+{
+    ServiceBalancer balancer;
+    Random random(7);
+    for (int i = 0; i < 100; ++i) {
+        const TimePoint now = kNow + milliseconds(20 * i);
+        const auto endpoint = balancer.choose(candidates(3), {}, random, now);
+        REQUIRE(endpoint);
+        balancer.onStarted(*endpoint, now);
+        balancer.onEnded(*endpoint, CallResult::Failed, now);
+    }
+    CHECK_FALSE(balancer.isEjected(EndpointId("e0")));
+}
+
+TEST_CASE("load that other VMs put on an endpoint counts for a while")
+{
+    ServiceBalancer balancer;
+    Random random(1);
+    balancer.onStatedLoad(EndpointId("e0"), {.running = 6, .waiting = 3, .slots = 6}, kNow);
+    for (int i = 0; i < 6; ++i) {
+        const auto endpoint = balancer.choose(candidates(2), {}, random, kNow);
+        REQUIRE(endpoint);
+        CHECK(*endpoint == EndpointId("e1"));
+        balancer.onStarted(*endpoint, kNow);
+    }
+    const auto later = balancer.choose(candidates(2), {}, random, kNow + milliseconds(600));
+    REQUIRE(later);
+    CHECK(*later == EndpointId("e0"));
+}
+
+} // namespace
+} // namespace daisystream
--- a/daisystream/base/result.cpp
+++ b/daisystream/base/result.cpp
@@ -34,6 +34,8 @@
         return "UnknownPath";
     case ResultCode::CallerTooSlow:
         return "CallerTooSlow";
+    case ResultCode::CallerLeft:
+        return "CallerLeft";
     case ResultCode::ConcurrencyLimit:
         return "ConcurrencyLimit";
     case ResultCode::RateLimit:
@@ -46,6 +48,8 @@
         return "NoEndpoint";
     case ResultCode::RetryBudgetSpent:
         return "RetryBudgetSpent";
+    case ResultCode::TimeLimitPassed:
+        return "TimeLimitPassed";
     case ResultCode::Stopping:
         return "Stopping";
     case ResultCode::NoLists:
--- a/daisystream/base/result.h
+++ b/daisystream/base/result.h
@@ -38,6 +38,7 @@
     UnknownService = 112,
     UnknownPath = 113,
     CallerTooSlow = 114,
+    CallerLeft = 115,
     // 2xx: capacity and limits.
     ConcurrencyLimit = 201,
     RateLimit = 202,
@@ -45,6 +46,7 @@
     QueueDeadlinePassed = 204,
     NoEndpoint = 205,
     RetryBudgetSpent = 206,
+    TimeLimitPassed = 207,
     // 3xx: the VM.
     Stopping = 301,
     NoLists = 302,
--- /dev/null
+++ b/daisystream/endpoint/endpointdirectory_test.cpp
@@ -0,0 +1,78 @@
+#include "daisystream/endpoint/endpointdirectory.h"
+
+#include <doctest/doctest.h>
+
+namespace daisystream
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+EndpointEntry entry(const std::string &name, std::uint64_t startedAt = 1)
+{
+    return {.name = name, .service = ServiceId("desk"), .address = "10.0.0.1:80", .startedAt = startedAt};
+}
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+TEST_CASE("an entry that is removed while the store answers is gone at once")
+{
+    EndpointDirectory directory;
+    directory.replace({entry("a"), entry("b")}, 5, kNow);
+    directory.remove("a", 6, kNow);
+    REQUIRE(directory.entries(kNow).size() == 1);
+    CHECK(directory.entries(kNow).front().name == "b");
+    CHECK_FALSE(directory.nextChange(kNow));
+}
+
+TEST_CASE("an entry that lapsed while the store was away is kept until its endpoint could return")
+{
+    EndpointDirectory directory;
+    directory.replace({entry("a"), entry("b")}, 5, kNow);
+    directory.onStoreLost();
+    const TimePoint back = kNow + milliseconds(4000);
+    directory.onStoreReturned(back);
+    directory.replace({}, 9, back);
+    CHECK(directory.entries(back + milliseconds(2000)).size() == 2);
+    CHECK(directory.registered().empty()); // Other VMs must not take it for registered.
+    REQUIRE(directory.nextChange(back));
+    directory.put(entry("b"), 10, back + milliseconds(1000));
+    const auto later = *directory.nextChange(back + milliseconds(1000));
+    CHECK(later <= back + milliseconds(2500));
+    REQUIRE(directory.entries(later).size() == 1);
+    CHECK(directory.entries(later).front().name == "b");
+}
+
+TEST_CASE("an endpoint that was draining when the store went away is not kept")
+{
+    EndpointDirectory directory;
+    auto leaving = entry("a");
+    leaving.state = EndpointState::Draining;
+    directory.replace({leaving}, 5, kNow);
+    directory.onStoreLost();
+    directory.onStoreReturned(kNow);
+    directory.replace({}, 6, kNow);
+    CHECK(directory.entries(kNow).empty());
+}
+
+TEST_CASE("an older revision changes nothing")
+{
+    EndpointDirectory directory;
+    directory.replace({entry("a")}, 5, kNow);
+    CHECK_FALSE(directory.replace({}, 4, kNow));
+    directory.remove("a", 5, kNow);
+    auto draining = entry("a");
+    draining.state = EndpointState::Draining;
+    directory.put(draining, 4, kNow);
+    REQUIRE(directory.entries(kNow).size() == 1);
+    CHECK((directory.entries(kNow).front().state == EndpointState::InService));
+}
+
+TEST_CASE("a restart under the same name is another endpoint")
+{
+    CHECK(entry("a", 1).id() != entry("a", 2).id());
+}
+
+} // namespace
+} // namespace daisystream
--- a/daisystream/endpoint/endpointload.cpp
+++ b/daisystream/endpoint/endpointload.cpp
@@ -161,6 +161,12 @@
     return memoryCapacity_ == 0 ? 0.0 : (forecast_.peakWith(extra, deviations) + othersTokens_) / static_cast<double>(memoryCapacity_);
 }
 
+double EndpointLoad::heldShare(std::uint64_t furtherTokens) const
+{
+    const double held = forecast_.held() + othersTokens_ + static_cast<double>(furtherTokens);
+    return memoryCapacity_ == 0 ? 0.0 : held / static_cast<double>(memoryCapacity_);
+}
+
 std::uint32_t EndpointLoad::running() const
 {
     return running_[0] + running_[1] + static_cast<std::uint32_t>(std::lround(othersRunning_));
--- a/daisystream/endpoint/endpointload.h
+++ b/daisystream/endpoint/endpointload.h
@@ -78,6 +78,9 @@
     /// @return the forecast share of the memory with one more answer; 0 while the capacity is unknown.
     [[nodiscard]] double memoryShare(const MemoryForecast::Contribution &extra, double deviations) const;
 
+    /// @return the share of the memory that is in use now with further tokens; 0 while the capacity is unknown.
+    [[nodiscard]] double heldShare(std::uint64_t furtherTokens) const;
+
     /// @return the number of answers, own and of others.
     [[nodiscard]] std::uint32_t running() const;
     [[nodiscard]] std::uint32_t running(Rank rank) const;
--- a/daisystream/lists/freshness.cpp
+++ b/daisystream/lists/freshness.cpp
@@ -61,6 +61,9 @@
     if (options_.faults.neverIsolated || (platformContact_ && now - *platformContact_ < platformLimit)) {
         return true;
     }
+    if (!options_.peersVouch) {
+        return false;
+    }
     const auto reached = std::count_if(peers_.begin(), peers_.end(), [&](const auto &peer) { return peer.second && now - *peer.second < options_.peerLimit; });
     return 2 * static_cast<std::size_t>(reached) >= peers_.size();
 }
--- a/daisystream/lists/freshness.h
+++ b/daisystream/lists/freshness.h
@@ -33,6 +33,8 @@
     bool countNewerPeers = false; ///< Counts a peer whose versions are above the own ones.
     bool ignoreStop = false;
     bool forgetContact = false;
+
+    friend auto operator<=>(const FreshnessFaults &, const FreshnessFaults &) = default;
 };
 
 } // namespace internal
@@ -48,7 +50,12 @@
     /// A VM without contact for this long gives no endpoint new work, since it may be draining: the bound that is promised
     /// for a drain is 3 s.
     Duration assignLimit = std::chrono::milliseconds(2500);
-    internal::FreshnessFaults faults;
+    /// Whether half of the peers can stand in for the platform. They cannot where a change must be in force even at VMs
+    /// that are cut off from the platform together.
+    bool peersVouch = true;
+    internal::FreshnessFaults faults{};
+
+    friend auto operator<=>(const FreshnessOptions &, const FreshnessOptions &) = default;
 };
 
 /// Contact of this VM with the platform and its peers. Thread-compatible.
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -51,10 +51,18 @@
 // Tokens of a running answer that its team is charged ahead: about ten seconds. A team is to get its share within such a
 // time, whereas charging whole answers would stop a team for minutes because of a few long ones.
 constexpr double kChargedAhead = 300;
+// Memory of an endpoint that may be in use when a running answer is moved there, with that answer.
+constexpr double kMovedMemoryShare = 0.97;
 constexpr double kLongestAnswer = 131072; // Tokens, where the request gives no limit.
 constexpr double kLongestRetry = 30.0;    // Seconds.
 constexpr double kShortestRetry = 0.05;
 
+/// @return the tokens that an endpoint has to read before the first token of a request.
+std::uint32_t unreadTokens(const WorkRequest &work)
+{
+    return work.heldTokens > 0 ? 0 : work.promptTokens;
+}
+
 double secondsOf(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -104,10 +112,10 @@
     request.work = work;
     request.team = queue_.team(work.rank, work.team, work.weight);
     request.order = nextOrder_++;
-    request.profile = lengths_.profileOf(work.team, model_);
+    request.profile = lengths_.profileOf(work.lengthClass.empty() ? work.team : TeamId(work.lengthClass), model_);
     request.load.rank = work.rank;
     request.load.pace = work.paceTokensPerSecond;
-    request.load.promptTokens = work.promptTokens;
+    request.load.promptTokens = unreadTokens(work);
     requestIndex_.emplace(work.id, slot);
     return slot;
 }
@@ -171,12 +179,12 @@
     endpoint.load.add(request.load);
     endpoint.requests.insert(slot);
     if (request.state == State::Assigned) {
-        const double firstToken = endpoint.load.firstTokenMilliseconds(request.work.promptTokens) / 1000.0;
+        const double firstToken = endpoint.load.firstTokenMilliseconds(unreadTokens(request.work)) / 1000.0;
         const Duration late = std::max<Duration>(kLeastOverdue, durationOf(kOverdueFactor * firstToken));
         // Half of the time left is kept for a second attempt.
         const Duration half = std::max<Duration>((request.work.firstTokenDeadline - now) / 2, durationOf(kSurelyOverdue * firstToken));
         setTimer(slot, now + std::min(late, half));
-        if (request.work.rank == Rank::Ordinary) {
+        if (request.work.rank == Rank::Ordinary && request.work.mayMove) {
             ordinaryAwaiting_.emplace(now, slot);
         }
     }
@@ -403,7 +411,7 @@
     Endpoint &endpoint = *endpoints_[index];
     const std::set<Slot> affected = endpoint.requests;
     for (const Slot slot : affected) {
-        if (requests_[slot].state == State::Assigned) {
+        if (requests_[slot].state == State::Assigned && requests_[slot].work.mayMove) {
             takeBack(slot, now);
             requests_[slot].wasAssigned = false; // A first token can no longer come from there.
         } else {
@@ -467,7 +475,7 @@
     if (endpoint.health.phase() == EndpointHealth::Phase::Suspected) {
         const std::set<Slot> affected = endpoint.requests;
         for (const Slot slot : affected) {
-            if (requests_[slot].state == State::Assigned) {
+            if (requests_[slot].state == State::Assigned && requests_[slot].work.mayMove) {
                 takeBack(slot, now);
             }
         }
@@ -618,7 +626,7 @@
             endpoint.health.onFirstTokenOverdue(now);
             afterHealthChange(request.endpoint, now); // Takes this request back as well.
         }
-        if (request.state == State::Assigned) {
+        if (request.state == State::Assigned && request.work.mayMove) {
             takeBack(slot, now);
         }
     }
@@ -692,7 +700,7 @@
 {
     const auto slot = static_cast<Slot>(queue_.head(rank)->ticket);
     const Request &request = requests_[slot];
-    const auto memory = MemoryForecast::contribution(lengths_, request.profile, request.work.promptTokens, 0, lengthLimit(request.work));
+    const auto memory = MemoryForecast::contribution(lengths_, request.profile, request.work.promptTokens, request.work.heldTokens, lengthLimit(request.work));
     std::optional<Choice> choice = choose(request, memory, floorTurn, now);
     if (!choice && rank == Rank::Urgent && shedFor(slot, now, actions)) {
         choice = choose(request, memory, false, now);
@@ -711,7 +719,7 @@
         return false;
     }
     const Request &request = requests_[urgent];
-    const auto memory = MemoryForecast::contribution(lengths_, request.profile, request.work.promptTokens, 0, lengthLimit(request.work));
+    const auto memory = MemoryForecast::contribution(lengths_, request.profile, request.work.promptTokens, request.work.heldTokens, lengthLimit(request.work));
     std::vector<Slot> candidates;
     for (auto latest = ordinaryAwaiting_.rbegin(); latest != ordinaryAwaiting_.rend() && candidates.size() < kShedCandidates; ++latest) {
         candidates.push_back(latest->second);
@@ -734,7 +742,8 @@
 
 std::optional<Pool::Choice> Pool::choose(const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const
 {
-    const bool urgent = request.work.rank == Rank::Urgent;
+    // A running answer that moves needs no short step, so that it leaves the reserved endpoints to others.
+    const bool urgent = request.work.rank == Rank::Urgent && request.work.heldTokens == 0;
     const Index &first = urgent ? reserved_ : general_;
     std::optional<EndpointIndex> best = chooseFrom(first, request, memory, floorTurn, now);
     if (!best) {
@@ -776,9 +785,13 @@
     if (!endpoint.health.accepts(load.awaitingFirstToken()) || load.running() + 1.0 > std::max(1.0, usable * load.info().maxBatch)) {
         return false;
     }
-    if (load.firstTokenMilliseconds(work.promptTokens) > 1000.0 * secondsOf(work.firstTokenDeadline - now)) {
+    if (load.firstTokenMilliseconds(unreadTokens(work)) > 1000.0 * secondsOf(work.firstTokenDeadline - now)) {
         return false;
     }
+    if (work.heldTokens > 0) {
+        // The alternative is the loss of a running answer: memory that suffices now will do.
+        return load.heldShare(work.promptTokens + work.heldTokens) <= kMovedMemoryShare;
+    }
     if (load.running() == 0) {
         return true; // An idle endpoint cannot do better later.
     }
@@ -811,7 +824,7 @@
     const EndpointLoad &load = endpoint.load;
     const bool shared = endpoint.reserved || load.running(Rank::Urgent) > 0;
     const std::uint64_t steps = shared ? 1 : kOrdinaryPromptSteps;
-    return load.pendingPromptTokens() == 0 || load.pendingPromptTokens() + work.promptTokens <= steps * load.info().stepCost.prefillTokensPerStep;
+    return load.pendingPromptTokens() == 0 || load.pendingPromptTokens() + unreadTokens(work) <= steps * load.info().stepCost.prefillTokensPerStep;
 }
 
 void Pool::assign(Slot slot, const Choice &choice, const MemoryForecast::Contribution &memory, TimePoint now, std::vector<Action> &actions)
@@ -825,12 +838,12 @@
     figures.forecastMemory = load.memoryShare(memory, deviations_);
     figures.stepMilliseconds = load.stepMilliseconds(1, request.work.promptTokens);
     figures.waited = std::chrono::duration_cast<std::chrono::microseconds>(now - request.work.arrival);
-    figures.firstTokenIn = std::chrono::microseconds(std::lround(1000.0 * load.firstTokenMilliseconds(request.work.promptTokens)));
+    figures.firstTokenIn = std::chrono::microseconds(std::lround(1000.0 * load.firstTokenMilliseconds(unreadTokens(request.work))));
     figures.prefixCached = choice.prefixCached;
     dequeue(slot);
     request.state = State::Assigned;
     request.load.memory = memory;
-    request.generated = 0;
+    request.generated = request.work.heldTokens;
     attach(slot, choice.endpoint, now);
     figures.expectedTokens = lengths_.expectedRemaining(request.profile, 0, lengthLimit(request.work));
     waits_.dispatched(request.work.rank, now);
@@ -859,7 +872,7 @@
 double Pool::slackOf(const Request &request, TimePoint now) const
 {
     const Index &index = general_.empty() ? reserved_ : general_;
-    const double firstToken = endpoints_[index.begin()->second]->load.idleFirstTokenMilliseconds(request.work.promptTokens) / 1000.0;
+    const double firstToken = endpoints_[index.begin()->second]->load.idleFirstTokenMilliseconds(unreadTokens(request.work)) / 1000.0;
     const double promise = secondsOf(request.work.firstTokenDeadline - request.work.arrival);
     return std::min(secondsOf(request.work.firstTokenDeadline - now) - firstToken, kLongestWait * promise - secondsOf(now - request.work.arrival));
 }
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -50,6 +50,9 @@
     TimePoint firstTokenDeadline{};    ///< Arrival plus the promised first-token time.
     TimePoint arrival{};
     std::uint64_t prefixHash = 0; ///< Hash of the first prompt block; 0: none.
+    std::string lengthClass{};    ///< Requests of one class have answers of similar length; empty: those of one team.
+    std::uint32_t heldTokens = 0; ///< Generated before; with the prompt they come along in memory and need not be read.
+    bool mayMove = true;          ///< Until its first token it may be taken back and given to another endpoint.
 
     friend auto operator<=>(const WorkRequest &, const WorkRequest &) = default;
 };
