Move answers one after the other and probe suspected engines

Trace: an engine that leaves after 1.5 to 2.1 s had seven answers, all of which were copied at once over its one link, so that none was ready in time; and engines whose first token was overdue twice were suspected for good, because only a load report clears them and none is polled. Moved answers made it worse: their first token was expected within 8 ms, although it waits for the copy.

Change: the owner of the cell grants moves one at a time for each engine that leaves, smallest memory first, in the same zone if it can; a probe of the scheduler asks the engine for its load; a moving answer has no overdue time.

Ruled out: no room at other engines (forecast memory below 0.6 of the capacity).

--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -24,6 +24,8 @@
 constexpr auto kProgressInterval = std::chrono::seconds(1);
 // A scheduler that this VM ran on behalf of a silent owner is dropped when nobody has used it for so long.
 constexpr auto kBorrowedCellTime = std::chrono::seconds(30);
+// Where engines are only asked for their load when they are suspected, an old report says nothing.
+constexpr auto kNoReports = std::chrono::hours(24 * 365);
 // The data part asks anew right after a cancellation. If it never does, the place in the queue is given up.
 constexpr auto kTakenBackTime = std::chrono::seconds(5);
 // Bounds the pause between two looks at the clock, for timers that the library does not report.
@@ -42,6 +44,7 @@
     SchedulerOptions options;
     if (settings.gateway) {
         options.memoryQuantile = settings.gateway->memoryQuantile;
+        options.reportTimeout = kNoReports;
     }
     return options;
 }
@@ -326,7 +329,11 @@
 
     void carryOut(const CellId &id, OwnedCell & /*cell*/, const Probe &probe, TimePoint /*now*/)
     {
-        // Every engine of the cell is polled all the time, so that the next report is the probe's answer.
+        // Without a handler every engine of the cell is polled all the time, and the next report is the probe's answer.
+        const auto engine = std::find_if(endpoints.begin(), endpoints.end(), [&](const auto &candidate) { return candidate.id == probe.endpoint; });
+        if (probeHandler && engine != endpoints.end()) {
+            outbox.calls.emplace_back([handler = probeHandler, engine = *engine] { handler(engine); });
+        }
         LOG(INFO) << "decision=probe choice=" << probe.endpoint << " reason=slow_or_frozen cell=" << id;
     }
 
@@ -827,6 +834,7 @@
     TimePoint lastProgress{};
     CancelHandler cancelHandler;
     std::function<std::optional<Error>()> assignmentCheck;
+    std::function<void(const EndpointSettings &)> probeHandler;
     Outbox outbox;
     bool delivering = false;
     asio::steady_timer timer;
@@ -971,6 +979,12 @@
     return std::nullopt;
 }
 
+void CellDispatcher::setProbeHandler(std::function<void(const EndpointSettings &)> handler)
+{
+    const std::lock_guard lock(d_->mutex);
+    d_->probeHandler = std::move(handler);
+}
+
 bool CellDispatcher::isInService(const EndpointId &endpoint) const
 {
     const std::lock_guard lock(d_->mutex);
--- a/daemon/cells/celldispatcher.h
+++ b/daemon/cells/celldispatcher.h
@@ -54,6 +54,10 @@
     /// Sets what decides whether an endpoint may be given work now; see `VmMonitor::assignment`. It runs without locks.
     void setAssignmentCheck(std::function<std::optional<Error>()> check);
 
+    /// Sets who asks an engine for its load when the scheduler wants to know whether it works again. Without it, the load
+    /// of every engine is expected to be polled all the time.
+    void setProbeHandler(std::function<void(const EndpointSettings &)> handler);
+
     /// Replaces the other VMs' states.
     /// @param live VMs that own cells, this one included.
     /// @param dead VMs whose requests are forgotten.
--- a/daemon/control/controlpart.cpp
+++ b/daemon/control/controlpart.cpp
@@ -42,6 +42,13 @@
     return options;
 }
 
+LoadPollerOptions loadOptions(const ControlOptions &options)
+{
+    LoadPollerOptions load = options.load;
+    load.protocol = options.adapter.load;
+    return load;
+}
+
 EndpointSettings toSettings(const EndpointEntry &entry, const RouteTable *routes)
 {
     EndpointSettings endpoint;
@@ -82,7 +89,7 @@
                   with,
                   {.lists = lists, .platform = platform, .peers = peers, .dispatcher = dispatcher, .metrics = metrics, .clock = clock},
                   monitorOptions(options.monitor, with))
-        , load(io, dispatcher, clock, metrics, options.load)
+        , load(io, dispatcher, clock, metrics, loadOptions(options))
     {
         if (options.adapter.watch) {
             watch.emplace(io,
@@ -206,6 +213,7 @@
                 d_->applyEndpoints();
             }
         });
+        d_->dispatcher.setProbeHandler([this](const EndpointSettings &engine) { d_->load.probe(engine); });
         d_->watch->start(d_->peers.port());
     } else {
         d_->load.start();
--- a/daemon/control/platformadapter.h
+++ b/daemon/control/platformadapter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/endpoints/loadpoller.h"
 #include "daemon/gateway/gatewaydialect.h"
 #include "daemon/store/listtable.h"
 #include "daemon/store/owndialect.h"
@@ -24,8 +25,9 @@
 struct PlatformAdapter
 {
     std::shared_ptr<const StoreDialect> store = ownStoreDialect();
-    ListTable::RouteParser parseRoutes{};                    ///< Set if the platform keeps the configuration.
-    std::optional<WatchSource> watch{};                      ///< Set together with it.
+    ListTable::RouteParser parseRoutes{}; ///< Set if the platform keeps the configuration.
+    std::optional<WatchSource> watch{};   ///< Set together with it.
+    LoadProtocol load{};
     std::shared_ptr<const GatewayDialect> gateway = nullptr; ///< Set if callers are forwarded by routes.
 };
 
--- a/daemon/endpoints/loadpoller.cpp
+++ b/daemon/endpoints/loadpoller.cpp
@@ -96,7 +96,7 @@
         std::uint64_t cacheSequence = 0;
         beast::tcp_stream stream(strand);
         for (unsigned round = 0; !stopped && isWanted(engine.id); ++round) {
-            const auto report = get(stream, engine, "/v1/load", yield);
+            const auto report = get(stream, engine, options.protocol.target, yield);
             if (report) {
                 deliver(engine.id, *report, age);
             } else {
@@ -111,6 +111,21 @@
         polled.erase(engine.id);
     }
 
+    void probe(const EndpointSettings &engine, asio::yield_context yield)
+    {
+        beast::tcp_stream stream(strand);
+        const auto content = get(stream, engine, options.protocol.target, yield);
+        auto report = content && options.protocol.parse ? options.protocol.parse(*content) : std::nullopt;
+        if (!report) {
+            failures.add(1);
+            return;
+        }
+        report->endpoint = engine.id;
+        report->measuredAt = clock.now();
+        dispatcher.onLoadReport(*report);
+        reports.add(1);
+    }
+
     /// @return the reply, or nothing if there is none that is JSON; then the connection is closed.
     std::optional<json> get(beast::tcp_stream &stream, const EndpointSettings &engine, const std::string &target, asio::yield_context yield)
     {
@@ -210,6 +225,12 @@
         d_->strand, [self = d_](asio::yield_context yield) { self->watchEngines(yield); }, asio::detached);
 }
 
+void LoadPoller::probe(const EndpointSettings &engine)
+{
+    asio::spawn(
+        d_->strand, [self = d_, engine](asio::yield_context yield) { self->probe(engine, yield); }, asio::detached);
+}
+
 void LoadPoller::stop()
 {
     d_->stopped = true;
--- a/daemon/endpoints/loadpoller.h
+++ b/daemon/endpoints/loadpoller.h
@@ -5,8 +5,12 @@
 #include "daisystream/base/clock.h"
 
 #include <boost/asio/io_context.hpp>
+#include <nlohmann/json_fwd.hpp>
 
+#include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 /// @file
 /// Reads load reports and cache events of the engines that this VM decides for.
@@ -20,11 +24,20 @@
 namespace daisystream
 {
 
+/// How engines state their load.
+struct LoadProtocol
+{
+    std::string target = "/v1/load";
+    /// @return the report without endpoint and time, nothing if the content is malformed; null: the own protocol.
+    std::function<std::optional<LoadReport>(const nlohmann::json &content)> parse{};
+};
+
 struct LoadPollerOptions
 {
     std::chrono::milliseconds interval{250}; ///< Between two reports of one engine.
     std::chrono::milliseconds timeout{1000}; ///< For one reply.
-    unsigned cacheEvery = 4;                 ///< Cache events are read with each so many-th report.
+    LoadProtocol protocol{};
+    unsigned cacheEvery = 4; ///< Cache events are read with each so many-th report.
 };
 
 /// Polls engines until it is destroyed. `GET /v1/load` returns an object with the fields of `LoadReport`; its optional
@@ -38,6 +51,9 @@
 
     void start();
 
+    /// Asks one engine once, for instance to see whether it works again.
+    void probe(const EndpointSettings &engine);
+
     /// Ends all polling.
     void stop();
 
--- a/daemon/gateway/answermove.cpp
+++ b/daemon/gateway/answermove.cpp
@@ -94,6 +94,7 @@
         reply = copy(*target, true, yield);
         if (reply.outcome == MoveReply::Outcome::Copied) {
             moved_ = MovedAnswer{.target = *target, .memory = {.holder = plan_.source.address, .handle = reply.handle}, .work = plan_.work.id};
+            gateway_.dispatcher.onFirstToken(plan_.work.id); // The link of the source is free for the next answer.
         } else if (!reply.handle.empty()) {
             // The source has stopped the answer and keeps its memory, so that it can go on there.
             moved_ = MovedAnswer{.target = plan_.source, .memory = {.holder = plan_.source.address, .handle = reply.handle}, .work = plan_.work.id};
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -340,6 +340,7 @@
         movedAt_ = gateway_.now();
         auto moved = work();
         moved.heldTokens = tokens();
+        moved.movesFrom = RunningAt{.endpoint = endpoint_.id, .zone = endpoint_.zone};
         moved.rank = Rank::Urgent; // It must not wait behind requests that have not begun.
         moved.mayMove = false;
         moved.arrival = gateway_.now();
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -89,6 +89,8 @@
   lengthClass @13 :Text;
   fixed @14 :Bool;                # Stays at its endpoint once it is assigned.
   heldTokens @15 :UInt32;
+  movesFrom @16 :Text;            # Empty: it does not run yet.
+  movesFromZone @17 :Text;
 }
 
 struct Reference {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -179,7 +179,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e733484531a31e03, 7, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(e733484531a31e03, 7, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1340,6 +1340,12 @@
 
   inline  ::uint32_t getHeldTokens() const;
 
+  inline bool hasMovesFrom() const;
+  inline  ::capnp::Text::Reader getMovesFrom() const;
+
+  inline bool hasMovesFromZone() const;
+  inline  ::capnp::Text::Reader getMovesFromZone() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1440,6 +1446,20 @@
   inline  ::uint32_t getHeldTokens();
   inline void setHeldTokens( ::uint32_t value);
 
+  inline bool hasMovesFrom();
+  inline  ::capnp::Text::Builder getMovesFrom();
+  inline void setMovesFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMovesFrom(unsigned int size);
+  inline void adoptMovesFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMovesFrom();
+
+  inline bool hasMovesFromZone();
+  inline  ::capnp::Text::Builder getMovesFromZone();
+  inline void setMovesFromZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMovesFromZone(unsigned int size);
+  inline void adoptMovesFromZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMovesFromZone();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4765,6 +4785,74 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Work::Reader::hasMovesFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Work::Builder::hasMovesFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Work::Reader::getMovesFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Work::Builder::getMovesFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Work::Builder::setMovesFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Work::Builder::initMovesFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Work::Builder::adoptMovesFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Work::Builder::disownMovesFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool Work::Reader::hasMovesFromZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Work::Builder::hasMovesFromZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Work::Reader::getMovesFromZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Work::Builder::getMovesFromZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Work::Builder::setMovesFromZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Work::Builder::initMovesFromZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void Work::Builder::adoptMovesFromZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Work::Builder::disownMovesFromZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool Reference::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -91,6 +91,10 @@
     out.setLengthClass(text(work.lengthClass));
     out.setFixed(!work.mayMove);
     out.setHeldTokens(work.heldTokens);
+    if (work.movesFrom) {
+        out.setMovesFrom(text(work.movesFrom->endpoint.value()));
+        out.setMovesFromZone(text(work.movesFrom->zone.value()));
+    }
 }
 
 WorkRequest read(wire::Work::Reader in, TimePoint now)
@@ -113,6 +117,9 @@
     work.lengthClass = string(in.getLengthClass());
     work.mayMove = !in.getFixed();
     work.heldTokens = in.getHeldTokens();
+    if (in.getMovesFrom().size() > 0) {
+        work.movesFrom = RunningAt{.endpoint = EndpointId(string(in.getMovesFrom())), .zone = ZoneId(string(in.getMovesFromZone()))};
+    }
     return work;
 }
 
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -53,6 +53,11 @@
 constexpr double kChargedAhead = 300;
 // Memory of an endpoint that may be in use when a running answer is moved there, with that answer.
 constexpr double kMovedMemoryShare = 0.97;
+// A copy of the largest answers takes 0.4 s between zones.
+constexpr milliseconds kLongestCopy(1500);
+// Shares of an endpoint's load that a target in another zone, or one that receives another copy, may have less.
+constexpr double kFarMoveScore = 0.3;
+constexpr double kIncomingScore = 0.3;
 constexpr double kLongestAnswer = 131072; // Tokens, where the request gives no limit.
 constexpr double kLongestRetry = 30.0;    // Seconds.
 constexpr double kShortestRetry = 0.05;
@@ -60,7 +65,7 @@
 /// @return the tokens that an endpoint has to read before the first token of a request.
 std::uint32_t unreadTokens(const WorkRequest &work)
 {
-    return work.heldTokens > 0 ? 0 : work.promptTokens;
+    return work.movesFrom ? 0 : work.promptTokens;
 }
 
 double secondsOf(Duration duration)
@@ -149,6 +154,11 @@
 {
     Request &request = requests_[slot];
     request.state = State::Queued;
+    if (request.work.movesFrom) {
+        departures_[request.work.movesFrom->endpoint].waiting.push_back(slot);
+        setTimer(slot, request.work.firstTokenDeadline);
+        return;
+    }
     queue_.push(request.team, request.order, slot);
     // What has waited this long is refused while the caller can still do something else with the rest of the time.
     const Duration promise = std::max(Duration{}, request.work.firstTokenDeadline - request.work.arrival);
@@ -158,7 +168,9 @@
 void Pool::dequeue(Slot slot)
 {
     Request &request = requests_[slot];
-    if (request.state == State::Queued) {
+    if (request.state == State::Queued && request.work.movesFrom) {
+        std::erase(departures_[request.work.movesFrom->endpoint].waiting, slot);
+    } else if (request.state == State::Queued) {
         queue_.remove(request.team, request.order);
     }
     setTimer(slot, std::nullopt);
@@ -178,7 +190,8 @@
     queue_.reserve(request.team, request.expected);
     endpoint.load.add(request.load);
     endpoint.requests.insert(slot);
-    if (request.state == State::Assigned) {
+    // How long the copy of a moving answer takes says nothing of its endpoint.
+    if (request.state == State::Assigned && !request.work.movesFrom) {
         const double firstToken = endpoint.load.firstTokenMilliseconds(unreadTokens(request.work)) / 1000.0;
         const Duration late = std::max<Duration>(kLeastOverdue, durationOf(kOverdueFactor * firstToken));
         // Half of the time left is kept for a second attempt.
@@ -195,6 +208,7 @@
 {
     Request &request = requests_[slot];
     Endpoint &endpoint = *endpoints_[request.endpoint];
+    endMove(slot);
     ordinaryAwaiting_.erase({request.assignedAt, slot});
     queue_.release(request.team, request.expected);
     endpoint.load.remove(request.load);
@@ -220,6 +234,9 @@
     }
     const Slot slot = create(work);
     enqueue(slot);
+    if (work.movesFrom) {
+        return;
+    }
     fresh_.push_back(slot);
     if (work.rank == Rank::Urgent) {
         urgentSeenAt_ = now;
@@ -251,6 +268,7 @@
         request.state = State::Streaming;
         attach(slot, request.endpoint, now);
     } else if (request.state == State::Assigned) {
+        endMove(slot);
         ordinaryAwaiting_.erase({request.assignedAt, slot});
         setTimer(slot, std::nullopt);
         request.state = State::Streaming;
@@ -572,6 +590,7 @@
     decidedAt_ = now;
     runTimers(now, actions);
     resizeReserved(now);
+    dispatchMoves(now, actions);
     dispatch(now, actions);
     refuseHopeless(now, actions);
     // Requests that a suspect endpoint lost; their Cancel must precede a new Assign, which follows after a pause.
@@ -696,6 +715,79 @@
     }
 }
 
+void Pool::dispatchMoves(TimePoint now, std::vector<Action> &actions)
+{
+    for (auto departure = departures_.begin(); departure != departures_.end();) {
+        auto &[waiting, copying, since] = departure->second;
+        if (copying && now - since >= kLongestCopy) {
+            endMove(*copying); // Whoever makes the copy has failed; the others must not wait for it.
+        }
+        while (!copying && dispatchMove(waiting, now, actions)) { }
+        departure = waiting.empty() && !copying ? departures_.erase(departure) : std::next(departure);
+    }
+}
+
+// Gives an endpoint to the waiting answer whose memory is copied soonest: so the most are saved before the endpoint is gone.
+bool Pool::dispatchMove(std::vector<Slot> &waiting, TimePoint now, std::vector<Action> &actions)
+{
+    const auto tokensOf = [this](Slot slot) {
+        return requests_[slot].work.promptTokens + requests_[slot].work.heldTokens;
+    };
+    std::sort(waiting.begin(), waiting.end(), [&](Slot one, Slot other) { return tokensOf(one) < tokensOf(other); });
+    for (const Slot slot : waiting) {
+        const Request &request = requests_[slot];
+        if (const auto target = chooseMoveTarget(request)) {
+            const auto memory
+                = MemoryForecast::contribution(lengths_, request.profile, request.work.promptTokens, request.work.heldTokens, lengthLimit(request.work));
+            auto &departure = departures_[request.work.movesFrom->endpoint];
+            assign(slot, {.endpoint = *target, .prefixCached = false}, memory, now, actions); // Takes it out of `waiting`.
+            departure.copying = slot;
+            departure.copyingSince = now;
+            ++endpoints_[*target]->incoming;
+            return true;
+        }
+    }
+    return false;
+}
+
+void Pool::endMove(Slot slot)
+{
+    const Request &request = requests_[slot];
+    if (!request.work.movesFrom) {
+        return;
+    }
+    const auto departure = departures_.find(request.work.movesFrom->endpoint);
+    if (departure != departures_.end() && departure->second.copying == slot) {
+        departure->second.copying.reset();
+        endpoints_[request.endpoint]->incoming -= 1;
+    }
+}
+
+// The alternative is the loss of a running answer: memory that suffices now will do.
+std::optional<Pool::EndpointIndex> Pool::chooseMoveTarget(const Request &request) const
+{
+    std::optional<EndpointIndex> best;
+    double bestScore = 0;
+    for (EndpointIndex index = 0; index < endpoints_.size(); ++index) {
+        if (endpoints_[index] == nullptr || !endpoints_[index]->indexed) {
+            continue;
+        }
+        const Endpoint &endpoint = *endpoints_[index];
+        const EndpointLoad &load = endpoint.load;
+        const double held = load.heldShare(request.work.promptTokens + request.work.heldTokens);
+        if (load.info().id == request.work.movesFrom->endpoint || held > kMovedMemoryShare || load.running() + 1 > load.info().maxBatch) {
+            continue;
+        }
+        const bool isFar = load.info().zone != request.work.movesFrom->zone;
+        const double score = endpoint.score + (isFar ? kFarMoveScore : 0.0) + kIncomingScore * endpoint.incoming;
+        if (!best || score < bestScore) {
+            best = index;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
 bool Pool::dispatchHead(Rank rank, bool floorTurn, TimePoint now, std::vector<Action> &actions)
 {
     const auto slot = static_cast<Slot>(queue_.head(rank)->ticket);
@@ -742,8 +834,7 @@
 
 std::optional<Pool::Choice> Pool::choose(const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const
 {
-    // A running answer that moves needs no short step, so that it leaves the reserved endpoints to others.
-    const bool urgent = request.work.rank == Rank::Urgent && request.work.heldTokens == 0;
+    const bool urgent = request.work.rank == Rank::Urgent;
     const Index &first = urgent ? reserved_ : general_;
     std::optional<EndpointIndex> best = chooseFrom(first, request, memory, floorTurn, now);
     if (!best) {
@@ -788,10 +879,6 @@
     if (load.firstTokenMilliseconds(unreadTokens(work)) > 1000.0 * secondsOf(work.firstTokenDeadline - now)) {
         return false;
     }
-    if (work.heldTokens > 0) {
-        // The alternative is the loss of a running answer: memory that suffices now will do.
-        return load.heldShare(work.promptTokens + work.heldTokens) <= kMovedMemoryShare;
-    }
     if (load.running() == 0) {
         return true; // An idle endpoint cannot do better later.
     }
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -10,6 +10,7 @@
 #include "daisystream/scheduler/waitforecast.h"
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -95,9 +96,10 @@
         bool frozen = false;
         double score = 0;
         std::optional<TimePoint> timer;
-        std::set<Slot> requests;   // Assigned or streaming here.
-        TimePoint tokenAt{};       // Last sign of progress.
-        std::uint32_t overdue = 0; // Overdue first tokens since the last first token.
+        std::set<Slot> requests;    // Assigned or streaming here.
+        TimePoint tokenAt{};        // Last sign of progress.
+        std::uint32_t incoming = 0; // Answers whose memory is being copied here.
+        std::uint32_t overdue = 0;  // Overdue first tokens since the last first token.
         // Own tokens of the present measuring window.
         TimePoint windowBegin{};
         double windowSeconds = 0;
@@ -141,6 +143,10 @@
     [[nodiscard]] std::size_t wantedReserved() const;
     void changeReserved(bool grow);
     void dispatch(TimePoint now, std::vector<Action> &actions);
+    void dispatchMoves(TimePoint now, std::vector<Action> &actions);
+    bool dispatchMove(std::vector<Slot> &waiting, TimePoint now, std::vector<Action> &actions);
+    void endMove(Slot slot);
+    [[nodiscard]] std::optional<EndpointIndex> chooseMoveTarget(const Request &request) const;
     bool dispatchHead(Rank rank, bool floorTurn, TimePoint now, std::vector<Action> &actions);
     bool shedFor(Slot urgent, TimePoint now, std::vector<Action> &actions);
     void refuseHopeless(TimePoint now, std::vector<Action> &actions);
@@ -173,6 +179,15 @@
     FairQueue::Order nextOrder_ = 0;
     std::unordered_map<FairQueue::Team, TimePoint> retryAt_; // Latest retry time that the team was told.
 
+    /// Answers that leave one endpoint. Copies share its link, so that they go one after the other.
+    struct Departure
+    {
+        std::vector<Slot> waiting;
+        std::optional<Slot> copying;
+        TimePoint copyingSince{};
+    };
+    std::map<EndpointId, Departure> departures_;
+
     std::unordered_map<EndpointId, EndpointIndex> endpointIndex_;
     std::vector<std::unique_ptr<Endpoint>> endpoints_;
     std::vector<EndpointIndex> freeEndpoints_;
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -35,6 +35,15 @@
 namespace daisystream
 {
 
+/// The engine at which an answer runs.
+struct RunningAt
+{
+    EndpointId endpoint;
+    ZoneId zone; ///< Copies within a zone are twice as fast.
+
+    friend auto operator<=>(const RunningAt &, const RunningAt &) = default;
+};
+
 /// One request that needs an endpoint.
 struct WorkRequest
 {
@@ -49,10 +58,11 @@
     double paceTokensPerSecond = 0;    ///< Promised by the plan; 0: none.
     TimePoint firstTokenDeadline{};    ///< Arrival plus the promised first-token time.
     TimePoint arrival{};
-    std::uint64_t prefixHash = 0; ///< Hash of the first prompt block; 0: none.
-    std::string lengthClass{};    ///< Requests of one class have answers of similar length; empty: those of one team.
-    std::uint32_t heldTokens = 0; ///< Generated before; with the prompt they come along in memory and need not be read.
-    bool mayMove = true;          ///< Until its first token it may be taken back and given to another endpoint.
+    std::uint64_t prefixHash = 0;         ///< Hash of the first prompt block; 0: none.
+    std::string lengthClass{};            ///< Requests of one class have answers of similar length; empty: those of one team.
+    std::optional<RunningAt> movesFrom{}; ///< Set: the answer runs and has to go on elsewhere, with its memory.
+    std::uint32_t heldTokens = 0;         ///< Generated before it moves.
+    bool mayMove = true;                  ///< Until its first token it may be taken back and given to another endpoint.
 
     friend auto operator<=>(const WorkRequest &, const WorkRequest &) = default;
 };
