Let VMs vouch for each other's contact with the store

Change: a confirmation of a heartbeat states how old the sender's contact with the store is; whoever has the same routes may count it. A VM cut off alone sends callers elsewhere at once. A newer document is told at once. After SIGTERM only what fits the grace time is taken.

Ruled out: counting half of the VMs as contact, since all can be cut off together and no key may work longer than its revocation time.

--- a/daemon/cells/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -42,6 +42,9 @@
 // Asked again when no reply has come, since a request is lost with its connection.
 constexpr auto kFetchAgainAfter = std::chrono::milliseconds(500);
 constexpr std::size_t kSealKeyBytes = 32;
+constexpr auto kHeardRecently = std::chrono::milliseconds(1500);
+// An outage of the platform that has lasted until a VM must refuse work often ends within a second or two.
+constexpr auto kRetryInOutage = std::chrono::milliseconds(1000);
 
 constexpr std::array kPolledKinds{DocumentKind::Plans, DocumentKind::Limits, DocumentKind::EndpointStates, DocumentKind::SealKeys};
 
@@ -343,7 +346,13 @@
             return std::nullopt;
         }
         const std::lock_guard lock(mutex);
-        return freshness.admission(parts.clock.now());
+        const auto now = parts.clock.now();
+        auto error = freshness.admission(now);
+        if (error && error->code == ResultCode::Isolated && !options.polls) {
+            // Cut off alone: another VM serves the request at once. If others are heard, none of them is in contact either.
+            error->retryAfter = now - heardAt < kHeardRecently ? kRetryInOutage : std::chrono::milliseconds(0);
+        }
+        return error;
     }
 
     asio::io_context &io;
@@ -364,6 +373,8 @@
     std::deque<HeardVm> news;
     std::vector<VmId> lastLive;
     std::vector<VmId> lastDead;
+    TimePoint contactAt{}; ///< As of when the platform showed what is in force, here or at another VM.
+    TimePoint heardAt{};   ///< The last heartbeat that another VM confirmed was sent.
     std::uint64_t sequence = 0;
     std::size_t nextTarget = 0;
     bool leaving = false;
@@ -439,6 +450,7 @@
 void VmMonitor::onStoreContact(TimePoint asOf)
 {
     const std::lock_guard lock(d_->mutex);
+    d_->contactAt = std::max(d_->contactAt, asOf);
     d_->freshness.onPlatformContact(asOf);
 }
 
@@ -448,16 +460,38 @@
     return d_->table.quorumPeers(d_->parts.clock.now()).size() + 1;
 }
 
-void VmMonitor::onAck(const VmId &from, TimePoint sentAt, const std::vector<std::uint64_t> &versions)
+void VmMonitor::onAck(const VmId &from, TimePoint sentAt, const PeerView &view)
 {
     const auto mine = d_->parts.lists.versions();
-    bool newer = false;
-    for (const DocumentKind kind : {DocumentKind::Plans, DocumentKind::Limits, DocumentKind::EndpointStates}) {
+    const auto isBehind = [&](DocumentKind kind) {
         const auto index = static_cast<std::size_t>(kind);
-        newer = newer || versions[index] > mine[index];
-    }
+        return view.versions[index] > mine[index];
+    };
+    const bool newer = isBehind(DocumentKind::Plans) || isBehind(DocumentKind::Limits) || isBehind(DocumentKind::EndpointStates);
     const std::lock_guard lock(d_->mutex);
     d_->freshness.onPeerContact(from, sentAt, newer);
+    d_->heardAt = std::max(d_->heardAt, sentAt);
+    // What the platform showed another VM is in force here as well, if this VM has it. The other VM may have confirmed at
+    // any moment after this one asked.
+    if (!d_->options.polls && view.contactAge && !isBehind(DocumentKind::Routes)) {
+        d_->contactAt = std::max(d_->contactAt, sentAt - *view.contactAge);
+        d_->freshness.onPlatformContact(sentAt - *view.contactAge);
+    }
+}
+
+PeerView VmMonitor::view() const
+{
+    PeerView view{.versions = d_->parts.lists.versions(), .contactAge = {}};
+    const std::lock_guard lock(d_->mutex);
+    if (d_->contactAt != TimePoint{}) {
+        view.contactAge = std::chrono::ceil<std::chrono::milliseconds>(d_->parts.clock.now() - d_->contactAt);
+    }
+    return view;
+}
+
+void VmMonitor::announceDocument()
+{
+    d_->beat();
 }
 
 std::optional<Error> VmMonitor::assignment() const
--- a/daemon/cells/vmmonitor.h
+++ b/daemon/cells/vmmonitor.h
@@ -76,8 +76,14 @@
 
     /// A VM confirmed a heartbeat.
     /// @param sentAt when this VM sent the heartbeat.
-    /// @param versions of the documents that the other VM had then.
-    void onAck(const VmId &from, TimePoint sentAt, const std::vector<std::uint64_t> &versions);
+    /// @param view that the other VM had then.
+    void onAck(const VmId &from, TimePoint sentAt, const PeerView &view);
+
+    /// @return what this VM knows of what is in force.
+    [[nodiscard]] PeerView view() const;
+
+    /// Tells the other VMs at once that this one has a newer document.
+    void announceDocument();
 
     /// @return nothing if an admitted request may be given to an endpoint; else `Isolated`, since the endpoint may be
     ///     draining without this VM's knowledge.
--- a/daemon/control/controlpart.cpp
+++ b/daemon/control/controlpart.cpp
@@ -198,9 +198,8 @@
         d_->monitor.onMessage(from, incarnation, message);
         d_->dispatcher.onMessage(from, message);
     });
-    d_->peers.setAckHandler(
-        [this](const VmId &from, TimePoint sentAt, const std::vector<std::uint64_t> &versions) { d_->monitor.onAck(from, sentAt, versions); });
-    d_->peers.setVersionSource([this] { return d_->lists.versions(); });
+    d_->peers.setAckHandler([this](const VmId &from, TimePoint sentAt, const PeerView &view) { d_->monitor.onAck(from, sentAt, view); });
+    d_->peers.setViewSource([this] { return d_->monitor.view(); });
     d_->dispatcher.setAssignmentCheck([this] { return d_->monitor.assignment(); });
     if (auto error = d_->peers.start(d_->settings.listenPeers, d_->settings.peerTls)) {
         return error;
@@ -212,6 +211,7 @@
             if (kind == DocumentKind::Routes) {
                 d_->applyEndpoints();
             }
+            d_->monitor.announceDocument();
         });
         d_->dispatcher.setProbeHandler([this](const EndpointSettings &engine) { d_->load.probe(engine); });
         d_->watch->start(d_->peers.port());
--- a/daemon/control/controlpart_test.cpp
+++ b/daemon/control/controlpart_test.cpp
@@ -212,12 +212,12 @@
     CHECK((lists.admission()->code == ResultCode::NoLists));
     lists.offer(DocumentKind::Plans, {.number = 1, .changeId = "a"}, plansText(1));
     lists.offer(DocumentKind::Limits, {.number = 1, .changeId = "a"}, kLimits);
-    monitor.onAck(VmId("vm2"), clock.now(), lists.versions());
+    monitor.onAck(VmId("vm2"), clock.now(), {.versions = lists.versions(), .contactAge = {}});
     CHECK_FALSE(lists.admission());
     clock.advance(milliseconds(5000)); // The bound that design section 2.5 states.
     REQUIRE(lists.admission());
     CHECK((lists.admission()->code == ResultCode::Isolated));
-    monitor.onAck(VmId("vm3"), clock.now(), lists.versions());
+    monitor.onAck(VmId("vm3"), clock.now(), {.versions = lists.versions(), .contactAge = {}});
     CHECK_FALSE(lists.admission());
     lists.setStopping();
     CHECK((lists.admission()->code == ResultCode::Stopping));
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -4,6 +4,14 @@
 
 namespace daisystream
 {
+namespace
+{
+
+// Time that a request needs before the process is killed. A long answer takes longer than any grace time.
+constexpr std::chrono::milliseconds kTimeForCall{2000};
+constexpr std::chrono::milliseconds kTimeForShortAnswer{3500};
+
+} // namespace
 
 GatewayContext::GatewayContext(
     FrontendContext &frontend, CellDispatcher &dispatcher, const GatewayDialect &dialect, const GatewaySettings &settings, const ZoneId &zone)
@@ -102,6 +110,27 @@
     }
 }
 
+void GatewayContext::beginShutdown()
+{
+    const auto at = now();
+    const std::lock_guard lock(mutex_);
+    stoppingSince_ = at;
+}
+
+bool GatewayContext::canServe(const RequestKind &kind)
+{
+    const auto at = now();
+    const std::lock_guard lock(mutex_);
+    if (!stoppingSince_) {
+        return true;
+    }
+    const auto *stream = std::get_if<AnswerStream>(&kind);
+    if (stream != nullptr && !stream->resumable) {
+        return false;
+    }
+    return at + (stream != nullptr ? kTimeForShortAnswer : kTimeForCall) < *stoppingSince_ + settings.graceTime;
+}
+
 bool GatewayContext::isInService(const EndpointId &endpoint) const
 {
     return dispatcher.isInService(endpoint);
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -80,6 +80,12 @@
     /// Tells the answers at these endpoints that they leave.
     void announceLeaving(const std::vector<EndpointId> &endpoints);
 
+    /// SIGTERM came: the process is killed after the grace time.
+    void beginShutdown();
+
+    /// @return whether a request that arrives now can be served before the process is killed.
+    [[nodiscard]] bool canServe(const RequestKind &kind);
+
     /// @return whether the endpoint is in service.
     [[nodiscard]] bool isInService(const EndpointId &endpoint) const;
 
@@ -92,6 +98,7 @@
     ServiceBalancer balancer_;
     ServiceRetryBudget budget_;
     Watches watches_;
+    std::optional<TimePoint> stoppingSince_;
 };
 
 } // namespace daisystream
--- a/daemon/gateway/gatewayhandler.cpp
+++ b/daemon/gateway/gatewayhandler.cpp
@@ -15,7 +15,7 @@
 
 // Bounds the wait of a request whose caller and route state no limit.
 constexpr std::chrono::milliseconds kLongestWait{120000};
-// A long answer that starts after SIGTERM would be cut when the process is killed; another VM takes it at once.
+// A request that would be cut when the process is killed; another VM takes it at once.
 constexpr std::chrono::milliseconds kRetryElsewhere{0};
 
 std::chrono::milliseconds waitOf(const CallerHead &head, const Route &route)
@@ -24,12 +24,6 @@
     return route.timeout.count() > 0 ? std::min(wait, route.timeout) : wait;
 }
 
-bool isLongAnswer(const RequestKind &kind)
-{
-    const auto *stream = std::get_if<AnswerStream>(&kind);
-    return stream != nullptr && !stream->resumable;
-}
-
 } // namespace
 
 GatewayHandler::GatewayHandler(GatewayContext &gateway)
@@ -81,7 +75,7 @@
         routed.team = team->id;
         routed.priority = team->priority.value_or(route->priority);
     }
-    if (gateway_.frontend.parts.lists.isStopping() && isLongAnswer(route->kind)) {
+    if (!gateway_.canServe(route->kind)) {
         return Error{ResultCode::Stopping, "this VM is shutting down", kRetryElsewhere};
     }
     routed.service = chooseService(*route);
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -213,6 +213,9 @@
         stopSignals_.async_wait(yield);
         LOG(INFO) << "event=shutdown_begun running=" << frontend_.running();
         control_.beginShutdown();
+        if (auto *gateway = frontend_.gateway()) {
+            gateway->beginShutdown();
+        }
         asio::steady_timer timer(io_);
         if (settings_.listenReadiness) {
             // Until the balancer has noticed, new connections still come here.
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -49,6 +49,7 @@
 struct Ack {
   sequence @0 :UInt64;
   versions @1 :List(UInt64);      # Of the documents, by kind, at the moment of the answer.
+  contactAgeMs @2 :Int64 = -1;    # Since the platform showed the sender what is in force; -1: not known.
 }
 
 struct CellDigest {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -119,7 +119,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a4fdce10ba90fa65, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a4fdce10ba90fa65, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -921,6 +921,8 @@
   inline bool hasVersions() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getVersions() const;
 
+  inline  ::int64_t getContactAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -960,6 +962,9 @@
   inline void adoptVersions(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownVersions();
 
+  inline  ::int64_t getContactAgeMs();
+  inline void setContactAgeMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4169,6 +4174,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Ack::Reader::getContactAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Ack::Builder::getContactAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Ack::Builder::setContactAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline bool CellDigest::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peerlink.cpp
+++ b/daemon/peers/peerlink.cpp
@@ -238,7 +238,7 @@
     Counter &mismatches;
     std::unique_ptr<TlsContexts> tls;
     PeerLink::AckHandler onAck;
-    PeerLink::VersionSource versions;
+    PeerLink::ViewSource view;
 };
 
 /// The connection on which messages go to one VM; connects again whenever it is lost.
@@ -390,7 +390,7 @@
             const auto *ack = std::get_if<AckMessage>(&*message);
             const auto sentAt = ack != nullptr ? confirm(ack->sequence) : std::nullopt;
             if (sentAt && shared_->onAck) {
-                shared_->onAck(peer_.vm, *sentAt, ack->versions);
+                shared_->onAck(peer_.vm, *sentAt, ack->view);
             }
         }
         if (reason.code == ResultCode::PeerMalformedMessage) {
@@ -617,7 +617,7 @@
         if (!ack) {
             return true;
         }
-        ack->versions = shared->versions ? shared->versions() : std::vector<std::uint64_t>(kDocumentKinds);
+        ack->view = shared->view ? shared->view() : PeerView{.versions = std::vector<std::uint64_t>(kDocumentKinds), .contactAge = {}};
         error_code error;
         const std::string framed = withLength(encodeMessage(*ack, shared->clock.now()));
         channel.write(framed, yield, error);
@@ -790,9 +790,9 @@
     d_->shared->onAck = std::move(handler);
 }
 
-void PeerLink::setVersionSource(VersionSource source)
+void PeerLink::setViewSource(ViewSource source)
 {
-    d_->shared->versions = std::move(source);
+    d_->shared->view = std::move(source);
 }
 
 void PeerLink::setMessageHandler(MessageHandler handler)
--- a/daemon/peers/peerlink.h
+++ b/daemon/peers/peerlink.h
@@ -50,8 +50,8 @@
 public:
     using MessageHandler = std::function<void(const VmId &from, std::uint64_t incarnation, const PeerMessage &)>;
 
-    using VersionSource = std::function<std::vector<std::uint64_t>()>;
-    using AckHandler = std::function<void(const VmId &, TimePoint sentAt, const std::vector<std::uint64_t> &versions)>;
+    using ViewSource = std::function<PeerView()>;
+    using AckHandler = std::function<void(const VmId &, TimePoint sentAt, const PeerView &view)>;
 
     PeerLink(boost::asio::io_context &io, const PeerIdentity &identity, const Clock &clock, Metrics &metrics, PeerLinkOptions options);
     ~PeerLink() override;
@@ -61,12 +61,12 @@
     void setMessageHandler(MessageHandler handler);
 
     /// Sets who learns that a VM has confirmed a heartbeat. Set it before `start`.
-    /// @param handler gets the VM, the time at which this VM sent the confirmed heartbeat, and the versions of the documents
-    ///     that the other VM had when it confirmed.
+    /// @param handler gets the VM, the time at which this VM sent the confirmed heartbeat, and the view that the other VM
+    ///     had when it confirmed.
     void setAckHandler(AckHandler handler);
 
-    /// Sets where the versions come from that this VM states when it confirms. Set it before `start`.
-    void setVersionSource(VersionSource source);
+    /// Sets where the view comes from that this VM states when it confirms. Set it before `start`.
+    void setViewSource(ViewSource source);
 
     /// Listens for other VMs.
     /// @param listen nothing: this VM does not listen.
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -215,7 +215,8 @@
     {
         auto out = root_.initAck();
         out.setSequence(message.sequence);
-        writeVersions(out.initVersions(static_cast<unsigned>(message.versions.size())), message.versions);
+        writeVersions(out.initVersions(static_cast<unsigned>(message.view.versions.size())), message.view.versions);
+        out.setContactAgeMs(writeRetry(message.view.contactAge));
     }
 
     void operator()(const PingMessage &message)
@@ -500,7 +501,8 @@
     case wire::Message::HEARTBEAT:
         return read(in.getHeartbeat());
     case wire::Message::ACK:
-        return AckMessage{.sequence = in.getAck().getSequence(), .versions = readVersions(in.getAck().getVersions())};
+        return AckMessage{.sequence = in.getAck().getSequence(),
+                          .view = {.versions = readVersions(in.getAck().getVersions()), .contactAge = readRetry(in.getAck().getContactAgeMs())}};
     case wire::Message::PING:
         return PingMessage{in.getPing()};
     case wire::Message::DOCUMENT_REQUEST:
--- a/daemon/peers/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -5,7 +5,9 @@
 #include "daisystream/scheduler/scheduler.h"
 
 #include <array>
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -72,11 +74,20 @@
     friend auto operator<=>(const HeartbeatMessage &, const HeartbeatMessage &) = default;
 };
 
+/// What a VM knows of what is in force.
+struct PeerView
+{
+    std::vector<std::uint64_t> versions{};                 ///< Of the documents, by kind.
+    std::optional<std::chrono::milliseconds> contactAge{}; ///< Since the platform last showed what is in force.
+
+    friend auto operator<=>(const PeerView &, const PeerView &) = default;
+};
+
 /// Answers a heartbeat or ping on the same connection.
 struct AckMessage
 {
     std::uint64_t sequence = 0;
-    std::vector<std::uint64_t> versions{}; ///< Of the documents, by kind, at the moment of the answer.
+    PeerView view{}; ///< Of the sender at the moment of the answer.
 
     friend auto operator<=>(const AckMessage &, const AckMessage &) = default;
 };
--- a/daemon/peers/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -34,7 +34,8 @@
     return {
         HelloMessage{.vm = VmId("vm1"), .incarnation = 7, .zone = ZoneId("z1")},
         HeartbeatMessage{.sequence = 3, .versions = {1, 2, 3, 4, 5, 6}, .stopping = true, .cells = {{cell, 1, 2, 3}}, .heard = {{VmId("vm2"), 8, 9}}},
-        AckMessage{3, {1, 2, 3, 4, 5, 6}},
+        AckMessage{3, {{1, 2, 3, 4, 5, 6}, std::chrono::milliseconds(40)}},
+        AckMessage{4, {{1, 2, 3, 4, 5, 6}, {}}},
         PingMessage{4},
         DocumentRequestMessage{1},
         DocumentMessage{.kind = 1, .number = 5, .changeId = "c", .text = "{}", .vms = {VmId("vm2")}},
