Choose targets of moves by memory, zone and copies under way

Cause: moves took 0.3 to 0.8 s each, although a copy within a zone takes 0.2 s. Change: memory in use, zone and copies under way decide.

--- a/daemon/gateway/answermove.cpp
+++ b/daemon/gateway/answermove.cpp
@@ -105,6 +105,10 @@
         .field("request", plan_.attempt)
         .field("from", plan_.source.id.value())
         .field("choice", moved_ ? moved_->target.id.value() : "none")
+        .field("tokens", std::to_string(plan_.work.promptTokens + plan_.work.heldTokens))
+        .field("near", moved_ && moved_->target.zone == plan_.source.zone ? "true" : "false")
+        .field("copies", std::to_string(copies_))
+        .field("granted_ms", std::to_string(std::chrono::duration_cast<milliseconds>(grantedAt_ - begin).count()))
         .field("took_ms", std::to_string(std::chrono::duration_cast<milliseconds>(gateway_.now() - begin).count()))
         .field("reason",
                cancelled_   ? "answer_ended"
@@ -126,6 +130,7 @@
         return std::nullopt;
     }
     assigned_ = true;
+    grantedAt_ = gateway_.now();
     auto target = gateway_.dispatcher.findEndpoint(assign->endpoint);
     if (!target || target->id == plan_.source.id) {
         release(yield);
@@ -156,6 +161,7 @@
 
 MoveReply AnswerMove::copy(const EndpointSettings &target, bool isLast, asio::yield_context yield)
 {
+    ++copies_;
     EndpointExchange exchange(strand_, plan_.source.address);
     const auto request = gateway_.dialect.moveRequest(plan_.attempt, target.address, isLast);
     if (exchange.open(request, {.connect = kConnectTime, .header = kCopyTime}, yield)) {
--- a/daemon/gateway/answermove.h
+++ b/daemon/gateway/answermove.h
@@ -82,6 +82,8 @@
     Asking asking_;
     boost::asio::steady_timer ended_;
     Phase phase_ = Phase::Copying;
+    TimePoint grantedAt_{}; ///< The dispatcher named the present target.
+    unsigned copies_ = 0;
     bool cancelled_ = false;
     bool assigned_ = false;
     std::string handle_;
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -420,6 +420,8 @@
             .field("attempt", std::to_string(state_.sent()))
             .field("outcome", kNames[static_cast<std::size_t>(end)])
             .field("events", std::to_string(events_))
+            .field("prompt_tokens", std::to_string(request_.head.promptTokens))
+            .field("most_tokens", std::to_string(request_.head.maxOutputTokens))
             .field("age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(gateway_.now() - request_.arrival).count()))
             .field("detail", end == RunEnd::Failed ? failure_.detail : "")
             .write();
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -56,8 +56,8 @@
 // A copy of the largest answers takes 0.4 s between zones.
 constexpr milliseconds kLongestCopy(1500);
 // Shares of an endpoint's load that a target in another zone, or one that receives another copy, may have less.
-constexpr double kFarMoveScore = 0.3;
-constexpr double kIncomingScore = 0.3;
+constexpr double kFarMoveScore = 0.4;
+constexpr double kIncomingScore = 1.0;
 constexpr double kLongestAnswer = 131072; // Tokens, where the request gives no limit.
 constexpr double kLongestRetry = 30.0;    // Seconds.
 constexpr double kShortestRetry = 0.05;
@@ -779,7 +779,8 @@
             continue;
         }
         const bool isFar = load.info().zone != request.work.movesFrom->zone;
-        const double score = endpoint.score + (isFar ? kFarMoveScore : 0.0) + kIncomingScore * endpoint.incoming;
+        // Prompts that wait there do not matter: the answer needs none to be read.
+        const double score = held + (isFar ? kFarMoveScore : 0.0) + kIncomingScore * endpoint.incoming;
         if (!best || score < bestScore) {
             best = index;
             bestScore = score;
