--- a/daemon/control/controlpart_test.cpp
+++ b/daemon/control/controlpart_test.cpp
@@ -224,5 +224,50 @@
     fixture.loop.stop();
 }
 
+// Pattern: the store turns one VM away while keys are taken away. Guards against a VM that refuses everything although
+// another one knows what is in force, and against one that goes on by knowledge older than the revocation time.
+TEST_CASE("a VM goes on by another VM's contact with the platform, and no longer than that is fresh")
+{
+    Fixture fixture;
+    ManualClock clock;
+    Metrics metrics;
+    ListTable lists([](std::string_view) { return Result<RouteTable>(RouteTable({.version = 1})); });
+    Settings settings = Vm::settingsOf("vm1", fixture.platform.port());
+    PlatformClient platform(fixture.loop.io, settings.platform);
+    PeerLink peers(fixture.loop.io, {.vm = settings.vm, .zone = {}, .incarnation = 1}, clock, metrics, {});
+    CellDispatcher dispatcher(
+        fixture.loop.io, settings, clock, metrics, [](const VmId &, const PeerMessage &) { return false; }, 1);
+    VmMonitorOptions options;
+    options.polls = false;
+    options.freshness = FreshnessOptions{.contactLimit = milliseconds(4500), .peerLimit = {}, .assignLimit = milliseconds(4500), .peersVouch = false};
+    VmMonitor monitor(fixture.loop.io,
+                      settings,
+                      {.lists = lists, .platform = platform, .peers = peers, .dispatcher = dispatcher, .metrics = metrics, .clock = clock},
+                      options);
+    REQUIRE(lists.offer(DocumentKind::Routes, {.number = 1, .changeId = {}}, "routes"));
+    const auto viewOf = [](std::uint64_t routes, std::optional<milliseconds> age) {
+        PeerView view{.versions = std::vector<std::uint64_t>(kDocumentKinds), .contactAge = age};
+        view.versions[static_cast<std::size_t>(DocumentKind::Routes)] = routes;
+        return view;
+    };
+    REQUIRE(lists.routeAdmission());
+    CHECK(lists.routeAdmission()->retryAfter == milliseconds(0)); // No other VM is heard: one of them may well serve.
+    monitor.onAck(VmId("vm2"), clock.now(), viewOf(1, std::nullopt));
+    CHECK(lists.routeAdmission());
+    CHECK(*lists.routeAdmission()->retryAfter > milliseconds(0)); // The others are in no contact either.
+    monitor.onAck(VmId("vm2"), clock.now(), viewOf(2, milliseconds(10)));
+    CHECK(lists.routeAdmission()); // This VM is behind.
+    monitor.onAck(VmId("vm2"), clock.now(), viewOf(1, milliseconds(4000)));
+    CHECK_FALSE(lists.routeAdmission());
+    CHECK(monitor.view().contactAge == milliseconds(4000));
+    clock.advance(milliseconds(499));
+    CHECK_FALSE(lists.routeAdmission());
+    clock.advance(milliseconds(1));
+    CHECK(lists.routeAdmission());
+    monitor.onStoreContact(clock.now() - milliseconds(100));
+    CHECK_FALSE(lists.routeAdmission());
+    fixture.loop.stop();
+}
+
 } // namespace
 } // namespace daisystream
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -122,6 +122,9 @@
         if (callerLeft_) {
             result = CallResult::Left;
         }
+        if (!fault && end == AttemptEnd::MayHaveRun) {
+            failure_ = Error{ResultCode::EndpointProtocol, "endpoint " + endpoint.id.value() + " gave an answer to another request or without proof", {}};
+        }
         state_.onAttemptEnded(end);
         if (fault && !failure_) {
             const auto code = fault->kind == ExchangeFault::Kind::Silent ? ResultCode::EndpointSilent : ResultCode::EndpointUnreachable;
