Write the log without blocking, count requests by outcome, explain one from the logs

Cause: glog wrote to standard error from the thread that logs, without a bound. Now lines go to a bounded queue that drops its oldest (spdlog behind glog's sink), each kind of line is limited, and what was left out is counted. Lines name the request of the caller, the version of the routes, the age of contact and the time left. daisystream explain joins the logs of several VMs.

--- /dev/null
+++ b/cli/explain.cpp
@@ -0,0 +1,212 @@
+#include "cli/explain.h"
+
+#include "cli/exitcodes.h"
+#include "daemon/frontend/httprouter.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <set>
+#include <sstream>
+
+namespace daisystream::cli
+{
+namespace
+{
+
+/// What an operator has to know about a line that ended a request, by its reason.
+std::string sentenceOf(const LogLine &line)
+{
+    const std::string reason = line.field("reason");
+    const std::string vm = line.field("vm");
+    if (reason == "Isolated") {
+        return "VM " + vm + " could not know that its routes were in force: it had no contact with the platform, directly or through another VM";
+    }
+    if (reason == "NoLists") {
+        return "VM " + vm + " had just started and had no routes yet";
+    }
+    if (reason == "Stopping") {
+        return "VM " + vm + " was shutting down and sent the caller to another one";
+    }
+    if (reason == "PromiseCannotBeMet" || reason == "QueueDeadlinePassed") {
+        return "the engines were overloaded: " + line.field("detail");
+    }
+    if (reason == "cut_off") {
+        return "the answer was cut off: " + line.field("detail");
+    }
+    return reason + (line.field("detail").empty() ? "" : ": " + line.field("detail"));
+}
+
+bool isFailure(const LogLine &line)
+{
+    const auto decision = line.field("decision");
+    return decision == "give_up" || decision == "refuse";
+}
+
+} // namespace
+
+std::string LogLine::field(std::string_view name) const
+{
+    const auto found = fields.find(name);
+    return found == fields.end() ? "" : found->second;
+}
+
+std::optional<LogLine> parseLogLine(const std::string &text)
+{
+    LogLine line;
+    const auto begin = text.find("time=");
+    line.text = begin == std::string::npos ? text : text.substr(begin);
+    std::istringstream words(line.text);
+    for (std::string word; words >> word;) {
+        const auto equals = word.find('=');
+        if (equals != std::string::npos && equals > 0) {
+            line.fields[word.substr(0, equals)] = percentDecoded(word.substr(equals + 1));
+        }
+    }
+    line.time = line.field("time");
+    const bool isEvent = line.fields.contains("decision") || line.fields.contains("event");
+    return isEvent ? std::optional(std::move(line)) : std::nullopt;
+}
+
+Explanation::Explanation(std::string request)
+    : request_(std::move(request))
+{
+}
+
+void Explanation::add(const std::string &text)
+{
+    auto line = parseLogLine(text);
+    if (!line) {
+        return;
+    }
+    if (line->field("request") == request_) {
+        if (const auto work = line->field("work"); !work.empty()) {
+            works_.push_back(work);
+        }
+        for (const char *name : {"choice", "from"}) {
+            if (const auto endpoint = line->field(name); !endpoint.empty() && endpoint != "none") {
+                endpoints_.push_back(endpoint);
+            }
+        }
+    }
+    lines_.push_back(std::move(*line));
+}
+
+bool Explanation::concerns(const LogLine &line) const
+{
+    const auto request = line.field("request");
+    if (!request.empty()) {
+        return request == request_ || std::find(works_.begin(), works_.end(), request) != works_.end();
+    }
+    const auto endpoint = line.field("endpoint");
+    return !endpoint.empty() && std::find(endpoints_.begin(), endpoints_.end(), endpoint) != endpoints_.end();
+}
+
+std::vector<LogLine> Explanation::history() const
+{
+    std::vector<LogLine> found;
+    std::copy_if(lines_.begin(), lines_.end(), std::back_inserter(found), [this](const LogLine &line) { return concerns(line); });
+    std::stable_sort(found.begin(), found.end(), [](const LogLine &one, const LogLine &other) { return one.time < other.time; });
+    // What the VMs of the request believed meanwhile.
+    if (found.empty()) {
+        return found;
+    }
+    std::set<std::string> vms;
+    std::transform(found.begin(), found.end(), std::inserter(vms, vms.end()), [](const LogLine &line) { return line.field("vm"); });
+    const std::string begin = found.front().time;
+    const std::string end = found.back().time;
+    for (const auto &line : lines_) {
+        const auto event = line.field("event");
+        const bool isBelief = event == "platform_lost" || event == "platform_regained" || event == "document_in_force" || event == "live_vms"
+            || event == "shutdown_begun" || event == "lines_left_out";
+        if (isBelief && vms.contains(line.field("vm")) && line.time >= begin && line.time <= end) {
+            found.push_back(line);
+        }
+    }
+    std::stable_sort(found.begin(), found.end(), [](const LogLine &one, const LogLine &other) { return one.time < other.time; });
+    return found;
+}
+
+bool Explanation::found() const
+{
+    return std::any_of(lines_.begin(), lines_.end(), [this](const LogLine &line) { return line.field("request") == request_; });
+}
+
+std::string Explanation::cause() const
+{
+    const auto lines = history();
+    std::string cause;
+    for (const auto &line : lines) {
+        const bool isOwn = line.field("request") == request_;
+        if (isOwn && isFailure(line)) {
+            cause = sentenceOf(line);
+            break;
+        }
+    }
+    if (cause.empty()) {
+        const bool answered = std::any_of(lines.begin(), lines.end(), [this](const LogLine &line) {
+            const bool isFinal = line.field("decision") == "send" || line.field("outcome") == "complete";
+            return line.field("request") == request_ && isFinal;
+        });
+        return answered ? "the request was answered by its endpoint" : "the log shows no end of the request";
+    }
+    for (const auto &line : lines) {
+        const bool left = line.field("event") == "endpoint" && (line.field("state") == "gone" || line.field("state") == "draining");
+        if (left && cause.find(line.field("endpoint")) != std::string::npos) {
+            return cause + "; its endpoint " + line.field("endpoint") + " had left at " + line.time;
+        }
+    }
+    return cause;
+}
+
+void Explanation::print(std::ostream &out) const
+{
+    for (const auto &line : history()) {
+        out << line.text << '\n';
+    }
+    out << "cause: " << cause() << '\n';
+}
+
+void Explanation::printJson(std::ostream &out) const
+{
+    auto lines = nlohmann::json::array();
+    for (const auto &line : history()) {
+        lines.push_back(line.fields);
+    }
+    out << nlohmann::json{{"request", request_}, {"lines", lines}, {"cause", cause()}}.dump(2) << '\n';
+}
+
+int runExplainCommand(const std::string &request, const std::vector<std::string> &logs, bool json, std::istream &in, std::ostream &out, std::ostream &err)
+{
+    Explanation explanation(request);
+    const auto readAll = [&](std::istream &log) {
+        for (std::string line; std::getline(log, line);) {
+            explanation.add(line);
+        }
+    };
+    for (const auto &name : logs) {
+        std::ifstream log(name);
+        if (!log) {
+            err << name << ": cannot be opened\n";
+            return Usage;
+        }
+        readAll(log);
+    }
+    if (logs.empty()) {
+        readAll(in);
+    }
+    if (!explanation.found()) {
+        err << "no line names request " << request << '\n';
+        return Failure;
+    }
+    if (json) {
+        explanation.printJson(out);
+    } else {
+        explanation.print(out);
+    }
+    return Success;
+}
+
+} // namespace daisystream::cli
--- /dev/null
+++ b/cli/explain_test.cpp
@@ -0,0 +1,71 @@
+#include "cli/explain.h"
+
+#include "cli/exitcodes.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+namespace daisystream::cli
+{
+namespace
+{
+
+// Two VMs: vm1 has the caller, vm2 owns the cell. Lines of another request lie between.
+constexpr const char *kCutOff = R"(time=2026-12-04T05:00:01.000000Z level=info vm=vm2 decision=assign request=w-1 team=cafe choice=i-7@5 reason=owner
+   1.2 edge-1 time=2026-12-04T05:00:01.500000Z level=info vm=vm1 event=endpoint endpoint=i-7@5 state=gone revision=9
+time=2026-12-04T05:00:01.600000Z level=info vm=vm1 event=endpoint endpoint=i-8@5 state=gone revision=10
+time=2026-12-04T05:00:03.000000Z level=info vm=vm1 decision=stream request=other work=w-2 choice=i-9@1 outcome=complete
+time=2026-12-04T05:00:03.100000Z level=info vm=vm1 decision=move request=abc work=w-3 from=i-7%405 choice=none reason=failed
+time=2026-12-04T05:00:03.200000Z level=info vm=vm1 decision=stream request=abc work=w-1 choice=i-7%405 outcome=failed events=12
+time=2026-12-04T05:00:03.300000Z level=warning vm=vm1 decision=give_up request=abc work=w-1 reason=cut_off detail=endpoint%20i-7%405%3A%20broken
+some text without fields
+)";
+
+std::string explained(const std::string &request, const std::string &log, int expected = Success, bool json = false)
+{
+    std::istringstream in(log);
+    std::ostringstream out;
+    std::ostringstream err;
+    CHECK(runExplainCommand(request, {}, json, in, out, err) == expected);
+    return out.str();
+}
+
+TEST_CASE("lines of several VMs become one history, and the first cause is named")
+{
+    const auto text = explained("abc", kCutOff);
+    const auto position = [&](const std::string &part) {
+        return text.find(part);
+    };
+    CHECK(position("decision=assign request=w-1") < position("event=endpoint endpoint=i-7@5"));
+    CHECK(position("event=endpoint endpoint=i-7@5") < position("decision=give_up"));
+    CHECK(position("other") == std::string::npos);
+    CHECK(position("i-8@5") == std::string::npos);
+    CHECK(position("cause: the answer was cut off: endpoint i-7@5: broken; its endpoint i-7@5 had left") != std::string::npos);
+}
+
+TEST_CASE("a refusal under overload and one on old knowledge are told apart")
+{
+    CHECK(explained("a", "time=1 vm=vm1 decision=give_up request=a reason=PromiseCannotBeMet detail=the%20promise\n").find("overloaded") != std::string::npos);
+    CHECK(explained("b", "time=1 vm=vm1 decision=refuse request=b reason=Isolated\n").find("no contact with the platform") != std::string::npos);
+}
+
+TEST_CASE("an answered request has no cause, an unknown one no history")
+{
+    CHECK(explained("a", "time=1 vm=vm1 decision=send request=a outcome=200\n").find("was answered") != std::string::npos);
+    CHECK(explained("b", "time=1 vm=vm1 decision=send request=a outcome=200\n", Failure).empty());
+    std::istringstream in;
+    std::ostringstream out;
+    std::ostringstream err;
+    CHECK(runExplainCommand("a", {"/nonexistent/log"}, false, in, out, err) == Usage);
+}
+
+TEST_CASE("the history is available as JSON")
+{
+    const auto text = explained("abc", kCutOff, Success, true);
+    CHECK(text.find("\"cause\"") != std::string::npos);
+    CHECK(text.find("\"decision\": \"give_up\"") != std::string::npos);
+}
+
+} // namespace
+} // namespace daisystream::cli
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -1,5 +1,6 @@
 #include "cli/commands.h"
 #include "cli/exitcodes.h"
+#include "cli/explain.h"
 
 #include <boost/asio/detached.hpp>
 #include <gflags/gflags.h>
@@ -35,6 +36,7 @@
   daisystream status                                who owns what, versions in force per VM, load per rank and team
   daisystream ask PROMPT                            print an answer as it arrives, resume it by itself
   daisystream order SERVICE /PATH [--file BODY]     fetch a ticket and send an order
+  daisystream explain ID [LOG...]                   history and cause of one request, from the logs of all VMs
 
 Examples:
   daisystream --platform 10.0.0.9:9100 plans show >plans.json       # prints "plans version 7" on standard error
@@ -43,6 +45,7 @@
   daisystream --operators 10.0.1.1:7300,10.0.1.2:7300 status --json
   daisystream --vms 10.0.1.1:8080,10.0.1.2:8080 --key ds_k1_secret ask "What is the weather on the trail?"
   daisystream --vms 10.0.1.1:8080 order booking /seats --file order.json
+  daisystream explain 9c41d07be2a35f68 vm1.log vm2.log
 
 Exit codes: 0 done, 1 failure, 2 usage, 3 text not valid, 4 another change took precedence, 5 not reachable and nothing
 changed, 6 outcome unknown, 7 answer incomplete, 8 not run.
@@ -99,6 +102,9 @@
     if (command == "status" && arguments.empty()) {
         return runStatusCommand(options, context, yield);
     }
+    if (command == "explain" && !arguments.empty()) {
+        return runExplainCommand(arguments.front(), {arguments.begin() + 1, arguments.end()}, options.json, context.in, context.out, context.err);
+    }
     if (command == "ask") {
         return runAskCommand(arguments, options, context, yield);
     }
--- a/daemon/gateway/answermove.cpp
+++ b/daemon/gateway/answermove.cpp
@@ -101,8 +101,10 @@
         }
         break;
     }
+    gateway_.onMove(gateway_.now() - begin, moved_ && !cancelled_);
     DecisionLine("move")
         .field("request", plan_.attempt)
+        .field("work", plan_.work.id.value())
         .field("from", plan_.source.id.value())
         .field("choice", moved_ ? moved_->target.id.value() : "none")
         .field("tokens", std::to_string(plan_.work.promptTokens + plan_.work.heldTokens))
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -136,9 +136,7 @@
 
     void log(const EndpointSettings &endpoint, const std::optional<ExchangeFault> &fault, bool isForeign) const
     {
-        DecisionLine("send")
-            .field("request", request_.head.attempt)
-            .field("route", request_.route->name.value())
+        gateway_.line("send", request_)
             .field("choice", endpoint.id.value())
             .field("attempt", std::to_string(state_.sent()))
             .field("outcome",
@@ -152,10 +150,12 @@
     void finish(boost::asio::yield_context yield)
     {
         if (callerLeft_) {
+            gateway_.onEnded(request_, RequestOutcome::CallerLeft);
             connection_.abort();
             return;
         }
         if (answer_) {
+            gateway_.onEnded(request_, RequestOutcome::Answered);
             connection_.write(std::move(*answer_), yield);
             return;
         }
@@ -165,9 +165,8 @@
         } else if (budgetSpent_) {
             error.detail += "; the retry budget is spent";
         }
-        DecisionLine("give_up")
-            .field("request", request_.head.attempt)
-            .field("route", request_.route->name.value())
+        gateway_.onEnded(request_, state_.givenUp() == GivenUp::NotRun ? RequestOutcome::NotRun : RequestOutcome::OutcomeUnknown);
+        gateway_.line("give_up", request_)
             .field("reason", toString(error.code))
             .field("not_run", state_.givenUp() == GivenUp::NotRun ? "true" : "false")
             .field("detail", error.detail)
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -11,8 +11,76 @@
 constexpr std::chrono::milliseconds kTimeForCall{2000};
 constexpr std::chrono::milliseconds kTimeForShortAnswer{3500};
 
+const char *kindName(const RequestKind &kind)
+{
+    if (const auto *stream = std::get_if<AnswerStream>(&kind)) {
+        return stream->resumable ? "resumable_stream" : "stream";
+    }
+    return std::holds_alternative<SafeCall>(kind) ? "safe" : "unsafe";
+}
+
+const char *outcomeName(RequestOutcome outcome)
+{
+    switch (outcome) {
+    case RequestOutcome::Answered:
+        return "answered";
+    case RequestOutcome::NotRun:
+        return "not_run";
+    case RequestOutcome::OutcomeUnknown:
+        return "outcome_unknown";
+    case RequestOutcome::CutOff:
+        return "cut_off";
+    case RequestOutcome::CallerLeft:
+        break;
+    }
+    return "caller_left";
+}
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 } // namespace
 
+/// The time series of the gateway. Labels are kinds and outcomes only, so that their number is bounded.
+class GatewayContext::Series
+{
+public:
+    explicit Series(Metrics &metrics)
+        : metrics_(metrics)
+        , gap(metrics.histogram("daisystream_event_gap_seconds", "Pause between two events of an answer."))
+        , moveTime(metrics.histogram("daisystream_move_seconds", "Time to move a running answer to another engine."))
+        , moved(metrics.counter("daisystream_moves_total", "Running answers that left their engine.", {{"outcome", "moved"}}))
+        , notMoved(metrics.counter("daisystream_moves_total", "Running answers that left their engine.", {{"outcome", "not_moved"}}))
+    {
+    }
+
+    Counter &requests(const RequestKind &kind, RequestOutcome outcome)
+    {
+        return metrics_.counter("daisystream_requests_total", "Requests with a final answer.", {{"kind", kindName(kind)}, {"outcome", outcomeName(outcome)}});
+    }
+
+    Histogram &requestTime(const RequestKind &kind)
+    {
+        return metrics_.histogram("daisystream_request_seconds", "Time from a request to its final answer.", {{"kind", kindName(kind)}});
+    }
+
+    Histogram &firstEvent(const RequestKind &kind)
+    {
+        return metrics_.histogram("daisystream_first_event_seconds", "Time from a request to its first event.", {{"kind", kindName(kind)}});
+    }
+
+private:
+    Metrics &metrics_;
+
+public:
+    Histogram &gap;
+    Histogram &moveTime;
+    Counter &moved;
+    Counter &notMoved;
+};
+
 GatewayContext::GatewayContext(
     FrontendContext &frontend, CellDispatcher &dispatcher, const GatewayDialect &dialect, const GatewaySettings &settings, const ZoneId &zone)
     : frontend(frontend)
@@ -22,7 +90,52 @@
     , zone_(zone)
     , random_(frontend.parts.seed)
     , budget_({.ratio = settings.retryRatio, .allowance = settings.retryAllowance, .window = settings.retryWindow})
+    , series_(std::make_unique<Series>(frontend.parts.metrics))
+{
+}
+
+GatewayContext::~GatewayContext() = default;
+
+DecisionLine GatewayContext::line(std::string_view decision, const RoutedRequest &request) const
+{
+    DecisionLine line(decision);
+    line.field("request", request.head.attempt)
+        .field("work", request.id.value())
+        .field("route", request.route->name.value())
+        .field("team", request.team ? request.team->value() : "")
+        .field("routes", std::to_string(request.table->version()));
+    if (const auto age = contactAge_ ? contactAge_() : std::nullopt) {
+        line.field("contact_ms", std::to_string(age->count()));
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now());
+    return line.field("left_ms", std::to_string(left.count()));
+}
+
+void GatewayContext::setContactAge(std::function<std::optional<std::chrono::milliseconds>()> source)
+{
+    contactAge_ = std::move(source);
+}
+
+void GatewayContext::onEnded(const RoutedRequest &request, RequestOutcome outcome)
+{
+    series_->requests(request.route->kind, outcome).add(1);
+    series_->requestTime(request.route->kind).observe(secondsOf(now() - request.arrival));
+}
+
+void GatewayContext::onFirstEvent(const RoutedRequest &request)
+{
+    series_->firstEvent(request.route->kind).observe(secondsOf(now() - request.arrival));
+}
+
+void GatewayContext::onGap(Duration gap)
+{
+    series_->gap.observe(secondsOf(gap));
+}
+
+void GatewayContext::onMove(Duration took, bool moved)
 {
+    series_->moveTime.observe(secondsOf(took));
+    (moved ? series_->moved : series_->notMoved).add(1);
 }
 
 TimePoint GatewayContext::now() const
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -4,6 +4,7 @@
 #include "daemon/frontend/frontendcontext.h"
 #include "daemon/frontend/httpconnection.h"
 #include "daemon/gateway/gatewaydialect.h"
+#include "daemon/status/decisionlog.h"
 #include "daisystream/balancing/servicebalancer.h"
 #include "daisystream/retry/servicebudget.h"
 #include "daisystream/routes/routetable.h"
@@ -43,12 +44,25 @@
     TimePoint deadline{}; ///< The final answer is due.
 };
 
+/// How a request ended, for the metrics.
+enum class RequestOutcome : std::uint8_t {
+    Answered,       ///< The caller has the endpoint's answer, good or bad.
+    NotRun,         ///< Refused, and it has not run.
+    OutcomeUnknown, ///< Given up; it may have run.
+    CutOff,         ///< The caller has a part of the answer.
+    CallerLeft,
+};
+
 /// Thread-safe. Its lock belongs to level 7 (connections) and nothing is called while it is held.
 class GatewayContext
 {
 public:
     /// All parameters must outlive the event loop.
     GatewayContext(FrontendContext &frontend, CellDispatcher &dispatcher, const GatewayDialect &dialect, const GatewaySettings &settings, const ZoneId &zone);
+    ~GatewayContext();
+
+    GatewayContext(const GatewayContext &) = delete;
+    GatewayContext &operator=(const GatewayContext &) = delete;
 
     FrontendContext &frontend;
     CellDispatcher &dispatcher;
@@ -57,6 +71,22 @@
 
     [[nodiscard]] TimePoint now() const;
 
+    /// @return a log line about a request, with the versions and ages of what it is decided by.
+    [[nodiscard]] DecisionLine line(std::string_view decision, const RoutedRequest &request) const;
+
+    /// Sets where the age of this VM's knowledge comes from, for log lines.
+    void setContactAge(std::function<std::optional<std::chrono::milliseconds>()> source);
+
+    /// Counts a request that has its final answer.
+    void onEnded(const RoutedRequest &request, RequestOutcome outcome);
+
+    /// Counts the first event of an answer, and the pause before each further one.
+    void onFirstEvent(const RoutedRequest &request);
+    void onGap(Duration gap);
+
+    /// Counts a move of an answer that ended.
+    void onMove(Duration took, bool moved);
+
     /// @return the time until a deadline, at least one millisecond.
     [[nodiscard]] std::chrono::milliseconds timeUntil(TimePoint deadline) const;
 
@@ -90,6 +120,7 @@
     [[nodiscard]] bool isInService(const EndpointId &endpoint) const;
 
 private:
+    class Series;
     using Watches = std::multimap<EndpointId, std::weak_ptr<std::function<void()>>>;
 
     std::mutex mutex_;
@@ -99,6 +130,8 @@
     ServiceRetryBudget budget_;
     Watches watches_;
     std::optional<TimePoint> stoppingSince_;
+    std::function<std::optional<std::chrono::milliseconds>()> contactAge_;
+    std::unique_ptr<Series> series_;
 };
 
 } // namespace daisystream
--- a/daemon/gateway/gatewayhandler.cpp
+++ b/daemon/gateway/gatewayhandler.cpp
@@ -39,7 +39,15 @@
     }
     const auto admitted = admit(request);
     if (const auto *error = std::get_if<Error>(&admitted)) {
-        DecisionLine("refuse").field("target", {request.target().data(), request.target().size()}).field("reason", toString(error->code)).write();
+        const auto table = gateway_.frontend.parts.lists.routes();
+        DecisionLine("refuse")
+            .field("request", gateway_.dialect.readCaller(request).attempt)
+            .field("target", {request.target().data(), request.target().size()})
+            .field("reason", toString(error->code))
+            .field("routes", table ? std::to_string(table->version()) : "none")
+            .field("retry_ms", error->retryAfter ? std::to_string(error->retryAfter->count()) : "")
+            .field("detail", error->detail)
+            .write();
         connection.write(gatewayReply(gateway_.dialect, *error, GivenUp::NotRun), yield);
         return;
     }
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -74,7 +74,7 @@
             move_->cancel();
         }
         connection_.stopWatching();
-        finish(end, yield);
+        finish(yield);
         exchange_.reset();
     }
 
@@ -278,6 +278,13 @@
         if (!connection_.writeEvents(events, yield)) {
             return callerWent();
         }
+        const auto now = gateway_.now();
+        if (events_ == 0) {
+            gateway_.onFirstEvent(request_);
+        } else if (count > 0) {
+            gateway_.onGap(now - lastEventAt_);
+        }
+        lastEventAt_ = now;
         events_ += count;
         noteProgress();
         return true;
@@ -413,9 +420,7 @@
     void log(RunEnd end) const
     {
         static constexpr std::array<const char *, 4> kNames{"complete", "moved", "failed", "caller_left"};
-        DecisionLine("stream")
-            .field("request", request_.head.attempt)
-            .field("route", request_.route->name.value())
+        gateway_.line("stream", request_)
             .field("choice", endpoint_.id.value())
             .field("attempt", std::to_string(state_.sent()))
             .field("outcome", kNames[static_cast<std::size_t>(end)])
@@ -427,16 +432,20 @@
             .write();
     }
 
-    void finish(RunEnd end, asio::yield_context yield)
+    void finish(asio::yield_context yield)
     {
         if (callerLeft_) {
+            gateway_.onEnded(request_, RequestOutcome::CallerLeft);
             connection_.abort();
             return;
         }
         if (ended_) {
+            gateway_.onEnded(request_, RequestOutcome::Answered);
             return;
         }
         if (started_) {
+            gateway_.onEnded(request_, RequestOutcome::CutOff);
+            gateway_.line("give_up", request_).field("reason", "cut_off").field("detail", failure_.detail).write();
             connection_.abort(); // The caller must not take what it has for the whole answer.
             return;
         }
@@ -444,14 +453,12 @@
         if (!refused_ && gateway_.now() >= request_.deadline) {
             error = {ResultCode::TimeLimitPassed, "the time limit has passed; " + failure_.detail, {}};
         }
-        DecisionLine("give_up")
-            .field("request", request_.head.attempt)
-            .field("route", request_.route->name.value())
+        gateway_.onEnded(request_, state_.givenUp() == GivenUp::NotRun ? RequestOutcome::NotRun : RequestOutcome::OutcomeUnknown);
+        gateway_.line("give_up", request_)
             .field("reason", toString(error.code))
             .field("not_run", state_.givenUp() == GivenUp::NotRun ? "true" : "false")
             .field("retry_ms", error.retryAfter ? std::to_string(error.retryAfter->count()) : "")
             .field("detail", error.detail)
-            .field("end", std::to_string(static_cast<int>(end)))
             .write();
         connection_.write(gatewayReply(gateway_.dialect, error, state_.givenUp()), yield);
     }
@@ -474,6 +481,7 @@
     std::uint64_t events_ = 0;
     Error failure_{};
     TimePoint lastProgress_{};
+    TimePoint lastEventAt_{};
     TimePoint movedAt_{}; ///< The last move was started.
     bool firstEventOfRun_ = true;
     bool deliveredInRun_ = false;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -4,6 +4,7 @@
 #include "daemon/frontend/httpfrontend.h"
 #include "daemon/frontend/tlscontext.h"
 #include "daemon/gateway/gatewaycontext.h"
+#include "daemon/status/logoutput.h"
 #include "daemon/status/operatorapi.h"
 #include "daemon/store/orderrecords.h"
 
@@ -42,6 +43,7 @@
 // The balancer asks every second and stops after two refusals.
 constexpr auto kRotationTime = std::chrono::milliseconds(3200);
 // Leaves time for messages to other VMs, such as the last Done, to be sent before connections are closed.
+constexpr auto kLastLinesTime = std::chrono::milliseconds(200);
 constexpr auto kFarewellTime = std::chrono::milliseconds(200);
 
 std::uint64_t randomSeed()
@@ -137,6 +139,7 @@
     {
         if (auto *gateway = frontend_.gateway()) {
             control_.setEndpointHandler([gateway](const std::vector<EndpointId> &leaving) { gateway->announceLeaving(leaving); });
+            gateway->setContactAge([this] { return control_.monitor().view().contactAge; });
             control_.setVmHandler([gateway](std::size_t count) { gateway->setVms(count); });
         }
     }
@@ -264,7 +267,6 @@
 
 int main(int argc, char **argv)
 try {
-    FLAGS_logtostderr = true;
     gflags::SetUsageMessage("daisystreamd --settings FILE [--check]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     google::InitGoogleLogging(argv[0]);
@@ -282,9 +284,12 @@
         std::fprintf(stderr, "%s: platformProtocol: \"%s\" is not a known protocol\n", FLAGS_settings.c_str(), settings.platformProtocol.c_str());
         return kExitInvalidSettings;
     }
+    const BootClock clock;
+    LogOutput output({.vm = settings.vm.value()}, clock);
     Daemon daemon(settings, *adapter);
     const int status = daemon.run();
-    google::FlushLogFiles(google::INFO);
+    LOG(INFO) << "event=stopped status=" << status << " dropped=" << output.dropped() << " left_out=" << output.leftOut();
+    output.drain(kLastLinesTime);
     // Suspended coroutines of the event loop refer to members that would be destroyed before it. All threads have ended and
     // there is nothing to save, so that the process ends without destroying them.
     std::_Exit(status);
