Never end an answer that cannot be resumed because its engine is silent

The forwarder ended it after 1.5 s of silence, which a preempted answer exceeds. Only an answer that can go on elsewhere may be given up for silence; a dead engine shows by its connection.

--- a/daemon/control/settings_test.cpp
+++ b/daemon/control/settings_test.cpp
@@ -74,5 +74,30 @@
     CHECK(settings.peerTls->authorityFile == "c");
 }
 
+TEST_CASE("the gateway's settings are read and checked")
+{
+    const auto result = parseSettings(R"({"vm": "vm1", "zone": "z", "listen": "127.0.0.1:1", "listenReadiness": "127.0.0.1:2",
+        "platform": "127.0.0.1:3", "platformProtocol": "fleet",
+        "gateway": {"revocationMs": 4000, "retryRatio": 0.1, "retryAllowance": 58, "memoryQuantile": 0.95, "engineSteps": {"baseMs": 7.5}}})",
+                                      "vm.json");
+    REQUIRE(std::holds_alternative<Settings>(result));
+    const auto &settings = std::get<Settings>(result);
+    REQUIRE(settings.gateway);
+    CHECK(settings.gateway->revocationTime == std::chrono::milliseconds(4000));
+    CHECK(settings.gateway->stepCost.baseMilliseconds == 7.5);
+    CHECK(settings.gateway->graceTime == std::chrono::milliseconds(8000));
+    CHECK(settings.platformProtocol == "fleet");
+    const std::string faults = faultsOf(R"({"vm": "vm1", "zone": "z", "listen": "127.0.0.1:1",
+        "gateway": {"retryRatio": 2, "graceMs": 0, "engineSteps": {"baseMs": "x", "odd": 1}}})");
+    for (const char *expected : {"platform: is missing",
+                                 "gateway.retryRatio: must be",
+                                 "gateway.graceMs: must be",
+                                 "gateway.engineSteps.baseMs: must be",
+                                 "gateway.engineSteps.odd: is not a known field"}) {
+        CAPTURE(expected);
+        CHECK(faults.find(expected) != std::string::npos);
+    }
+}
+
 } // namespace
 } // namespace daisystream
--- a/daemon/endpoints/loadpoller.cpp
+++ b/daemon/endpoints/loadpoller.cpp
@@ -54,7 +54,7 @@
 class LoadPoller::Private : public std::enable_shared_from_this<Private>
 {
 public:
-    Private(asio::io_context &loop, CellDispatcher &target, const Clock &source, Metrics &metrics, LoadPollerOptions with)
+    Private(asio::io_context &loop, CellDispatcher &target, const Clock &source, Metrics &metrics, const LoadPollerOptions &with)
         : io(loop)
         , strand(asio::make_strand(loop))
         , dispatcher(target)
@@ -209,7 +209,7 @@
     std::set<EndpointId> polled; // On the strand.
 };
 
-LoadPoller::LoadPoller(asio::io_context &io, CellDispatcher &dispatcher, const Clock &clock, Metrics &metrics, LoadPollerOptions options)
+LoadPoller::LoadPoller(asio::io_context &io, CellDispatcher &dispatcher, const Clock &clock, Metrics &metrics, const LoadPollerOptions &options)
     : d_(std::make_shared<Private>(io, dispatcher, clock, metrics, options))
 {
 }
--- a/daemon/endpoints/loadpoller.h
+++ b/daemon/endpoints/loadpoller.h
@@ -46,7 +46,7 @@
 class LoadPoller
 {
 public:
-    LoadPoller(boost::asio::io_context &io, CellDispatcher &dispatcher, const Clock &clock, Metrics &metrics, LoadPollerOptions options);
+    LoadPoller(boost::asio::io_context &io, CellDispatcher &dispatcher, const Clock &clock, Metrics &metrics, const LoadPollerOptions &options);
     ~LoadPoller();
 
     void start();
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -24,7 +24,8 @@
 
 constexpr std::uint64_t kErrorLimitBytes = 1U << 20U;
 constexpr milliseconds kConnectTime{500};
-// An answer whose engine is silent for this many of its longest gaps has lost its engine: callers give up after 8.
+// An answer that can go on elsewhere does so when its engine is silent for this many of its longest gaps. Any other waits:
+// an engine that preempted it may be silent for seconds, and a dead one shows by its connection.
 constexpr int kGapsUntilSilent = 6;
 constexpr milliseconds kLeastSilence{1500};
 // The same until the first event, in response-time objectives: callers give up after 4.
@@ -192,9 +193,8 @@
                                       .lastEvent = lastEvent_.empty() ? std::nullopt : std::optional(lastEvent_),
                                       .memory = memory};
         const auto connectTime = memory ? kMovedConnectTime : kConnectTime;
-        const auto fault = exchange_->open(gateway_.dialect.toEndpoint(request_.http, options),
-                                           {.connect = std::min(left, connectTime), .header = std::min(left, silenceBeforeFirstEvent())},
-                                           yield);
+        const auto fault
+            = exchange_->open(gateway_.dialect.toEndpoint(request_.http, options), {.connect = std::min(left, connectTime), .header = silence()}, yield);
         if (exchange_->bytesSent() && !memory) {
             state_.onSent();
         }
@@ -226,8 +226,12 @@
 
     [[nodiscard]] milliseconds silence() const
     {
+        const auto left = gateway_.timeUntil(request_.deadline);
+        if (!kind_.resumable) {
+            return left;
+        }
         const auto allowed = lastEvent_.empty() ? silenceBeforeFirstEvent() : std::max(kLeastSilence, kGapsUntilSilent * kind_.longestGap);
-        return std::min(allowed, gateway_.timeUntil(request_.deadline));
+        return std::min(allowed, left);
     }
 
     RunEnd relay(asio::yield_context yield)
