Let few VMs follow the store for all, ask engines whether they leave while it is away

Change: three VMs follow configuration and endpoints and tell the others at once; the others watch only if no confirmation is fresh. Heartbeats go to all up to 64 VMs, every second above 8. Engines with running answers are asked while the store is lost. A VM that may not admit new work still moves what runs.

--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -432,7 +432,10 @@
         std::function<std::optional<Error>()> check;
         {
             const std::lock_guard lock(mutex);
-            check = assignmentCheck;
+            const auto found = local.find(id);
+            // An answer that runs already was admitted before, and its engine leaves whatever this VM knows.
+            const bool isMove = found != local.end() && found->second.work.movesFrom;
+            check = isMove ? nullptr : assignmentCheck;
         }
         const auto refusal = check && std::holds_alternative<Assign>(result) ? check() : std::nullopt;
         if (!refusal) {
@@ -1082,6 +1085,18 @@
     return engines;
 }
 
+std::vector<EndpointId> CellDispatcher::enginesInUse() const
+{
+    const std::lock_guard lock(d_->mutex);
+    std::set<EndpointId> engines;
+    for (const auto &[id, request] : d_->local) {
+        if (request.state == LocalRequest::State::Assigned) {
+            engines.insert(request.endpoint);
+        }
+    }
+    return {engines.begin(), engines.end()};
+}
+
 std::vector<CellDigest> CellDispatcher::digests() const
 {
     const std::lock_guard lock(d_->mutex);
--- a/daemon/cells/celldispatcher.h
+++ b/daemon/cells/celldispatcher.h
@@ -81,6 +81,9 @@
     /// @return the engines whose load this VM needs, because it decides for their cells.
     [[nodiscard]] std::vector<EndpointSettings> enginesToPoll() const;
 
+    /// @return the engines at which answers of this VM's callers run.
+    [[nodiscard]] std::vector<EndpointId> enginesInUse() const;
+
     /// @return the cells that this VM decides for, with their load.
     [[nodiscard]] std::vector<CellDigest> digests() const;
 
--- a/daemon/cells/celldispatcher_test.cpp
+++ b/daemon/cells/celldispatcher_test.cpp
@@ -289,5 +289,25 @@
     CHECK(fleet.at(entry).running() == 2);
 }
 
+// Pattern: the store is away for longer than a VM may admit new work, and engines leave meanwhile. Guards running answers,
+// which were admitted before.
+TEST_CASE("a VM that must not give new work to engines still moves its running answers")
+{
+    Fleet fleet({"vm1", "vm2", "vm3"});
+    const VmId vm = fleet.owners().front();
+    fleet.at(vm).setAssignmentCheck([] { return std::optional(Error{ResultCode::Isolated, "no contact", milliseconds(1000)}); });
+    fleet.ask(vm, fleet.work("new"));
+    auto moving = fleet.work("moving", milliseconds(8000));
+    moving.movesFrom = RunningAt{.endpoint = EndpointId("gone"), .zone = {}};
+    moving.heldTokens = 20;
+    moving.mayMove = false;
+    fleet.ask(vm, moving);
+    fleet.pass(milliseconds(100));
+    REQUIRE(fleet.answers[RequestId("new")].size() == 1);
+    CHECK(std::holds_alternative<Error>(fleet.answers[RequestId("new")].front()));
+    REQUIRE(fleet.answers[RequestId("moving")].size() == 1);
+    CHECK(std::holds_alternative<Assign>(fleet.answers[RequestId("moving")].front()));
+}
+
 } // namespace
 } // namespace daisystream
--- a/daemon/cells/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -3,6 +3,7 @@
 #include "daisystream/lists/endpointstates.h"
 #include "daisystream/lists/freshness.h"
 #include "daisystream/lists/versionedrow.h"
+#include "daisystream/membership/rendezvous.h"
 #include "daisystream/membership/vmtable.h"
 
 #include <boost/asio/detached.hpp>
@@ -31,7 +32,12 @@
 {
 
 // Up to this many other VMs, each sends heartbeats to all; above, to a few in rotation, which pass them on.
-constexpr std::size_t kDirectPeers = 7;
+constexpr std::size_t kDirectPeers = 63;
+// Up to this many, at each beat; above, at every second one, so that a node's control bytes stay bounded.
+constexpr std::size_t kFrequentPeers = 7;
+constexpr VmTableOptions kRareTimes{.suspectedAfter = std::chrono::milliseconds(3500), .deadAfter = std::chrono::seconds(8), .faults = {}};
+// VMs that follow the endpoints for all. Three, so that two can be lost at once.
+constexpr std::size_t kWatchers = 3;
 constexpr std::size_t kGossipTargets = 4;
 // With 4 targets twice a second, 8 entries of about 30 bytes cost less than the 3 KB/s that a node may spend.
 constexpr std::size_t kGossipEntries = 8;
@@ -48,6 +54,12 @@
 
 constexpr std::array kPolledKinds{DocumentKind::Plans, DocumentKind::Limits, DocumentKind::EndpointStates, DocumentKind::SealKeys};
 
+/// @return how long a VM may be silent in a fleet with so many others.
+VmTableOptions timesOf(std::size_t peers)
+{
+    return peers > kDirectPeers ? kGossipTimes : peers > kFrequentPeers ? kRareTimes : VmTableOptions{};
+}
+
 /// @return the text of a first set of sealing keys.
 std::string makeSealKeys()
 {
@@ -76,7 +88,7 @@
         , options(times)
         , pollFailures(links.metrics.counter("daisystream_platform_failures_total", "Polls of the platform without a usable reply."))
         , fetched(links.metrics.counter("daisystream_documents_from_peers_total", "Documents that came from another VM."))
-        , table(with.vm, with.peers.size() > kDirectPeers ? kGossipTimes : VmTableOptions{})
+        , table(with.vm, timesOf(with.peers.size()))
         , freshness(times.freshness.value_or(with.peers.size() > kDirectPeers ? kGossipFreshness : FreshnessOptions{}))
     {
     }
@@ -205,14 +217,24 @@
             table.onPlatformList(listed, parts.clock.now());
         }
         parts.peers.setPeers(peers);
+        {
+            const std::lock_guard lock(mutex);
+            const auto times = timesOf(peers.size());
+            table.setTimes(times.suspectedAfter, times.deadAfter);
+        }
         parts.dispatcher.setLeaving(leaving);
     }
 
     // Other VMs.
 
-    void beat()
+    /// @param isAnnouncing a document has changed: the others must not wait for the next beat.
+    void beat(bool isAnnouncing = false)
     {
         const auto peers = parts.peers.peers();
+        if (peers.size() > kFrequentPeers && peers.size() <= kDirectPeers && !isAnnouncing && ++beats % 2 == 0) {
+            refreshView();
+            return;
+        }
         HeartbeatMessage heartbeat;
         heartbeat.versions = parts.lists.versions();
         heartbeat.cells = parts.dispatcher.digests();
@@ -221,6 +243,7 @@
             const std::lock_guard lock(mutex);
             heartbeat.sequence = ++sequence;
             heartbeat.stopping = leaving;
+            heartbeat.cutOff = cutOffSource && cutOffSource();
             if (peers.size() <= kDirectPeers) {
                 std::transform(peers.begin(), peers.end(), std::back_inserter(targets), [](const auto &peer) { return peer.vm; });
             } else {
@@ -297,6 +320,11 @@
                 }
             }
             versions[from] = message.versions;
+            if (message.cutOff) {
+                cutOff.insert(from);
+            } else {
+                cutOff.erase(from);
+            }
             for (std::size_t i = 0; i < kDocumentKinds; ++i) {
                 if (message.versions[i] > mine[i] && now - fetchedAt[i] >= kFetchAgainAfter) {
                     fetchedAt[i] = now;
@@ -373,6 +401,9 @@
     std::deque<HeardVm> news;
     std::vector<VmId> lastLive;
     std::vector<VmId> lastDead;
+    std::set<VmId> cutOff; ///< Others that do not reach the platform.
+    std::function<bool()> cutOffSource;
+    std::atomic<unsigned> beats{0};
     TimePoint contactAt{}; ///< As of when the platform showed what is in force, here or at another VM.
     TimePoint heardAt{};   ///< The last heartbeat that another VM confirmed was sent.
     std::uint64_t sequence = 0;
@@ -491,7 +522,26 @@
 
 void VmMonitor::announceDocument()
 {
-    d_->beat();
+    d_->beat(true);
+}
+
+void VmMonitor::setCutOffSource(std::function<bool()> source)
+{
+    d_->cutOffSource = std::move(source);
+}
+
+bool VmMonitor::isWatcher() const
+{
+    const auto now = d_->parts.clock.now();
+    const std::lock_guard lock(d_->mutex);
+    auto candidates = d_->table.live(now);
+    if (candidates.size() <= kFrequentPeers + 1) {
+        return true;
+    }
+    std::erase_if(candidates, [this](const VmId &vm) { return d_->cutOff.contains(vm); });
+    const auto watchers = rendezvousOrder("store/endpoints", candidates);
+    const auto end = watchers.begin() + static_cast<std::ptrdiff_t>(std::min(kWatchers, watchers.size()));
+    return std::find(watchers.begin(), end, d_->settings.vm) != end;
 }
 
 std::optional<Error> VmMonitor::assignment() const
--- a/daemon/cells/vmmonitor.h
+++ b/daemon/cells/vmmonitor.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -71,6 +72,13 @@
     /// The platform showed what was in force at a moment.
     void onStoreContact(TimePoint asOf);
 
+    /// Sets what tells whether this VM reaches the platform. Set it before `start`.
+    void setCutOffSource(std::function<bool()> source);
+
+    /// @return whether this VM is one of the few that follow what changes often on the platform, for all. In a small fleet
+    ///     every VM is.
+    [[nodiscard]] bool isWatcher() const;
+
     /// @return the VMs that are known, live or not, this one included.
     [[nodiscard]] std::size_t knownVms() const;
 
--- a/daemon/control/controlpart.cpp
+++ b/daemon/control/controlpart.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control/controlpart.h"
 
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -32,6 +33,12 @@
 // between a caller's sending and this VM's check.
 constexpr double kContactShare = 0.9;
 
+// A store that showed what is in force this recently tells of engines that leave: its longest silence is that of a watch.
+constexpr std::chrono::milliseconds kStoreTells{2600};
+
+// Confirmations come every second and are a second old at most; older knowledge is renewed from the platform itself.
+constexpr std::chrono::milliseconds kVouchedAge{2500};
+
 VmMonitorOptions monitorOptions(VmMonitorOptions options, const Settings &settings)
 {
     if (settings.gateway) {
@@ -98,6 +105,9 @@
                           StoreWatchParts{.lists = lists, .platform = platform, .metrics = metrics, .clock = clock},
                           StoreWatchHandlers{.onEndpoints = [this](const auto &entries) { onEndpoints(entries); },
                                              .onVms = [this](const auto &vms) { onVms(vms); },
+                                             .onPublished = [this] { announce(); },
+                                             .followsConfig = [this] { return followsConfig(); },
+                                             .followsEndpoints = [this] { return monitor.isWatcher(); },
                                              .onContact =
                                                  [this](TimePoint asOf) {
                                                      monitor.onStoreContact(asOf);
@@ -115,6 +125,37 @@
         applyEndpoints();
     }
 
+    /// @return the engines that this VM must ask whether they leave: none while the store tells it.
+    [[nodiscard]] std::vector<EndpointSettings> enginesToAsk()
+    {
+        const auto age = monitor.view().contactAge;
+        if (age && *age < kStoreTells && !(watch && watch->isLost())) {
+            return {};
+        }
+        auto engines = dispatcher.enginesToPoll();
+        for (const auto &id : dispatcher.enginesInUse()) {
+            const bool isKnown = std::any_of(engines.begin(), engines.end(), [&](const auto &engine) { return engine.id == id; });
+            if (const auto engine = isKnown ? std::nullopt : dispatcher.findEndpoint(id)) {
+                engines.push_back(*engine);
+            }
+        }
+        std::erase_if(engines, [this](const auto &engine) { return !dispatcher.isInService(engine.id); });
+        return engines;
+    }
+
+    /// An engine said itself that it leaves, while the store was away.
+    void onEngineLeaving(const EndpointId &engine)
+    {
+        {
+            const std::lock_guard lock(mutex);
+            if (!saidLeaving.insert(engine).second) {
+                return;
+            }
+        }
+        LOG(INFO) << "event=endpoint endpoint=" << engine << " state=draining reason=said_itself";
+        applyEndpoints();
+    }
+
     void applyEndpoints()
     {
         const std::lock_guard order(applying);
@@ -126,7 +167,7 @@
             const std::lock_guard lock(mutex);
             for (const auto &entry : latest) {
                 endpoints.push_back(toSettings(entry, routes.get()));
-                if (entry.state == EndpointState::InService) {
+                if (entry.state == EndpointState::InService && !saidLeaving.contains(entry.id())) {
                     inService.insert(entry.id());
                 } else {
                     draining.push_back(entry.id());
@@ -143,6 +184,21 @@
         }
     }
 
+    /// A VM that does not follow for all sees the configuration by what those VMs confirm, unless that grows old.
+    [[nodiscard]] bool followsConfig() const
+    {
+        const auto age = monitor.view().contactAge;
+        return monitor.isWatcher() || !age || *age > kVouchedAge;
+    }
+
+    /// Only those that follow for all tell the others at once, or each change would cost messages in the square of the VMs.
+    void announce()
+    {
+        if (monitor.isWatcher()) {
+            monitor.announceDocument();
+        }
+    }
+
     void onVms(const std::vector<ListedVm> &vms)
     {
         monitor.onVms(vms);
@@ -165,7 +221,8 @@
     std::mutex applying; // Taken before every other lock; keeps an older set from replacing a newer one.
     std::mutex mutex;    // Lock order 3.
     std::vector<EndpointEntry> latest;
-    std::set<EndpointId> known; ///< In service, guarded by `applying`.
+    std::set<EndpointId> saidLeaving; ///< Engines that said it themselves; an id is never used again.
+    std::set<EndpointId> known;       ///< In service, guarded by `applying`.
 };
 
 ControlPart::ControlPart(boost::asio::io_context &io, const Settings &settings, const Clock &clock, const ControlOptions &options)
@@ -211,9 +268,10 @@
             if (kind == DocumentKind::Routes) {
                 d_->applyEndpoints();
             }
-            d_->monitor.announceDocument();
         });
         d_->dispatcher.setProbeHandler([this](const EndpointSettings &engine) { d_->load.probe(engine); });
+        d_->load.watchLeaving([this] { return d_->enginesToAsk(); }, [this](const EndpointId &engine) { d_->onEngineLeaving(engine); });
+        d_->monitor.setCutOffSource([this] { return d_->watch->isLost(); });
         d_->watch->start(d_->peers.port());
     } else {
         d_->load.start();
--- a/daemon/endpoints/loadpoller.cpp
+++ b/daemon/endpoints/loadpoller.cpp
@@ -111,13 +111,49 @@
         polled.erase(engine.id);
     }
 
-    void probe(const EndpointSettings &engine, asio::yield_context yield)
+    void watchLeaving(const std::function<std::vector<EndpointSettings>()> &needed,
+                      const std::function<void(const EndpointId &)> &onLeaving,
+                      asio::yield_context yield)
+    {
+        asio::steady_timer timer(strand);
+        error_code error;
+        while (!stopped) {
+            for (const auto &engine : needed()) {
+                if (!asked.insert(engine.id).second) {
+                    continue; // Its reply to the last question is still due.
+                }
+                asio::spawn(
+                    strand,
+                    [self = shared_from_this(), engine, onLeaving](asio::yield_context inner) {
+                        beast::tcp_stream stream(self->strand);
+                        const auto report = self->report(stream, engine, inner);
+                        self->asked.erase(engine.id);
+                        if (report && report->leaving) {
+                            onLeaving(engine.id);
+                        }
+                    },
+                    asio::detached);
+            }
+            timer.expires_after(options.leaveInterval);
+            timer.async_wait(yield[error]);
+        }
+    }
+
+    std::optional<LoadReport> report(beast::tcp_stream &stream, const EndpointSettings &engine, asio::yield_context yield)
     {
-        beast::tcp_stream stream(strand);
         const auto content = get(stream, engine, options.protocol.target, yield);
         auto report = content && options.protocol.parse ? options.protocol.parse(*content) : std::nullopt;
         if (!report) {
             failures.add(1);
+        }
+        return report;
+    }
+
+    void probe(const EndpointSettings &engine, asio::yield_context yield)
+    {
+        beast::tcp_stream stream(strand);
+        auto report = this->report(stream, engine, yield);
+        if (!report) {
             return;
         }
         report->endpoint = engine.id;
@@ -207,6 +243,7 @@
     Counter &reports;
     std::atomic<bool> stopped{false};
     std::set<EndpointId> polled; // On the strand.
+    std::set<EndpointId> asked;  // On the strand: questions about leaving without a reply.
 };
 
 LoadPoller::LoadPoller(asio::io_context &io, CellDispatcher &dispatcher, const Clock &clock, Metrics &metrics, const LoadPollerOptions &options)
@@ -231,6 +268,14 @@
         d_->strand, [self = d_, engine](asio::yield_context yield) { self->probe(engine, yield); }, asio::detached);
 }
 
+void LoadPoller::watchLeaving(std::function<std::vector<EndpointSettings>()> needed, std::function<void(const EndpointId &)> onLeaving)
+{
+    asio::spawn(
+        d_->strand,
+        [self = d_, needed = std::move(needed), onLeaving = std::move(onLeaving)](asio::yield_context yield) { self->watchLeaving(needed, onLeaving, yield); },
+        asio::detached);
+}
+
 void LoadPoller::stop()
 {
     d_->stopped = true;
--- a/daemon/endpoints/loadpoller.h
+++ b/daemon/endpoints/loadpoller.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// @file
 /// Reads load reports and cache events of the engines that this VM decides for.
@@ -37,7 +38,8 @@
     std::chrono::milliseconds interval{250}; ///< Between two reports of one engine.
     std::chrono::milliseconds timeout{1000}; ///< For one reply.
     LoadProtocol protocol{};
-    unsigned cacheEvery = 4; ///< Cache events are read with each so many-th report.
+    std::chrono::milliseconds leaveInterval{300}; ///< An engine may leave 1.5 s after its notice.
+    unsigned cacheEvery = 4;                      ///< Cache events are read with each so many-th report.
 };
 
 /// Polls engines until it is destroyed. `GET /v1/load` returns an object with the fields of `LoadReport`; its optional
@@ -54,6 +56,11 @@
     /// Asks one engine once, for instance to see whether it works again.
     void probe(const EndpointSettings &engine);
 
+    /// Asks engines again and again whether they leave, for a time in which nobody else tells it.
+    /// @param needed the engines to ask now; empty while there is no need. Called every `leaveInterval`.
+    /// @param onLeaving called with each engine that says so.
+    void watchLeaving(std::function<std::vector<EndpointSettings>()> needed, std::function<void(const EndpointId &)> onLeaving);
+
     /// Ends all polling.
     void stop();
 
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -44,6 +44,7 @@
   stopping @2 :Bool;
   cells @3 :List(CellDigest);     # Owned by the sender.
   heard @4 :List(Heard);          # Forwarded heartbeats of other VMs.
+  cutOff @5 :Bool;                # The sender does not reach the platform.
 }
 
 struct Ack {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -817,6 +817,8 @@
   inline bool hasHeard() const;
   inline  ::capnp::List< ::daisystream::wire::Heard,  ::capnp::Kind::STRUCT>::Reader getHeard() const;
 
+  inline bool getCutOff() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -873,6 +875,9 @@
   inline void adoptHeard(::capnp::Orphan< ::capnp::List< ::daisystream::wire::Heard,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::Heard,  ::capnp::Kind::STRUCT>> disownHeard();
 
+  inline bool getCutOff();
+  inline void setCutOff(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4122,6 +4127,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Heartbeat::Reader::getCutOff() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getCutOff() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setCutOff(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Ack::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -196,6 +196,7 @@
         out.setSequence(message.sequence);
         writeVersions(out.initVersions(static_cast<unsigned>(message.versions.size())), message.versions);
         out.setStopping(message.stopping);
+        out.setCutOff(message.cutOff);
         auto cells = out.initCells(static_cast<unsigned>(message.cells.size()));
         for (unsigned i = 0; i < message.cells.size(); ++i) {
             cells[i].setCell(text(message.cells[i].cell.value()));
@@ -380,7 +381,7 @@
 
 HeartbeatMessage read(wire::Heartbeat::Reader in)
 {
-    HeartbeatMessage message{.sequence = in.getSequence(), .versions = {}, .stopping = in.getStopping(), .cells = {}, .heard = {}};
+    HeartbeatMessage message{.sequence = in.getSequence(), .versions = {}, .stopping = in.getStopping(), .cells = {}, .heard = {}, .cutOff = in.getCutOff()};
     message.versions = readVersions(in.getVersions());
     for (const auto cell : in.getCells()) {
         message.cells.push_back({.cell = CellId(string(cell.getCell())),
--- a/daemon/peers/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -70,6 +70,7 @@
     bool stopping = false;
     std::vector<CellDigest> cells; ///< Owned by the sender.
     std::vector<HeardVm> heard;
+    bool cutOff = false; ///< The sender does not reach the platform.
 
     friend auto operator<=>(const HeartbeatMessage &, const HeartbeatMessage &) = default;
 };
--- a/daemon/peers/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -33,7 +33,8 @@
     const ForwardedOrder order{"ticket", TeamId("t"), ServiceId("booking"), "POST", "/seats", {{"content-type", "text/plain"}}, std::string("a\0b", 3)};
     return {
         HelloMessage{.vm = VmId("vm1"), .incarnation = 7, .zone = ZoneId("z1")},
-        HeartbeatMessage{.sequence = 3, .versions = {1, 2, 3, 4, 5, 6}, .stopping = true, .cells = {{cell, 1, 2, 3}}, .heard = {{VmId("vm2"), 8, 9}}},
+        HeartbeatMessage{
+            .sequence = 3, .versions = {1, 2, 3, 4, 5, 6}, .stopping = true, .cells = {{cell, 1, 2, 3}}, .heard = {{VmId("vm2"), 8, 9}}, .cutOff = true},
         AckMessage{3, {{1, 2, 3, 4, 5, 6}, std::chrono::milliseconds(40)}},
         AckMessage{4, {{1, 2, 3, 4, 5, 6}, {}}},
         PingMessage{4},
--- a/daemon/store/storewatch.cpp
+++ b/daemon/store/storewatch.cpp
@@ -24,9 +24,12 @@
 using std::chrono::milliseconds;
 
 // The store holds a watch back for so long if nothing changes. Each reply proves contact, and each call has its price.
-constexpr milliseconds kConfigWait{1500};
-constexpr milliseconds kEndpointWait{2000};
+constexpr milliseconds kConfigWait{1000};
+constexpr milliseconds kEndpointWait{5000};
 constexpr milliseconds kVmWait{10000};
+constexpr milliseconds kWantedCheck{100};
+// VMs of a fleet start within some 0.3 s of each other.
+constexpr milliseconds kVmPause{500};
 constexpr milliseconds kFirstRetry{50};
 constexpr milliseconds kLongestRetry{800};
 // A shorter gap between replies is no outage, so that no entry can have lapsed in it.
@@ -48,6 +51,8 @@
     std::function<void(const StoreRows &, bool isWhole)> onRows;
     std::function<void(TimePoint sentAt, const StoreRows &)> onReply;
     std::function<void()> onFailure;
+    std::function<bool()> isWanted; ///< Asked before each call.
+    milliseconds pauseAfterRows{0}; ///< Lets changes that come together be read together.
 };
 
 } // namespace
@@ -109,6 +114,11 @@
                 Position position;
                 auto pause = kFirstRetry;
                 while (!self->stopped) {
+                    if (!follower.isWanted()) {
+                        timer.expires_after(kWantedCheck);
+                        timer.async_wait(yield[ignored]);
+                        continue;
+                    }
                     if (self->step(follower, position, yield)) {
                         pause = kFirstRetry;
                         continue;
@@ -144,6 +154,11 @@
         position.revision = std::max(position.revision, rows->revision);
         follower.onRows(*rows, false);
         follower.onReply(sentAt, *rows);
+        if (!rows->rows.empty() && follower.pauseAfterRows.count() > 0) {
+            error_code ignored;
+            asio::steady_timer timer(strand, follower.pauseAfterRows);
+            timer.async_wait(yield[ignored]);
+        }
         return true;
     }
 
@@ -192,7 +207,9 @@
                 LOG(ERROR) << "event=document_refused document=routes revision=" << row.version << " reason=malformed";
                 continue;
             }
-            parts.lists.offer(DocumentKind::Routes, {.number = *version, .changeId = std::to_string(row.version)}, row.text);
+            if (parts.lists.offer(DocumentKind::Routes, {.number = *version, .changeId = std::to_string(row.version)}, row.text)) {
+                handlers.onPublished();
+            }
         }
     }
 
@@ -208,6 +225,7 @@
             asOf = std::max(sentAt, std::min(now, TimePoint(*rows.storeTime) + *leastOffset));
         }
         handlers.onContact(asOf);
+        isLost = false;
         if (const auto since = std::exchange(lostSince, std::nullopt); since && now - *since >= kOutage) {
             LOG(INFO) << "event=platform_regained lost_ms=" << std::chrono::duration_cast<milliseconds>(now - *since).count();
             directory.onStoreReturned(now);
@@ -219,6 +237,7 @@
     {
         if (!lostSince) {
             lostSince = parts.clock.now();
+            isLost = true;
             LOG(WARNING) << "event=platform_lost";
             directory.onStoreLost();
         }
@@ -266,7 +285,9 @@
     void publish()
     {
         const auto now = parts.clock.now();
-        parts.lists.offer(DocumentKind::Endpoints, {.number = directory.revision(), .changeId = {}}, encodeEndpoints(directory.registered()));
+        if (parts.lists.offer(DocumentKind::Endpoints, {.number = directory.revision(), .changeId = {}}, encodeEndpoints(directory.registered()))) {
+            handlers.onPublished();
+        }
         tell(directory.entries(now), now);
     }
 
@@ -376,6 +397,7 @@
     Counter &failures;
     Counter &calls;
     std::atomic<bool> stopped{false};
+    std::atomic<bool> isLost{false}; ///< As `lostSince`, for other threads.
     EndpointDirectory directory;
     std::map<EndpointId, EndpointState> told;
     std::map<std::string, ListedVm> vms;
@@ -406,29 +428,35 @@
     };
     auto *d = d_.get(); // The followers keep the object itself alive.
     d->registerSelf(peerPort);
+    const auto always = [] {
+        return true;
+    };
     d->follow({.table = d->source.configTable,
                .wait = kConfigWait,
                .onRows = [d](const StoreRows &rows, bool) { d->onConfig(rows); },
                .onReply = [d](TimePoint sentAt, const StoreRows &rows) { d->onConfigReply(sentAt, rows); },
-               .onFailure =
-                   [d] {
-                       d->onFailure();
-                   }});
+               .onFailure = [d] { d->onFailure(); },
+               .isWanted = d->handlers.followsConfig,
+               .pauseAfterRows = {}});
     d->follow({.table = d->source.endpointTable,
                .wait = kEndpointWait,
                .onRows = [d](const StoreRows &rows, bool isWhole) { d->onEndpointRows(rows, isWhole); },
                .onReply = ignore,
-               .onFailure =
-                   [d] {
-                       d->onFailure();
-                   }});
+               .onFailure = [d] { d->onFailure(); },
+               .isWanted = d->handlers.followsEndpoints,
+               .pauseAfterRows = {}});
     d->follow({.table = kVmTable,
                .wait = kVmWait,
                .onRows = [d](const StoreRows &rows, bool isWhole) { d->onVmRows(rows, isWhole); },
                .onReply = ignore,
-               .onFailure =
-                   [] {
-                   }});
+               .onFailure = [] {},
+               .isWanted = always,
+               .pauseAfterRows = kVmPause});
+}
+
+bool StoreWatch::isLost() const
+{
+    return d_->isLost;
 }
 
 void StoreWatch::stop()
--- a/daemon/store/storewatch.h
+++ b/daemon/store/storewatch.h
@@ -53,6 +53,9 @@
 {
     std::function<void(const std::vector<EndpointEntry> &)> onEndpoints; ///< All that hold now.
     std::function<void(const std::vector<ListedVm> &)> onVms;            ///< All that registered.
+    std::function<void()> onPublished;                                   ///< A document that was read from the platform is in force.
+    std::function<bool()> followsConfig;                                 ///< False while other VMs follow the configuration and hand it on.
+    std::function<bool()> followsEndpoints;                              ///< False while other VMs follow the endpoints and hand them on.
     std::function<void(TimePoint asOf)> onContact;                       ///< The configuration was seen as of a moment.
 };
 
@@ -75,6 +78,9 @@
 
     void stop();
 
+    /// @return whether the platform's latest reply is missing or unusable.
+    [[nodiscard]] bool isLost() const;
+
 private:
     class Private;
     std::shared_ptr<Private> d_;
--- a/daisystream/endpoint/endpointinfo.h
+++ b/daisystream/endpoint/endpointinfo.h
@@ -80,6 +80,7 @@
     double stepMilliseconds = 0;       ///< Duration of recent decode steps; 0 when idle.
     std::uint64_t preemptions = 0;     ///< Since the endpoint started.
     std::uint64_t generatedTokens = 0; ///< Since the endpoint started.
+    bool leaving = false;              ///< The endpoint has announced that it leaves.
 
     friend auto operator<=>(const LoadReport &, const LoadReport &) = default;
 };
--- a/daisystream/membership/vmtable.cpp
+++ b/daisystream/membership/vmtable.cpp
@@ -71,6 +71,12 @@
     return true;
 }
 
+void VmTable::setTimes(Duration suspectedAfter, Duration deadAfter)
+{
+    options_.suspectedAfter = suspectedAfter;
+    options_.deadAfter = deadAfter;
+}
+
 void VmTable::setSelfLeaving()
 {
     selfLeaving_ = true;
--- a/daisystream/membership/vmtable.h
+++ b/daisystream/membership/vmtable.h
@@ -89,6 +89,9 @@
     /// until they are heard.
     void onPeerList(const std::vector<VmId> &vms, TimePoint now);
 
+    /// Replaces the times of silence, when heartbeats are sent more or less often.
+    void setTimes(Duration suspectedAfter, Duration deadAfter);
+
     /// This VM begins its graceful shutdown.
     void setSelfLeaving();
 
