Rank requests by team and kind, and reserve no engines for urgent work

Now the most urgent kind is urgent for every team; engines get both levels. Reserved engines then crowded urgent work on few of them (p50 720 ms).

--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -44,6 +44,8 @@
     SchedulerOptions options;
     if (settings.gateway) {
         options.memoryQuantile = settings.gateway->memoryQuantile;
+        options.urgentReserve = settings.gateway->urgentReserve;
+        options.reservesEndpoints = false;
         options.reportTimeout = kNoReports;
     }
     return options;
--- a/daemon/control/settings.cpp
+++ b/daemon/control/settings.cpp
@@ -314,6 +314,7 @@
     fields.real("retryAllowance", gateway.retryAllowance, 0, 1000000);
     fields.milliseconds("retryWindowMs", gateway.retryWindow);
     fields.real("memoryQuantile", gateway.memoryQuantile, 0.5, 0.999999);
+    fields.real("urgentReserve", gateway.urgentReserve, 0, 0.9);
     readStepCost(fields, gateway.stepCost, faults);
     fields.refuseUnknown();
     target = gateway;
--- a/daemon/control/settings.h
+++ b/daemon/control/settings.h
@@ -118,6 +118,7 @@
     double retryAllowance = 10;                     ///< Repeats that it may get beside these, within the window.
     std::chrono::milliseconds retryWindow{10000};
     double memoryQuantile = 0.9; ///< Probability with which an engine's memory must suffice for what it is given.
+    double urgentReserve = 0.12; ///< Part of an engine that other work leaves to urgent work: one short prompt and its answer.
     StepCost stepCost{};         ///< Expected cost of a step of the engines.
 
     friend auto operator<=>(const GatewaySettings &, const GatewaySettings &) = default;
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -10,6 +10,8 @@
 // Time that a request needs before the process is killed. A long answer takes longer than any grace time.
 constexpr std::chrono::milliseconds kTimeForCall{2000};
 constexpr std::chrono::milliseconds kTimeForShortAnswer{3500};
+// Priorities of routes that are told apart within one priority of teams. Engines know ten levels in all.
+constexpr std::uint32_t kRouteLevels = 3;
 
 const char *kindName(const RequestKind &kind)
 {
@@ -43,6 +45,17 @@
 
 } // namespace
 
+Rank rankOf(const RoutedRequest &request)
+{
+    // Of a team that is not urgent, the kinds that are take little room: they go with the urgent work of other teams.
+    return request.priority == 0 || request.route->priority == 0 ? Rank::Urgent : Rank::Ordinary;
+}
+
+std::uint32_t enginePriority(const RoutedRequest &request)
+{
+    return kRouteLevels * request.priority + std::min(request.route->priority, kRouteLevels - 1);
+}
+
 /// The time series of the gateway. Labels are kinds and outcomes only, so that their number is bounded.
 class GatewayContext::Series
 {
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -39,11 +39,17 @@
     const EngineProfile *engine = nullptr; ///< Set if engines serve it.
     ServiceId service{};
     std::optional<TeamId> team{};
-    std::uint32_t priority = 0; ///< 0 is the most urgent.
+    std::uint32_t priority = 0; ///< Of the team, if it has one, else of the route; 0 is the most urgent.
     TimePoint arrival{};
     TimePoint deadline{}; ///< The final answer is due.
 };
 
+/// @return the rank in which engines serve the request: urgent if its team or its route is the most urgent there is.
+[[nodiscard]] Rank rankOf(const RoutedRequest &request);
+
+/// @return the order in which one engine serves requests: by team first, then by route.
+[[nodiscard]] std::uint32_t enginePriority(const RoutedRequest &request);
+
 /// How a request ended, for the metrics.
 enum class RequestOutcome : std::uint8_t {
     Answered,       ///< The caller has the endpoint's answer, good or bad.
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -108,7 +108,7 @@
         return {.id = workId_,
                 .team = request_.team.value_or(TeamId("public")),
                 .entry = gateway_.frontend.parts.peers.self(),
-                .rank = request_.priority == 0 ? Rank::Urgent : Rank::Ordinary,
+                .rank = rankOf(request_),
                 .model = ModelId(request_.service.value()),
                 .promptTokens = request_.head.promptTokens,
                 .maxOutputTokens = request_.head.maxOutputTokens,
@@ -189,7 +189,7 @@
         const EndpointOptions options{.endpointName = endpoint_.name,
                                       .timeLeft = left,
                                       .team = request_.team,
-                                      .priority = request_.priority,
+                                      .priority = enginePriority(request_),
                                       .lastEvent = lastEvent_.empty() ? std::nullopt : std::optional(lastEvent_),
                                       .memory = memory};
         const auto connectTime = memory ? kMovedConnectTime : kConnectTime;
@@ -428,6 +428,7 @@
             .field("choice", endpoint_.id.value())
             .field("attempt", std::to_string(state_.sent()))
             .field("outcome", kNames[static_cast<std::size_t>(end)])
+            .field("priority", std::to_string(request_.priority))
             .field("events", std::to_string(events_))
             .field("prompt_tokens", std::to_string(request_.head.promptTokens))
             .field("most_tokens", std::to_string(request_.head.maxOutputTokens))
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -656,7 +656,7 @@
 {
     const std::size_t usable = reserved_.size() + general_.size();
     const bool recent = urgentSeenAt_ && decidedAt_ - *urgentSeenAt_ < kUrgentMemory;
-    if (usable < 2 || !recent || urgentPace_ <= 0) {
+    if (!options_.reservesEndpoints || usable < 2 || !recent || urgentPace_ <= 0) {
         return 0;
     }
     const auto &least = general_.empty() ? *reserved_.begin() : *general_.begin();
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -142,6 +142,9 @@
     /// the same engine. The rest is for prompts that are read within a step.
     double urgentStepShare = 0.56;
     double urgentReserve = 0.05;                   ///< Share of batch and memory of an engine that ordinary work leaves free.
+    /// Keeps some endpoints for urgent work, so that its steps are short. Of no use where no plan promises a pace that a
+    /// full batch does not keep: urgent work would crowd on few endpoints.
+    bool reservesEndpoints = true;
     std::chrono::milliseconds reportTimeout{2000}; ///< A report older than this counts as frozen.
     std::chrono::milliseconds probeInterval{1000}; ///< Between probes of one endpoint.
 };
