Forget endpoints that were removed while a reply of the store was missing

Cause: after a single missing reply the directory went on as if the store were away: only a gap of a second or more ended that, so that entries which were removed later were kept for ever. Now every return of the store ends it; only one after an outage keeps what lapsed for 2.2 s.

--- a/daemon/store/storewatch.cpp
+++ b/daemon/store/storewatch.cpp
@@ -226,9 +226,9 @@
         }
         handlers.onContact(asOf);
         isLost = false;
-        if (const auto since = std::exchange(lostSince, std::nullopt); since && now - *since >= kOutage) {
+        if (const auto since = std::exchange(lostSince, std::nullopt)) {
             LOG(INFO) << "event=platform_regained lost_ms=" << std::chrono::duration_cast<milliseconds>(now - *since).count();
-            directory.onStoreReturned(now);
+            directory.onStoreReturned(now, now - *since >= kOutage);
             publish();
         }
     }
--- a/daisystream/endpoint/endpointdirectory.cpp
+++ b/daisystream/endpoint/endpointdirectory.cpp
@@ -78,10 +78,12 @@
     return !held.lapsed || storeLost_ || (returnedAt_ && now < *returnedAt_ + options_.returnTime);
 }
 
-void EndpointDirectory::onStoreReturned(TimePoint now)
+void EndpointDirectory::onStoreReturned(TimePoint now, bool afterOutage)
 {
     storeLost_ = false;
-    returnedAt_ = now;
+    if (afterOutage) {
+        returnedAt_ = now;
+    }
 }
 
 void EndpointDirectory::onStoreLost()
--- a/daisystream/endpoint/endpointdirectory.h
+++ b/daisystream/endpoint/endpointdirectory.h
@@ -68,8 +68,9 @@
     /// Takes the removal of an entry, or its replacement by one that cannot be read.
     void remove(const std::string &name, std::uint64_t revision, TimePoint now);
 
-    /// The store answers now. @param after it had not answered for a while.
-    void onStoreReturned(TimePoint now);
+    /// The store answers again.
+    /// @param afterOutage it was away long enough for entries to lapse.
+    void onStoreReturned(TimePoint now, bool afterOutage);
 
     /// The store has stopped answering.
     void onStoreLost();
--- a/daisystream/endpoint/endpointdirectory_test.cpp
+++ b/daisystream/endpoint/endpointdirectory_test.cpp
@@ -32,7 +32,7 @@
     directory.replace({entry("a"), entry("b")}, 5, kNow);
     directory.onStoreLost();
     const TimePoint back = kNow + milliseconds(4000);
-    directory.onStoreReturned(back);
+    directory.onStoreReturned(back, true);
     directory.replace({}, 9, back);
     CHECK(directory.entries(back + milliseconds(2000)).size() == 2);
     CHECK(directory.registered().empty()); // Other VMs must not take it for registered.
@@ -51,11 +51,23 @@
     leaving.state = EndpointState::Draining;
     directory.replace({leaving}, 5, kNow);
     directory.onStoreLost();
-    directory.onStoreReturned(kNow);
+    directory.onStoreReturned(kNow, true);
     directory.replace({}, 6, kNow);
     CHECK(directory.entries(kNow).empty());
 }
 
+// Guards against entries that are kept for ever because one reply of the store was missing.
+TEST_CASE("a missing reply of the store keeps no entry that was removed")
+{
+    EndpointDirectory directory;
+    directory.replace({entry("a")}, 5, kNow);
+    directory.onStoreLost();
+    directory.remove("a", 6, kNow);
+    CHECK(directory.entries(kNow).size() == 1);
+    directory.onStoreReturned(kNow, false);
+    CHECK(directory.entries(kNow).empty());
+}
+
 TEST_CASE("an older revision changes nothing")
 {
     EndpointDirectory directory;
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -141,7 +141,7 @@
     /// Share of the promised time between tokens of urgent work that a step may take before ordinary work is added to
     /// the same engine. The rest is for prompts that are read within a step.
     double urgentStepShare = 0.56;
-    double urgentReserve = 0.05;                   ///< Share of batch and memory of an engine that ordinary work leaves free.
+    double urgentReserve = 0.05; ///< Share of batch and memory of an engine that ordinary work leaves free.
     /// Keeps some endpoints for urgent work, so that its steps are short. Of no use where no plan promises a pace that a
     /// full batch does not keep: urgent work would crowd on few endpoints.
     bool reservesEndpoints = true;
