Make the linter pass on the gateway, the store watch and their tests

The linter's complaints: parameters copied, results not marked [[nodiscard]], a vector grown in a loop. No behaviour changes.

--- a/daemon/gateway/answermove.cpp
+++ b/daemon/gateway/answermove.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-std::shared_ptr<AnswerMove> AnswerMove::start(GatewayContext &gateway, FrontendStrand strand, MovePlan plan)
+std::shared_ptr<AnswerMove> AnswerMove::start(GatewayContext &gateway, const FrontendStrand &strand, MovePlan plan)
 {
     auto move = std::make_shared<AnswerMove>(gateway, strand, std::move(plan));
     asio::spawn(
@@ -36,7 +36,7 @@
     return move;
 }
 
-AnswerMove::AnswerMove(GatewayContext &gateway, FrontendStrand strand, MovePlan plan)
+AnswerMove::AnswerMove(GatewayContext &gateway, const FrontendStrand &strand, MovePlan plan)
     : gateway_(gateway)
     , strand_(strand)
     , plan_(std::move(plan))
--- a/daemon/gateway/answermove.h
+++ b/daemon/gateway/answermove.h
@@ -51,9 +51,9 @@
     };
 
     /// Starts the move in a coroutine of its own.
-    [[nodiscard]] static std::shared_ptr<AnswerMove> start(GatewayContext &gateway, FrontendStrand strand, MovePlan plan);
+    [[nodiscard]] static std::shared_ptr<AnswerMove> start(GatewayContext &gateway, const FrontendStrand &strand, MovePlan plan);
 
-    AnswerMove(GatewayContext &gateway, FrontendStrand strand, MovePlan plan);
+    AnswerMove(GatewayContext &gateway, const FrontendStrand &strand, MovePlan plan);
 
     [[nodiscard]] Phase phase() const
     {
--- a/daemon/gateway/asking.cpp
+++ b/daemon/gateway/asking.cpp
@@ -12,7 +12,7 @@
 class Asking::Question
 {
 public:
-    Question(GatewayContext &gateway, RequestId id, FrontendStrand strand)
+    Question(GatewayContext &gateway, RequestId id, const FrontendStrand &strand)
         : gateway_(gateway)
         , id_(std::move(id))
         , timer_(strand)
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -165,6 +165,7 @@
 {
     const auto endpoints = dispatcher.serviceEndpoints(service);
     std::vector<ServiceCandidate> candidates;
+    candidates.reserve(endpoints.size());
     for (const auto &endpoint : endpoints) {
         candidates.push_back({.id = endpoint.id, .slots = endpoint.slots, .isNear = endpoint.zone == zone_, .isCold = endpoint.isCold});
     }
--- a/daemon/status/logoutput_test.cpp
+++ b/daemon/status/logoutput_test.cpp
@@ -34,7 +34,7 @@
         return file_;
     }
 
-    std::string read() const
+    [[nodiscard]] std::string read() const
     {
         std::array<char, 65536> buffer{};
         const auto count = ::read(ends_[0], buffer.data(), buffer.size());
--- a/daemon/store/owndialect.cpp
+++ b/daemon/store/owndialect.cpp
@@ -107,7 +107,7 @@
 class OwnStoreDialect : public StoreDialect
 {
 public:
-    std::optional<Request> encode(const StoreCall &call) const override
+    [[nodiscard]] std::optional<Request> encode(const StoreCall &call) const override
     {
         return std::visit(
             Overloaded{
@@ -134,7 +134,7 @@
             call);
     }
 
-    StoreReply decode(const StoreCall &call, const Response &response) const override
+    [[nodiscard]] StoreReply decode(const StoreCall &call, const Response &response) const override
     {
         return std::visit(Overloaded{
                               [&](const ReadRow &read) { return readReply(read, response); },
--- a/daisystream/scheduler/moves_test.cpp
+++ b/daisystream/scheduler/moves_test.cpp
@@ -41,7 +41,7 @@
         scheduler.setEndpoints(engines_, now);
     }
 
-    WorkRequest running(const std::string &id, const std::string &from, const std::string &zone, std::uint32_t prompt) const
+    [[nodiscard]] WorkRequest running(const std::string &id, const std::string &from, const std::string &zone, std::uint32_t prompt) const
     {
         WorkRequest work;
         work.id = RequestId(id);
