Keep one copy of base64 and of the variant visitor

Base64 existed three times, in two spellings, and one copy turned text that it could not read into an empty body: an order's record with a damaged body was then answered with nothing instead of being refused as unreadable. No change of behaviour otherwise.

--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -1,5 +1,6 @@
 #include "daemon/cells/celldispatcher.h"
 
+#include "daisystream/base/overloaded.h"
 #include "daisystream/cell/asktracker.h"
 
 #include <boost/asio/post.hpp>
@@ -31,14 +32,6 @@
 // Bounds the pause between two looks at the clock, for timers that the library does not report.
 constexpr auto kLongestSleep = std::chrono::milliseconds(250);
 
-template<class... Handlers>
-struct Overloaded : Handlers...
-{
-    using Handlers::operator()...;
-};
-template<class... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 SchedulerOptions optionsOf(const Settings &settings)
 {
     SchedulerOptions options;
--- a/daemon/frontend/orderrouter.cpp
+++ b/daemon/frontend/orderrouter.cpp
@@ -3,6 +3,7 @@
 #include "daemon/endpoints/serviceclient.h"
 #include "daemon/frontend/httprouter.h"
 #include "daemon/status/decisionlog.h"
+#include "daisystream/base/base64.h"
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
@@ -56,25 +57,6 @@
     return hex(digest.data(), size);
 }
 
-std::string toBase64(const std::string &bytes)
-{
-    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    const int size = EVP_EncodeBlock(
-        reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(size));
-    return text;
-}
-
-std::string fromBase64(const std::string &text)
-{
-    std::string bytes(text.size(), '\0');
-    const int size
-        = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
-    const auto padding = static_cast<std::size_t>(std::count(text.begin(), text.end(), '='));
-    bytes.resize(size < 0 ? 0 : static_cast<std::size_t>(size) - padding);
-    return bytes;
-}
-
 HttpResponse withState(HttpResponse response, FinalState state)
 {
     response.set(kOrderStateHeader, toString(state));
@@ -159,7 +141,11 @@
         record.digest = document.at("digest").get<std::string>();
         record.done.status = document.at("status").get<std::uint16_t>();
         record.done.contentType = document.at("contentType").get<std::string>();
-        record.done.body = fromBase64(document.at("body").get<std::string>());
+        auto body = fromBase64(document.at("body").get<std::string>());
+        if (!body) {
+            return std::nullopt;
+        }
+        record.done.body = std::move(*body);
         return record;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/daemon/store/owndialect.cpp
+++ b/daemon/store/owndialect.cpp
@@ -1,5 +1,7 @@
 #include "daemon/store/owndialect.h"
 
+#include "daisystream/base/overloaded.h"
+
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
@@ -16,14 +18,6 @@
 using Request = StoreDialect::Request;
 using Response = StoreDialect::Response;
 
-template<class... Handlers>
-struct Overloaded : Handlers...
-{
-    using Handlers::operator()...;
-};
-template<class... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 std::string rowTarget(const std::string &table, const std::string &key)
 {
     return "/v1/tables/" + table + "/rows/" + key;
--- a/daisystream/answer/sealer.cpp
+++ b/daisystream/answer/sealer.cpp
@@ -1,6 +1,6 @@
 #include "daisystream/answer/sealer.h"
 
-#include "daisystream/answer/base64.h"
+#include "daisystream/base/base64.h"
 
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
@@ -101,7 +101,7 @@
         && EVP_EncryptUpdate(context, nullptr, &size, bytesOf(purpose), static_cast<int>(purpose.size())) == 1
         && EVP_EncryptUpdate(context, body, &size, bytesOf(plain), static_cast<int>(plain.size())) == 1 && EVP_EncryptFinal_ex(context, body + size, &size) == 1
         && EVP_CIPHER_CTX_ctrl(context, EVP_CTRL_GCM_GET_TAG, kTagBytes, body + plain.size()) == 1;
-    return done ? internal::toBase64(sealed) : std::string();
+    return done ? toBase64Url(sealed) : std::string();
 }
 
 std::optional<std::string> Sealer::open(std::string_view sealed, std::string_view purpose) const
@@ -109,7 +109,7 @@
     if (sealed.size() > kLongestSealed) {
         return std::nullopt;
     }
-    std::optional<std::string> bytes = internal::fromBase64(sealed);
+    std::optional<std::string> bytes = fromBase64Url(sealed);
     if (!bytes || bytes->size() < kHeaderBytes + kTagBytes) {
         return std::nullopt;
     }
--- a/daisystream/orders/orderrecord.cpp
+++ b/daisystream/orders/orderrecord.cpp
@@ -1,6 +1,6 @@
 #include "daisystream/orders/orderrecord.h"
 
-#include "daisystream/answer/base64.h"
+#include "daisystream/base/base64.h"
 
 #include <nlohmann/json.hpp>
 
@@ -32,7 +32,7 @@
 
 std::string rowKeyOf(const OrderKey &order)
 {
-    return "orders/" + order.team.value() + "/" + order.service.value() + "/" + internal::toBase64(order.key);
+    return "orders/" + order.team.value() + "/" + order.service.value() + "/" + toBase64Url(order.key);
 }
 
 std::string encode(const OrderRow &row)
@@ -45,7 +45,7 @@
     if (const auto *done = std::get_if<OrderDone>(&row.state)) {
         value["status"] = done->status;
         value["contentType"] = done->contentType;
-        value["body"] = internal::toBase64(done->body); // A body may hold any bytes.
+        value["body"] = toBase64Url(done->body); // A body may hold any bytes.
     }
     return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -61,7 +61,7 @@
                        .digest = document.at("digest").get<std::string>()};
         const auto state = document.at("state").get<std::string>();
         if (state == "done") {
-            auto body = internal::fromBase64(document.at("body").get<std::string>());
+            auto body = fromBase64Url(document.at("body").get<std::string>());
             if (!body) {
                 return std::nullopt;
             }
