Give scenarios ports that nothing else takes

A failed script keeps its folder and names the log of a VM that ended.

Programs are started without the handles of the process that starts them: they had held connections of relays open that the test had closed. Relays can also drop one direction and delay.

--- a/scenarios/lib/fleet.lua
+++ b/scenarios/lib/fleet.lua
@@ -146,6 +146,9 @@
 
 function Vm:wait_ready()
     fleet.eventually(self.name .. " is ready", function()
+        if not self.process:running() then
+            error(self.name .. " has ended:\n" .. scenario.read_file(self.log):sub(-2000))
+        end
         return scenario.call{port = self.port, target = "/readyz"} == 200
     end)
 end
--- a/scenarios/luamodule.cpp
+++ b/scenarios/luamodule.cpp
@@ -4,8 +4,6 @@
 #include "scenarios/process.h"
 #include "standins/relay/relay.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <lua.hpp>
 #include <nlohmann/json.hpp>
 
@@ -163,9 +161,7 @@
 
 int freePort(lua_State *lua)
 {
-    boost::asio::io_context io;
-    boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    lua_pushinteger(lua, acceptor.local_endpoint().port());
+    lua_pushinteger(lua, folders(lua).ports.next());
     return 1;
 }
 
@@ -286,8 +282,13 @@
 
 int relayMode(lua_State *lua)
 {
-    static const std::map<std::string, Relay::Mode> kModes{
-        {"pass", Relay::Mode::Pass}, {"stall", Relay::Mode::Stall}, {"forget_open", Relay::Mode::ForgetOpen}, {"refuse", Relay::Mode::Refuse}};
+    static const std::map<std::string, Relay::Mode> kModes{{"pass", Relay::Mode::Pass},
+                                                           {"stall", Relay::Mode::Stall},
+                                                           {"forget_open", Relay::Mode::ForgetOpen},
+                                                           {"refuse", Relay::Mode::Refuse},
+                                                           {"drop_requests", Relay::Mode::DropRequests},
+                                                           {"drop_replies", Relay::Mode::DropReplies},
+                                                           {"slow", Relay::Mode::Slow}};
     const auto found = kModes.find(luaL_checkstring(lua, 2));
     if (found == kModes.end()) {
         return luaL_error(lua, "unknown relay mode");
--- a/scenarios/luamodule.h
+++ b/scenarios/luamodule.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "scenarios/portblock.h"
+
 #include <string>
 
 struct lua_State;
@@ -15,6 +17,7 @@
 {
     std::string programs; ///< Build folder with the executables.
     std::string scratch;  ///< Temporary folder for settings files and logs of this run.
+    PortBlock &ports;     ///< For the processes that the run starts.
 };
 
 /// Makes the module available to `require("scenario")`.
--- a/scenarios/main.cpp
+++ b/scenarios/main.cpp
@@ -1,55 +1,22 @@
 #include "scenarios/luamodule.h"
+#include "scenarios/scratchfolder.h"
 
 #include <gflags/gflags.h>
 #include <lua.hpp>
 
-#include <cstdlib>
-#include <filesystem>
+#include <cstdio>
 #include <iostream>
 #include <memory>
 
 DEFINE_string(programs, "build", "build folder with the executables");
 DEFINE_string(library, "scenarios/lib", "folder of the shared Lua modules");
-DEFINE_bool(keep, false, "keep the temporary folder with settings and logs, and print its name");
+DEFINE_bool(keep, false, "keep the temporary folder with settings and logs, and print its name; done for each failed script");
 
 namespace
 {
 
 using daisystream::scenarios::RunFolders;
-
-/// A temporary folder that is removed with its content.
-class ScratchFolder
-{
-public:
-    ScratchFolder()
-    {
-        std::string pattern = (std::filesystem::temp_directory_path() / "scenario-XXXXXX").string();
-        path_ = ::mkdtemp(pattern.data());
-    }
-
-    ~ScratchFolder()
-    {
-        if (FLAGS_keep) {
-            std::cerr << "kept " << path_ << '\n';
-            return;
-        }
-        std::error_code ignored;
-        std::filesystem::remove_all(path_, ignored);
-    }
-
-    ScratchFolder(const ScratchFolder &) = delete;
-    ScratchFolder &operator=(const ScratchFolder &) = delete;
-    ScratchFolder(ScratchFolder &&) = delete;
-    ScratchFolder &operator=(ScratchFolder &&) = delete;
-
-    [[nodiscard]] const std::string &path() const
-    {
-        return path_;
-    }
-
-private:
-    std::string path_;
-};
+using daisystream::scenarios::ScratchFolder;
 
 /// Adds a stack trace to the message of a Lua error.
 int addTrace(lua_State *lua)
@@ -79,11 +46,18 @@
 try {
     gflags::SetUsageMessage("scenario_runner [--programs DIR] [--library DIR] [--keep] SCRIPT...");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    daisystream::scenarios::PortBlock ports;
     bool passed = true;
     for (int i = 1; i < argc; ++i) {
-        const ScratchFolder scratch;
-        const RunFolders folders{.programs = FLAGS_programs, .scratch = scratch.path()};
-        passed = runScript(argv[i], folders) && passed;
+        ScratchFolder scratch("scenario");
+        if (FLAGS_keep) {
+            scratch.keep();
+        }
+        const RunFolders folders{.programs = FLAGS_programs, .scratch = scratch.path(), .ports = ports};
+        if (!runScript(argv[i], folders)) {
+            scratch.keep();
+            passed = false;
+        }
     }
     return passed ? 0 : 1;
 } catch (const std::exception &fault) {
--- a/scenarios/process.cpp
+++ b/scenarios/process.cpp
@@ -11,8 +11,11 @@
 {
 public:
     Private(const std::string &program, const std::vector<std::string> &arguments, const std::string &logPath)
-        : child_(
-            program, boost::process::args(arguments), boost::process::std_in<boost::process::null, (boost::process::std_out & boost::process::std_err)> logPath)
+        // Without limit_handles a program would hold the connections of relays open that the starting process has closed.
+        : child_(program,
+                 boost::process::args(arguments),
+                 boost::process::std_in<boost::process::null, (boost::process::std_out & boost::process::std_err)> logPath,
+                 boost::process::limit_handles)
     {
     }
 
--- a/standins/relay/relay.cpp
+++ b/standins/relay/relay.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -25,11 +26,11 @@
 class RelayedConnection : public std::enable_shared_from_this<RelayedConnection>
 {
 public:
-    RelayedConnection(tcp::socket client, tcp::endpoint target, bool stalled)
-        : stalled_(stalled)
-        , target_(std::move(target))
+    RelayedConnection(tcp::socket client, tcp::endpoint target, Relay::Mode mode)
+        : target_(std::move(target))
         , client_(std::move(client))
         , server_(client_.get_executor())
+        , mode_(mode)
     {
     }
 
@@ -45,17 +46,15 @@
         });
     }
 
-    /// Drops all further bytes without closing either socket.
-    void forget()
+    void setMode(Relay::Mode mode)
     {
-        forgotten_ = true;
-    }
-
-    void setStalled(bool stalled)
-    {
-        stalled_ = stalled;
+        if (mode == Relay::Mode::ForgetOpen) {
+            upstream_.isLost = downstream_.isLost = true;
+            return;
+        }
+        mode_ = mode;
         for (Direction *direction : {&upstream_, &downstream_}) {
-            if (!stalled_ && direction->held > 0) {
+            if (mode_ != Relay::Mode::Stall && direction->held > 0) {
                 write(*direction);
             }
         }
@@ -78,7 +77,10 @@
     {
         tcp::socket &from;
         tcp::socket &to;
-        std::size_t held = 0; // Bytes that were read and wait to be written.
+        asio::steady_timer timer;
+        Relay::Mode droppedBy; // The mode that drops the bytes of this direction.
+        std::size_t held = 0;  // Bytes that were read and wait to be written.
+        bool isLost = false;   // Bytes were dropped, so that what follows them would be read as something else.
         std::array<char, kBufferBytes> buffer{};
     };
 
@@ -89,12 +91,25 @@
                 self->finish(direction);
                 return;
             }
-            if (self->forgotten_) {
+            direction.isLost = direction.isLost || self->mode_ == direction.droppedBy;
+            if (direction.isLost) {
                 self->read(direction);
                 return;
             }
             direction.held = count;
-            if (!self->stalled_) {
+            if (self->mode_ == Relay::Mode::Slow) {
+                self->writeLater(direction);
+            } else if (self->mode_ != Relay::Mode::Stall) {
+                self->write(direction);
+            }
+        });
+    }
+
+    void writeLater(Direction &direction)
+    {
+        direction.timer.expires_after(Relay::kSlowDelay);
+        direction.timer.async_wait([self = shared_from_this(), &direction](error_code) {
+            if (direction.held > 0 && self->mode_ != Relay::Mode::Stall) {
                 self->write(direction);
             }
         });
@@ -102,7 +117,7 @@
 
     void write(Direction &direction)
     {
-        const std::size_t count = std::exchange(direction.held, 0);
+        const std::size_t count = std::exchange(direction.held, 0U);
         asio::async_write(direction.to, asio::buffer(direction.buffer.data(), count), [self = shared_from_this(), &direction](error_code error, std::size_t) {
             if (error) {
                 self->close();
@@ -112,22 +127,21 @@
         });
     }
 
-    /// Passes an end of stream on, unless the link has been forgotten: then neither side learns of it.
+    /// Passes an end of stream on, unless the link has lost bytes: then the other side does not learn of it.
     void finish(Direction &direction)
     {
-        if (!forgotten_) {
+        if (!direction.isLost) {
             error_code ignored;
             direction.to.shutdown(tcp::socket::shutdown_send, ignored);
         }
     }
 
-    bool forgotten_ = false;
-    bool stalled_ = false;
     const tcp::endpoint target_;
     tcp::socket client_;
     tcp::socket server_;
-    Direction upstream_{client_, server_};
-    Direction downstream_{server_, client_};
+    Relay::Mode mode_;
+    Direction upstream_{.from = client_, .to = server_, .timer = asio::steady_timer(client_.get_executor()), .droppedBy = Relay::Mode::DropRequests};
+    Direction downstream_{.from = server_, .to = client_, .timer = asio::steady_timer(client_.get_executor()), .droppedBy = Relay::Mode::DropReplies};
 };
 
 } // namespace internal
@@ -166,7 +180,7 @@
             if (error) {
                 return;
             }
-            auto connection = std::make_shared<internal::RelayedConnection>(std::move(socket), target_, mode_ == Mode::Stall);
+            auto connection = std::make_shared<internal::RelayedConnection>(std::move(socket), target_, mode_);
             if (mode_ == Mode::Refuse) {
                 connection->close();
             } else {
@@ -185,13 +199,11 @@
 
     void setMode(Mode mode)
     {
-        mode_ = mode;
+        mode_ = mode == Mode::ForgetOpen ? Mode::Pass : mode; // It concerns the connections open now only.
         if (mode == Mode::Refuse) {
             cutOpen();
-        } else if (mode == Mode::ForgetOpen) {
-            forEachOpen([](internal::RelayedConnection &connection) { connection.forget(); });
         } else {
-            forEachOpen([mode](internal::RelayedConnection &connection) { connection.setStalled(mode == Mode::Stall); });
+            forEachOpen([mode](internal::RelayedConnection &connection) { connection.setMode(mode); });
         }
     }
 
--- a/standins/relay/relay.h
+++ b/standins/relay/relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 
@@ -21,10 +22,13 @@
 {
 public:
     enum class Mode : std::uint8_t {
-        Pass,       ///< Forwards everything.
-        Stall,      ///< Holds all bytes back, those of new connections too; `Pass` delivers them.
-        ForgetOpen, ///< Drops all bytes of the connections open now without closing them; new ones are forwarded.
-        Refuse,     ///< Closes all connections and every new one at once.
+        Pass,         ///< Forwards everything.
+        Stall,        ///< Holds all bytes back, those of new connections too; `Pass` delivers them.
+        ForgetOpen,   ///< Drops all bytes of the connections open now without closing them; new ones are forwarded.
+        Refuse,       ///< Closes all connections and every new one at once.
+        DropRequests, ///< Drops all bytes towards the target. A connection that lost some stays silent for good.
+        DropReplies,  ///< Drops all bytes from the target, likewise.
+        Slow,         ///< Forwards each part some time after it came.
     };
 
     /// Listens on a free port.
@@ -42,6 +46,9 @@
 
     void setMode(Mode mode);
 
+    /// Delay of each part in the mode `Slow`.
+    static constexpr std::chrono::milliseconds kSlowDelay{60};
+
     /// Resets all open connections; new ones are treated by the mode in force.
     void cutOpen();
 
