--- a/daemon/control/settings.cpp
+++ b/daemon/control/settings.cpp
@@ -310,6 +310,7 @@
     Fields fields(*value, parent.pathOf("gateway"), faults);
     fields.milliseconds("revocationMs", gateway.revocationTime);
     fields.milliseconds("graceMs", gateway.graceTime);
+    fields.milliseconds("drainMs", gateway.drainTime);
     fields.real("retryRatio", gateway.retryRatio, 0, 1);
     fields.real("retryAllowance", gateway.retryAllowance, 0, 1000000);
     fields.milliseconds("retryWindowMs", gateway.retryWindow);
@@ -351,6 +352,9 @@
     if (!settings.peers.empty() && !settings.listenPeers) {
         faults.add("listenPeers", "is missing, although there are peers");
     }
+    if (settings.advertisePeers && !settings.listenPeers) {
+        faults.add("advertisePeers", "has no meaning without listenPeers");
+    }
     if (settings.listenPeers && *settings.listenPeers == settings.listen && settings.listen.port != 0) {
         faults.add("listenPeers", "must differ from listen");
     }
@@ -410,6 +414,7 @@
         settings.listen = *address;
     }
     settings.listenPeers = fields.address("listenPeers", false);
+    settings.advertisePeers = fields.address("advertisePeers", false);
     settings.listenOperators = fields.address("listenOperators", false);
     settings.listenReadiness = fields.address("listenReadiness", false);
     settings.platform = fields.address("platform", false);
--- a/daemon/control/settings.h
+++ b/daemon/control/settings.h
@@ -114,6 +114,7 @@
 {
     std::chrono::milliseconds revocationTime{5000}; ///< After this no request with a key that was taken away may run.
     std::chrono::milliseconds graceTime{8000};      ///< From SIGTERM until the platform kills the process.
+    std::chrono::milliseconds drainTime{2000};      ///< After this no request may reach an endpoint that announced to leave.
     double retryRatio = 0.2;                        ///< Repeats that a service may get for each request for it.
     double retryAllowance = 10;                     ///< Repeats that it may get beside these, within the window.
     std::chrono::milliseconds retryWindow{10000};
@@ -133,6 +134,7 @@
     unsigned workers = 2; ///< Threads that run the event loop.
     std::vector<EndpointSettings> endpoints;
     std::optional<SocketAddress> listenPeers;     ///< Where other VMs connect.
+    std::optional<SocketAddress> advertisePeers;  ///< The address that other VMs are told, if it is not `listenPeers`.
     std::vector<PeerSettings> peers;              ///< Without this VM; the platform's VM list adds to them.
     std::optional<SocketAddress> listenOperators; ///< Where operators read status and metrics.
     std::optional<SocketAddress> listenReadiness; ///< Where the balancer asks whether this VM takes requests.
--- a/daemon/store/storewatch.cpp
+++ b/daemon/store/storewatch.cpp
@@ -348,8 +348,8 @@
             strand,
             [self = shared_from_this(), peerPort](asio::yield_context yield) {
                 const auto &settings = self->settings;
-                const SocketAddress address{.ip = settings.listenPeers ? settings.listenPeers->ip : settings.listen.ip, .port = peerPort};
-                const ListedVm vm{.vm = settings.vm, .zone = settings.zone, .peerAddress = address, .leaving = false};
+                const SocketAddress bound{.ip = settings.listenPeers ? settings.listenPeers->ip : settings.listen.ip, .port = peerPort};
+                const ListedVm vm{.vm = settings.vm, .zone = settings.zone, .peerAddress = settings.advertisePeers.value_or(bound), .leaving = false};
                 asio::steady_timer timer(self->strand);
                 error_code ignored;
                 auto pause = kFirstRetry;
--- a/scenarios/process.cpp
+++ b/scenarios/process.cpp
@@ -1,6 +1,9 @@
 #include "scenarios/process.h"
 
 #include <boost/process.hpp>
+#include <boost/process/extend.hpp>
+
+#include <sys/prctl.h>
 
 #include <csignal>
 
@@ -11,11 +14,14 @@
 {
 public:
     Private(const std::string &program, const std::vector<std::string> &arguments, const std::string &logPath)
-        // Without limit_handles a program would hold the connections of relays open that the starting process has closed.
-        : child_(program,
-                 boost::process::args(arguments),
-                 boost::process::std_in<boost::process::null, (boost::process::std_out & boost::process::std_err)> logPath,
-                 boost::process::limit_handles)
+        // The program ends with the process that started it, however that ends. Without limit_handles a program would hold the
+        // connections of relays open that the starting process has closed.
+        : child_(
+            program,
+            boost::process::args(arguments),
+            boost::process::std_in<boost::process::null, (boost::process::std_out & boost::process::std_err)> logPath,
+            boost::process::limit_handles,
+            boost::process::extend::on_exec_setup = [](auto &) { ::prctl(PR_SET_PDEATHSIG, SIGKILL); })
     {
     }
 
--- a/scenarios/process.h
+++ b/scenarios/process.h
@@ -16,7 +16,8 @@
 namespace daisystream::scenarios
 {
 
-/// A running program. Killed and reaped on destruction. Thread-compatible.
+/// A running program. Killed and reaped on destruction; killed also when the thread that started it ends in any other way.
+/// Thread-compatible.
 class Process
 {
 public:
