Cut nothing at a planned stop, and leave engines alone that are about to end

It now admits nothing more once its last answer has ended, refuses as not run, and waits again for what it had admitted. It also ends by itself shortly before it would be killed, and logs what it cuts.

It now goes back only within the time in which an endpoint that leaves takes requests (gateway.drainMs, from the platform's bounds); later it ends as incomplete.

--- a/daemon/control/settings_test.cpp
+++ b/daemon/control/settings_test.cpp
@@ -78,7 +78,7 @@
 {
     const auto result = parseSettings(R"({"vm": "vm1", "zone": "z", "listen": "127.0.0.1:1", "listenReadiness": "127.0.0.1:2",
         "platform": "127.0.0.1:3", "platformProtocol": "fleet",
-        "gateway": {"revocationMs": 4000, "retryRatio": 0.1, "retryAllowance": 58, "memoryQuantile": 0.95, "engineSteps": {"baseMs": 7.5}}})",
+        "gateway": {"revocationMs": 4000, "drainMs": 3000, "retryRatio": 0.1, "retryAllowance": 58, "memoryQuantile": 0.95, "engineSteps": {"baseMs": 7.5}}})",
                                       "vm.json");
     REQUIRE(std::holds_alternative<Settings>(result));
     const auto &settings = std::get<Settings>(result);
@@ -86,6 +86,7 @@
     CHECK(settings.gateway->revocationTime == std::chrono::milliseconds(4000));
     CHECK(settings.gateway->stepCost.baseMilliseconds == 7.5);
     CHECK(settings.gateway->graceTime == std::chrono::milliseconds(8000));
+    CHECK(settings.gateway->drainTime == std::chrono::milliseconds(3000));
     CHECK(settings.platformProtocol == "fleet");
     const std::string faults = faultsOf(R"({"vm": "vm1", "zone": "z", "listen": "127.0.0.1:1",
         "gateway": {"retryRatio": 2, "graceMs": 0, "engineSteps": {"baseMs": "x", "odd": 1}}})");
--- a/daemon/frontend/httpfrontend.cpp
+++ b/daemon/frontend/httpfrontend.cpp
@@ -188,6 +188,9 @@
 
 void HttpFrontend::close()
 {
+    if (d_->gateway_) {
+        d_->gateway_->endAdmission();
+    }
     asio::post(strandOf(d_->acceptor_.get_executor()), [self = d_] {
         error_code ignored;
         self->acceptor_.close(ignored);
--- a/daemon/frontend/httpfrontend.h
+++ b/daemon/frontend/httpfrontend.h
@@ -81,7 +81,8 @@
     ///     lists refuse new work as `Stopping` and this is 0.
     [[nodiscard]] std::size_t running() const;
 
-    /// Stops to accept connections.
+    /// Stops to accept connections, and to admit requests that come over open ones. Requests that were admitted before go
+    /// on; wait for `running` once more.
     void close();
 
     /// @return the gateway, null if callers use the own API.
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -10,6 +10,11 @@
 // Time that a request needs before the process is killed. A long answer takes longer than any grace time.
 constexpr std::chrono::milliseconds kTimeForCall{2000};
 constexpr std::chrono::milliseconds kTimeForShortAnswer{3500};
+// The time for which an endpoint that leaves takes requests counts from its word to the store, of which a VM learns later,
+// and a request takes a moment to reach it.
+constexpr std::chrono::milliseconds kDrainMargin{500};
+// An endpoint that leaves is gone well before; its id is not used again.
+constexpr std::chrono::minutes kLeavingKept{5};
 // Priorities of routes that are told apart within one priority of teams. Engines know ten levels in all.
 constexpr std::uint32_t kRouteLevels = 3;
 
@@ -221,9 +226,12 @@
 void GatewayContext::announceLeaving(const std::vector<EndpointId> &endpoints)
 {
     std::vector<std::shared_ptr<std::function<void()>>> called;
+    const auto at = now();
     {
         const std::lock_guard lock(mutex_);
+        std::erase_if(leavingSince_, [&](const auto &entry) { return at - entry.second > kLeavingKept; });
         for (const auto &endpoint : endpoints) {
+            leavingSince_.emplace(endpoint, at);
             const auto [begin, end] = watches_.equal_range(endpoint);
             for (auto entry = begin; entry != end; ++entry) {
                 if (auto watch = entry->second.lock()) {
@@ -244,10 +252,19 @@
     stoppingSince_ = at;
 }
 
+void GatewayContext::endAdmission()
+{
+    const std::lock_guard lock(mutex_);
+    admissionEnded_ = true;
+}
+
 bool GatewayContext::canServe(const RequestKind &kind)
 {
     const auto at = now();
     const std::lock_guard lock(mutex_);
+    if (admissionEnded_) {
+        return false;
+    }
     if (!stoppingSince_) {
         return true;
     }
@@ -258,6 +275,14 @@
     return at + (stream != nullptr ? kTimeForShortAnswer : kTimeForCall) < *stoppingSince_ + settings.graceTime;
 }
 
+bool GatewayContext::mayReturnTo(const EndpointId &endpoint)
+{
+    const auto at = now();
+    const std::lock_guard lock(mutex_);
+    const auto leaving = leavingSince_.find(endpoint);
+    return leaving == leavingSince_.end() || at + kDrainMargin < leaving->second + settings.drainTime;
+}
+
 bool GatewayContext::isInService(const EndpointId &endpoint) const
 {
     return dispatcher.isInService(endpoint);
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -119,12 +119,18 @@
     /// SIGTERM came: the process is killed after the grace time.
     void beginShutdown();
 
+    /// Every request that is admitted from now on is refused as not run; those admitted before count as running.
+    void endAdmission();
+
     /// @return whether a request that arrives now can be served before the process is killed.
     [[nodiscard]] bool canServe(const RequestKind &kind);
 
     /// @return whether the endpoint is in service.
     [[nodiscard]] bool isInService(const EndpointId &endpoint) const;
 
+    /// @return whether an answer that has left an endpoint may go on there: it stays, or leaves but still takes requests.
+    [[nodiscard]] bool mayReturnTo(const EndpointId &endpoint);
+
 private:
     class Series;
     using Watches = std::multimap<EndpointId, std::weak_ptr<std::function<void()>>>;
@@ -135,7 +141,9 @@
     ServiceBalancer balancer_;
     ServiceRetryBudget budget_;
     Watches watches_;
+    std::map<EndpointId, TimePoint> leavingSince_; ///< When this VM learned that an endpoint leaves.
     std::optional<TimePoint> stoppingSince_;
+    bool admissionEnded_ = false;
     std::function<std::optional<std::chrono::milliseconds>()> contactAge_;
     std::unique_ptr<Series> series_;
 };
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -158,8 +158,9 @@
         if (callerLeft_) {
             return RunEnd::Left;
         }
-        if (!moved) {
-            failure_ = {ResultCode::EndpointReclaimed, "endpoint " + endpoint_.id.value() + " left and the answer could not be moved", kRetryAfterFailure};
+        const auto source = endpoint_.id;
+        if (!moved || (moved->target.id == source && !gateway_.mayReturnTo(source))) {
+            failure_ = {ResultCode::EndpointReclaimed, "endpoint " + source.value() + " left and the answer could not be moved", kRetryAfterFailure};
             return RunEnd::Failed;
         }
         gateway_.dispatcher.onFinished(workId_, tokens(), FinishReason::MovedAway);
@@ -167,7 +168,8 @@
         endpoint_ = moved->target;
         firstEventOfRun_ = true;
         const auto end = runAt(moved->memory, yield);
-        if (end != RunEnd::Failed || deliveredInRun_ || callerLeft_ || moved->target.address == moved->memory.holder) {
+        const bool isAtSource = moved->target.address == moved->memory.holder;
+        if (end != RunEnd::Failed || deliveredInRun_ || callerLeft_ || isAtSource || !gateway_.mayReturnTo(source)) {
             return end;
         }
         // The source has stopped the answer and still has its memory.
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -45,6 +45,8 @@
 // Leaves time for messages to other VMs, such as the last Done, to be sent before connections are closed.
 constexpr auto kLastLinesTime = std::chrono::milliseconds(200);
 constexpr auto kFarewellTime = std::chrono::milliseconds(200);
+// Before the platform kills the process, so that its last lines of log are written.
+constexpr auto kKillMargin = std::chrono::milliseconds(500);
 
 std::uint64_t randomSeed()
 {
@@ -214,6 +216,7 @@
     void shutDownOnSignal(asio::yield_context yield)
     {
         stopSignals_.async_wait(yield);
+        const auto begunAt = clock_.now();
         LOG(INFO) << "event=shutdown_begun running=" << frontend_.running();
         control_.beginShutdown();
         if (auto *gateway = frontend_.gateway()) {
@@ -225,18 +228,29 @@
             timer.expires_after(kRotationTime);
             timer.async_wait(yield);
         }
-        while (frontend_.running() > 0) {
-            timer.expires_after(kShutdownCheck);
-            timer.async_wait(yield);
-        }
+        const auto lastMoment = settings_.gateway ? begunAt + settings_.gateway->graceTime - kKillMargin : TimePoint::max();
+        waitForAnswers(lastMoment, timer, yield);
         frontend_.close();
         timer.expires_after(kFarewellTime);
         timer.async_wait(yield);
+        waitForAnswers(lastMoment, timer, yield);
+        if (const auto running = frontend_.running(); running > 0) {
+            LOG(WARNING) << "event=shutdown_cut running=" << running << " reason=grace_time_over";
+        }
         control_.stop();
         LOG(INFO) << "event=shutdown_done";
         io_.stop();
     }
 
+    /// Waits until no request is in progress, at most until a moment at which the process has to end.
+    void waitForAnswers(TimePoint lastMoment, asio::steady_timer &timer, asio::yield_context yield)
+    {
+        while (frontend_.running() > 0 && clock_.now() < lastMoment) {
+            timer.expires_after(kShutdownCheck);
+            timer.async_wait(yield);
+        }
+    }
+
     /// Settings take effect at the next start; SIGHUP shows in the log whether the file can be used then.
     void checkSettingsOnSignal(asio::yield_context yield)
     {
