--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -46,7 +46,7 @@
 constexpr auto kLastLinesTime = std::chrono::milliseconds(200);
 constexpr auto kFarewellTime = std::chrono::milliseconds(200);
 // Before the platform kills the process, so that its last lines of log are written.
-constexpr auto kKillMargin = std::chrono::milliseconds(500);
+constexpr auto kKillMargin = std::chrono::milliseconds(250);
 
 std::uint64_t randomSeed()
 {
@@ -231,8 +231,10 @@
         const auto lastMoment = settings_.gateway ? begunAt + settings_.gateway->graceTime - kKillMargin : TimePoint::max();
         waitForAnswers(lastMoment, timer, yield);
         frontend_.close();
-        timer.expires_after(kFarewellTime);
-        timer.async_wait(yield);
+        if (clock_.now() < lastMoment) {
+            timer.expires_after(kFarewellTime);
+            timer.async_wait(yield);
+        }
         waitForAnswers(lastMoment, timer, yield);
         if (const auto running = frontend_.running(); running > 0) {
             LOG(WARNING) << "event=shutdown_cut running=" << running << " reason=grace_time_over";
