Try a recovering endpoint with requests that it cannot lose, one at a time

Cause: after each probe two requests were lost instead of one, because one failure did not end the recovery; and they were whatever came first, also answers that cannot be repeated; and the second attempt of one that can went to the same endpoint.

--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -118,6 +118,8 @@
                 .arrival = request_.arrival,
                 .prefixHash = request_.head.prefixHash,
                 .lengthClass = request_.route->name.value(),
+                .mayRepeat = kind_.resumable,
+                .avoids = failedAt_,
                 .mayMove = kind_.resumable};
     }
 
@@ -395,6 +397,7 @@
             return RunEnd::Moved;
         }
         state_.onAttemptEnded(exchange_->bytesSent() ? AttemptEnd::MayHaveRun : AttemptEnd::NotSent);
+        failedAt_ = endpoint_.id;
         const auto code = fault.kind == ExchangeFault::Kind::Silent ? ResultCode::EndpointSilent : ResultCode::EndpointUnreachable;
         failure_ = {code, "endpoint " + endpoint_.id.value() + ": " + toString(fault.kind) + ", " + fault.detail, kRetryAfterFailure};
         return RunEnd::Failed;
@@ -484,7 +487,8 @@
     std::shared_ptr<void> endpointWatch_;
     std::shared_ptr<AnswerMove> move_;
 
-    std::string lastEvent_; ///< Id of the last event that was delivered.
+    std::optional<EndpointId> failedAt_; ///< The engine that failed last.
+    std::string lastEvent_;              ///< Id of the last event that was delivered.
     std::uint64_t events_ = 0;
     Error failure_{};
     TimePoint lastProgress_{};
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -93,6 +93,8 @@
   heldTokens @15 :UInt32;
   movesFrom @16 :Text;            # Empty: it does not run yet.
   movesFromZone @17 :Text;
+  once @18 :Bool;                 # It may not run again if it fails.
+  avoids @19 :Text;               # Endpoint where it has just failed; empty: none.
 }
 
 struct Reference {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -179,7 +179,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e733484531a31e03, 7, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(e733484531a31e03, 7, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1356,6 +1356,11 @@
   inline bool hasMovesFromZone() const;
   inline  ::capnp::Text::Reader getMovesFromZone() const;
 
+  inline bool getOnce() const;
+
+  inline bool hasAvoids() const;
+  inline  ::capnp::Text::Reader getAvoids() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1470,6 +1475,16 @@
   inline void adoptMovesFromZone(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownMovesFromZone();
 
+  inline bool getOnce();
+  inline void setOnce(bool value);
+
+  inline bool hasAvoids();
+  inline  ::capnp::Text::Builder getAvoids();
+  inline void setAvoids( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAvoids(unsigned int size);
+  inline void adoptAvoids(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAvoids();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4891,6 +4906,54 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool Work::Reader::getOnce() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool Work::Builder::getOnce() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Work::Builder::setOnce(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Work::Reader::hasAvoids() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Work::Builder::hasAvoids() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Work::Reader::getAvoids() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Work::Builder::getAvoids() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Work::Builder::setAvoids( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Work::Builder::initAvoids(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Work::Builder::adoptAvoids(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Work::Builder::disownAvoids() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool Reference::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -91,6 +91,10 @@
     out.setLengthClass(text(work.lengthClass));
     out.setFixed(!work.mayMove);
     out.setHeldTokens(work.heldTokens);
+    out.setOnce(!work.mayRepeat);
+    if (work.avoids) {
+        out.setAvoids(text(work.avoids->value()));
+    }
     if (work.movesFrom) {
         out.setMovesFrom(text(work.movesFrom->endpoint.value()));
         out.setMovesFromZone(text(work.movesFrom->zone.value()));
@@ -117,6 +121,10 @@
     work.lengthClass = string(in.getLengthClass());
     work.mayMove = !in.getFixed();
     work.heldTokens = in.getHeldTokens();
+    work.mayRepeat = !in.getOnce();
+    if (in.getAvoids().size() > 0) {
+        work.avoids = EndpointId(string(in.getAvoids()));
+    }
     if (in.getMovesFrom().size() > 0) {
         work.movesFrom = RunningAt{.endpoint = EndpointId(string(in.getMovesFrom())), .zone = ZoneId(string(in.getMovesFromZone()))};
     }
--- a/daemon/peers/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -19,6 +19,8 @@
     request.promptTokens = 30;
     request.lengthClass = "summary";
     request.heldTokens = 12;
+    request.mayRepeat = false;
+    request.avoids = EndpointId("e2");
     request.movesFrom = RunningAt{.endpoint = EndpointId("e1"), .zone = ZoneId("z1")};
     request.mayMove = false;
     request.firstTokenDeadline = now + std::chrono::milliseconds(660);
--- a/daisystream/endpoint/endpointhealth.cpp
+++ b/daisystream/endpoint/endpointhealth.cpp
@@ -77,7 +77,8 @@
 
 void EndpointHealth::onFailed(TimePoint now)
 {
-    if (phase_ != Phase::Suspected && ++failures_ >= kFailures) {
+    // One failed trial is enough: the endpoint failed before.
+    if (phase_ != Phase::Suspected && (++failures_ >= kFailures || phase_ == Phase::Recovering)) {
         suspect(Cause::Failed, now);
     }
 }
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -25,6 +25,8 @@
 constexpr std::uint32_t kOverdueSigns = 2;
 // An endpoint that made a token for any of its answers this recently is alive.
 constexpr milliseconds kAliveWindow(1500);
+// An endpoint that recovers waits so long for a request that a failure would not lose, before it gets any other.
+constexpr seconds kTriesKept(5);
 // Interval at which waiting requests are checked for whether they can still be served.
 constexpr milliseconds kSweepInterval(50);
 constexpr int kSweepTeams = 2;
@@ -238,6 +240,9 @@
         return;
     }
     fresh_.push_back(slot);
+    if (work.mayRepeat) {
+        repeatableSeenAt_ = now;
+    }
     if (work.rank == Rank::Urgent) {
         urgentSeenAt_ = now;
         urgentPace_ = work.paceTokensPerSecond;
@@ -872,6 +877,14 @@
 {
     const WorkRequest &work = request.work;
     const EndpointLoad &load = endpoint.load;
+    if (work.avoids == load.info().id && reserved_.size() + general_.size() > 1) {
+        return false;
+    }
+    // A recovering endpoint is tried with requests that it cannot lose, while there are any.
+    const bool othersTry = !work.mayRepeat && repeatableSeenAt_ && now - *repeatableSeenAt_ < kTriesKept;
+    if (endpoint.health.phase() == EndpointHealth::Phase::Recovering && othersTry) {
+        return false;
+    }
     const bool yields = work.rank == Rank::Ordinary && !floorTurn && urgentSeenAt_;
     const double usable = yields ? 1.0 - options_.urgentReserve : 1.0;
     if (!endpoint.health.accepts(load.awaitingFirstToken()) || load.running() + 1.0 > std::max(1.0, usable * load.info().maxBatch)) {
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -200,6 +200,7 @@
 
     double urgentPace_ = 0; // Promised tokens a second of the latest urgent request.
     std::optional<TimePoint> urgentSeenAt_;
+    std::optional<TimePoint> repeatableSeenAt_; // The latest request that a failure would not lose.
     TimePoint resizedAt_{};
     TimePoint shrinkAllowedAt_{};
     double meanTokens_ = 256;     // Of recent answers.
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -62,6 +62,8 @@
     std::string lengthClass{};            ///< Requests of one class have answers of similar length; empty: those of one team.
     std::optional<RunningAt> movesFrom{}; ///< Set: the answer runs and has to go on elsewhere, with its memory.
     std::uint32_t heldTokens = 0;         ///< Generated before it moves.
+    bool mayRepeat = true;                ///< A failure before its end does not lose it: it may run again elsewhere.
+    std::optional<EndpointId> avoids{};   ///< It has just failed there.
     bool mayMove = true;                  ///< Until its first token it may be taken back and given to another endpoint.
 
     friend auto operator<=>(const WorkRequest &, const WorkRequest &) = default;
