--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -38,8 +38,10 @@
 constexpr milliseconds kGrace{8000};
 // Longest limit of a route, the patience of callers and some more.
 constexpr milliseconds kCallersEnd{20000};
-// A gap between two ticks that shows that the machine gave its processes no time.
+// Length of a pause of one tick that shows that the machine gave its processes no time.
 constexpr milliseconds kMachineStall{150};
+// After this a frozen endpoint is told again to stop misbehaving.
+constexpr milliseconds kTellAgain{400};
 constexpr milliseconds kSlowStore{400};
 constexpr milliseconds kClockJump{3600000};
 constexpr unsigned kLostReplies = 20;
@@ -322,26 +324,28 @@
 
     void begin(const DisturbEndpoint &action)
     {
-        if (!isRunning(action.process)) {
-            return;
+        if (!isRunning(action.process) || isDisturbed(action.process)) {
+            return; // A frozen process would not take its faults.
         }
         const auto span = timeline.begin(action.process, Disturbance::Unplanned, now());
-        const auto port = endpointPorts.at(action.process);
-        setFaults(port, faultsOf(action.fault));
-        later(action.length, action.process, [this, port, name = action.process](Managed &managed) {
-            if (managed.state == Managed::State::Running && frozen(name)) {
-                later(kSlowStore, name, [port](Managed &) { setFaults(port, json::object()); });
-            } else if (managed.state == Managed::State::Running) {
-                setFaults(port, json::object());
-            }
-        });
+        setFaults(endpointPorts.at(action.process), faultsOf(action.fault));
         tasks.push_back({now() + action.length, [this, span] {
                              timeline.end(span, now());
                          }});
+        later(action.length, action.process, [this, name = action.process](Managed &) { calmEndpoint(name); });
+    }
+
+    void calmEndpoint(const std::string &name)
+    {
+        if (isDisturbed(name)) {
+            later(kTellAgain, name, [this, name](Managed &) { calmEndpoint(name); });
+        } else if (isRunning(name)) {
+            setFaults(endpointPorts.at(name), json::object());
+        }
     }
 
-    /// @return whether a process stands still.
-    [[nodiscard]] bool frozen(const std::string &name) const
+    /// @return whether a process is disturbed now, and not as planned.
+    [[nodiscard]] bool isDisturbed(const std::string &name) const
     {
         return !timeline.isCalmButPlanned(name, now(), now());
     }
@@ -474,16 +478,11 @@
         for (unsigned i = 1; i <= options.callerProcesses; ++i) {
             addCallers(i);
         }
-        lastTick = now();
     }
 
     void tick()
     {
         const auto at = now();
-        if (at - lastTick > kMachineStall) {
-            const auto span = timeline.begin(kEverything, Disturbance::Unplanned, lastTick);
-            timeline.end(span, at);
-        }
         for (std::size_t i = 0; i < tasks.size();) {
             if (tasks[i].at <= at) {
                 const auto task = std::move(tasks[i]);
@@ -495,12 +494,17 @@
         }
         watchProcesses();
         writeConfigurations();
+        pauseAndNoticeStall();
+    }
+
+    /// A pause that takes much longer than asked for shows that the machine gave its processes no time.
+    void pauseAndNoticeStall()
+    {
+        const auto before = now();
         std::this_thread::sleep_for(kTick);
-        // The calls above may take long while the store is disturbed; only the pause shows a stall.
         const auto after = now();
-        lastTick = std::max(lastTick, after - kTick);
-        if (after - at < kMachineStall) {
-            lastTick = after;
+        if (after - before > kMachineStall) {
+            timeline.end(timeline.begin(kEverything, Disturbance::Unplanned, before), after);
         }
     }
 
@@ -539,7 +543,6 @@
     std::vector<ConfigurationInForce> configurations;
     std::vector<std::string> unexpectedEnds;
     Timeline timeline;
-    Moment lastTick{};
     bool isEnding = false;
 };
 
