Take the store as reached when other VMs hand on what they see of it

Cause: a VM lost the store at 4.1 s and was later vouched for by VMs that follow the store for all, so that it did not follow the configuration itself, whose next reply alone had ended the loss. From then on it held every endpoint that was removed, as if it had lapsed in an outage: one that left at 16.0 s got requests at 19.06 s. Ruled out: late spreading (the VM had the document of revision 179 at 16.24 s).

Test: the endpoint stayed for the whole minute of the test's patience, now it goes after the 2.2 s in which endpoints may return.

--- a/daemon/store/storewatch.cpp
+++ b/daemon/store/storewatch.cpp
@@ -53,8 +53,9 @@
     std::function<void(const StoreRows &, bool isWhole)> onRows;
     std::function<void(TimePoint sentAt, const StoreRows &)> onReply;
     std::function<void()> onFailure;
-    std::function<bool()> isWanted; ///< Asked before each call.
-    milliseconds pauseAfterRows{0}; ///< Lets changes that come together be read together.
+    std::function<bool()> isWanted;   ///< Asked before each call.
+    std::function<void()> onUnwanted; ///< Called again and again while it is not.
+    milliseconds pauseAfterRows{0};   ///< Lets changes that come together be read together.
 };
 
 } // namespace
@@ -117,6 +118,7 @@
                 auto pause = kFirstRetry;
                 while (!self->stopped) {
                     if (!follower.isWanted()) {
+                        follower.onUnwanted();
                         timer.expires_after(kWantedCheck);
                         timer.async_wait(yield[ignored]);
                         continue;
@@ -232,9 +234,15 @@
             parts.platform.repeatWatches();
         }
         repliedAt = now;
+        onReached(now, "reply");
+    }
+
+    /// The store is reached, by this VM or by those that hand on what they see.
+    void onReached(TimePoint now, const char *by)
+    {
         isLost = false;
         if (const auto since = std::exchange(lostSince, std::nullopt)) {
-            LOG(INFO) << "event=platform_regained lost_ms=" << std::chrono::duration_cast<milliseconds>(now - *since).count();
+            LOG(INFO) << "event=platform_regained lost_ms=" << std::chrono::duration_cast<milliseconds>(now - *since).count() << " by=" << by;
             directory.onStoreReturned(now, now - *since >= kOutage);
             publish();
         }
@@ -445,6 +453,7 @@
                .onReply = [d](TimePoint sentAt, const StoreRows &rows) { d->onConfigReply(sentAt, rows); },
                .onFailure = [d] { d->onFailure(); },
                .isWanted = d->handlers.followsConfig,
+               .onUnwanted = [d] { d->onReached(d->parts.clock.now(), "other_vms"); },
                .pauseAfterRows = {}});
     d->follow({.table = d->source.endpointTable,
                .wait = kEndpointWait,
@@ -452,6 +461,7 @@
                .onReply = ignore,
                .onFailure = [d] { d->onFailure(); },
                .isWanted = d->handlers.followsEndpoints,
+               .onUnwanted = [] {},
                .pauseAfterRows = {}});
     d->follow({.table = kVmTable,
                .wait = kVmWait,
@@ -459,6 +469,7 @@
                .onReply = ignore,
                .onFailure = [] {},
                .isWanted = always,
+               .onUnwanted = [] {},
                .pauseAfterRows = kVmPause});
 }
 
