--- /dev/null
+++ b/daisystream/scheduler/poolrefusals.cpp
@@ -0,0 +1,108 @@
+#include "daisystream/scheduler/pool.h"
+#include "daisystream/scheduler/poolparts.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace daisystream::internal
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr int kSweepTeams = 2;
+constexpr double kLongestRetry = 30.0; // Seconds.
+constexpr double kShortestRetry = 0.05;
+
+} // namespace
+
+double Pool::waitOf(const Request &request, double position, TimePoint now) const
+{
+    const Rank rank = request.work.rank;
+    // Answers end at least at about this rate, since each takes a step a token.
+    const auto running = static_cast<double>(queue_.running(Rank::Urgent) + queue_.running(Rank::Ordinary));
+    const double step = general_.empty() && reserved_.empty()
+        ? 1.0
+        : endpoints_[(general_.empty() ? reserved_ : general_).begin()->second]->load.stepMilliseconds(0, 0) / 1000.0;
+    double least = 0.5 * running / (std::max(16.0, meanTokens_) * step);
+    if (rank == Rank::Ordinary && queue_.queued(Rank::Urgent) > 0) {
+        least *= options_.ordinaryFloor;
+    }
+    const bool first = position <= 1 && queue_.isNext(request.team);
+    return waits_.seconds(rank, position, first ? 1.0 : queue_.shareOf(request.team), least, now);
+}
+
+// Seconds that a request can wait and still get its first token in time.
+double Pool::slackOf(const Request &request, TimePoint now) const
+{
+    const Index &index = general_.empty() ? reserved_ : general_;
+    const double firstToken = endpoints_[index.begin()->second]->load.idleFirstTokenMilliseconds(unreadTokens(request.work)) / 1000.0;
+    const double promise = secondsOf(request.work.firstTokenDeadline - request.work.arrival);
+    return std::min(secondsOf(request.work.firstTokenDeadline - now) - firstToken, kLongestWait * promise - secondsOf(now - request.work.arrival));
+}
+
+bool Pool::refuseIfHopeless(const FairQueue::Item &item, TimePoint now, std::vector<Action> &actions)
+{
+    const auto slot = static_cast<Slot>(item.ticket);
+    const Request &request = requests_[slot];
+    if (reserved_.empty() && general_.empty()) {
+        // Recovering endpoints with a trial in progress are out of the index for the moment, but will serve.
+        const bool recovering = std::any_of(endpoints_.begin(), endpoints_.end(), [](const auto &endpoint) {
+            return endpoint != nullptr && endpoint->load.info().state == EndpointState::InService
+                && endpoint->health.phase() == EndpointHealth::Phase::Recovering;
+        });
+        if (recovering) {
+            return false;
+        }
+        refuse(slot, ResultCode::NoEndpoint, "no endpoint of the model is in service", secondsOf(options_.probeInterval), now, actions);
+        return true;
+    }
+    const double wait = waitOf(request, static_cast<double>(queue_.queued(item.team)), now);
+    const double slack = slackOf(request, now);
+    if (wait <= slack) {
+        return false;
+    }
+    refuse(slot, ResultCode::PromiseCannotBeMet, "the promised first-token time cannot be met", wait - slack, now, actions);
+    return true;
+}
+
+void Pool::refuseHopeless(TimePoint now, std::vector<Action> &actions)
+{
+    for (const Slot slot : fresh_) {
+        const Request &request = requests_[slot];
+        if (request.state == State::Queued) {
+            refuseIfHopeless({request.team, request.order, slot}, now, actions);
+        }
+    }
+    fresh_.clear();
+    // A few of the others at each decision: they were in time when they came, but other work may have come since.
+    for (int i = 0; i < kSweepTeams; ++i) {
+        const auto team = queue_.visitBacklogged();
+        if (!team) {
+            return;
+        }
+        while (const auto tail = queue_.tail(*team)) {
+            if (!refuseIfHopeless(*tail, now, actions)) {
+                break;
+            }
+        }
+    }
+}
+
+void Pool::refuse(Slot slot, ResultCode code, const char *detail, double wait, TimePoint now, std::vector<Action> &actions)
+{
+    const Request &request = requests_[slot];
+    dequeue(slot);
+    // Callers that are told to come back are spread over time at the rate at which the team is served.
+    TimePoint &latest = retryAt_[request.team];
+    const double interval = waitOf(request, 1, now);
+    const TimePoint retry = std::max(now + durationOf(std::clamp(wait, kShortestRetry, kLongestRetry)), latest + durationOf(interval));
+    latest = std::min(retry, now + durationOf(kLongestRetry));
+    const auto after = std::chrono::ceil<milliseconds>(latest - now);
+    actions.emplace_back(Refuse{request.work.id, Error{code, detail, after}});
+    destroy(slot);
+}
+
+} // namespace daisystream::internal
