Keep the stand-ins of the platform with its deployment

They are the other end of the protocol, not a part of the adapter: now deploy/standins, in the namespace of the other stand-ins.

The soak names the store's outages instead of numbering them, and the figures of the stand-ins say where they come from.

--- a/platform/standins/fleetcall.cpp
+++ b/deploy/standins/fleetcall.cpp
@@ -1,9 +1,9 @@
-#include "platform/standins/fleetcall.h"
+#include "deploy/standins/fleetcall.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 
 namespace beast = boost::beast;
@@ -29,4 +29,4 @@
     return error ? 0 : response.result_int();
 }
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetcall.h
+++ b/deploy/standins/fleetcall.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 
 /// Posts a JSON body to a process on 127.0.0.1.
@@ -14,4 +14,4 @@
 [[nodiscard]] unsigned
 postJson(std::uint16_t port, const std::string &target, const std::string &body, std::chrono::milliseconds limit, boost::asio::yield_context yield);
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetcallers.cpp
+++ b/deploy/standins/fleetcallers.cpp
@@ -1,9 +1,9 @@
-#include "platform/standins/fleetcallers.h"
+#include "deploy/standins/fleetcallers.h"
 
 #include "daisystream/base/random.h"
+#include "deploy/standins/fleetconfiguration.h"
+#include "deploy/standins/fleetcontent.h"
 #include "platform/names.h"
-#include "platform/standins/fleetconfiguration.h"
-#include "platform/standins/fleetcontent.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
@@ -13,9 +13,11 @@
 
 #include <charconv>
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 
+namespace names = platform::names;
+
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
@@ -27,10 +29,11 @@
 namespace
 {
 
-constexpr milliseconds kConnectLimit{1000};
+constexpr milliseconds kConnectLimit{1000}; // As the platform's callers.
 constexpr milliseconds kReconnectPause{50};
 // How much longer than the route allows a caller of the soak waits, to see whether the final answer comes in time.
 constexpr milliseconds kPatience{3000};
+// What callers draw from. The shares make each rare thing happen some hundred times in a soak.
 constexpr milliseconds kLongestThought{120};
 constexpr milliseconds kLongestReturn{1000};
 constexpr unsigned kMostRequestsOfConnection = 20;
@@ -202,4 +205,4 @@
     d_->onDone = std::move(onDone);
 }
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetcallers.h
+++ b/deploy/standins/fleetcallers.h
@@ -18,7 +18,7 @@
 ///   callers.stop([&] { io.stop(); });
 /// @endcode
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 
 /// The callers. Thread-compatible; `io` must run on one thread.
@@ -39,4 +39,4 @@
     std::unique_ptr<Private> d_;
 };
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetconfiguration.cpp
+++ b/deploy/standins/fleetconfiguration.cpp
@@ -1,17 +1,20 @@
-#include "platform/standins/fleetconfiguration.h"
+#include "deploy/standins/fleetconfiguration.h"
 
 #include "platform/names.h"
 
 #include <nlohmann/json.hpp>
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
+
+namespace names = platform::names;
 namespace
 {
 
 using nlohmann::json;
 using soak::Kind;
 
+// As the deployments' sheets say of their engines.
 constexpr unsigned kSlots = 24;
 constexpr unsigned kMemoryTokens = 34000;
 constexpr unsigned kConnections = 200;
@@ -70,4 +73,4 @@
     return json{{"table", names::kConfigTable}, {"key", names::kConfigKey}, {"text", configurationText(configuration)}}.dump();
 }
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetconfiguration.h
+++ b/deploy/standins/fleetconfiguration.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 
 /// Length of the answers that stand-ins stream, in events.
@@ -19,4 +19,4 @@
 /// @return the body by which a test has the stand-in of the store take a configuration.
 [[nodiscard]] std::string configurationRow(const soak::Configuration &configuration);
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetcontent.cpp
+++ b/deploy/standins/fleetcontent.cpp
@@ -1,4 +1,4 @@
-#include "platform/standins/fleetcontent.h"
+#include "deploy/standins/fleetcontent.h"
 
 #include "platform/names.h"
 
@@ -6,9 +6,11 @@
 
 #include <algorithm>
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 
+namespace names = platform::names;
+
 using nlohmann::json;
 using soak::Kind;
 
@@ -102,4 +104,4 @@
     return isWhole ? AnswerCheck{body.value("run", std::string()), {}} : AnswerCheck{{}, "its body is not what an endpoint wrote for it"};
 }
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetcontent.h
+++ b/deploy/standins/fleetcontent.h
@@ -17,7 +17,7 @@
 ///   const bool isIntact = isRequestBody(received, attempt, path);
 /// @endcode
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 
 /// @return a body that names its request and has about `filler` bytes more.
@@ -46,4 +46,4 @@
 [[nodiscard]] AnswerCheck
 checkAnswer(std::string_view attempt, soak::Kind kind, const boost::beast::http::response<boost::beast::http::string_body> &response, bool isComplete);
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetcontent_test.cpp
+++ b/deploy/standins/fleetcontent_test.cpp
@@ -1,11 +1,11 @@
-#include "platform/standins/fleetcontent.h"
+#include "deploy/standins/fleetcontent.h"
 
 #include <boost/beast/http.hpp>
 #include <doctest/doctest.h>
 
 // Callers of the soak judge answers by these; each kind of wrong answer is seen to be found.
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 namespace
 {
@@ -73,4 +73,4 @@
 }
 
 } // namespace
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetendpoint.cpp
+++ b/deploy/standins/fleetendpoint.cpp
@@ -1,9 +1,9 @@
-#include "platform/standins/fleetendpoint.h"
+#include "deploy/standins/fleetendpoint.h"
 
+#include "deploy/standins/fleetcall.h"
+#include "deploy/standins/fleetconfiguration.h"
+#include "deploy/standins/fleetcontent.h"
 #include "platform/names.h"
-#include "platform/standins/fleetcall.h"
-#include "platform/standins/fleetconfiguration.h"
-#include "platform/standins/fleetcontent.h"
 #include "soak/observation.h"
 #include "standins/http/standinserver.h"
 
@@ -15,9 +15,11 @@
 #include <charconv>
 #include <map>
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 
+namespace names = platform::names;
+
 namespace asio = boost::asio;
 using nlohmann::json;
 using soak::Ending;
@@ -27,18 +29,23 @@
 namespace
 {
 
+// How often an endpoint writes its entry; the platform's deployments use some hundred milliseconds.
 constexpr milliseconds kHeartbeat{500};
 // The store removes an entry after three intervals of silence.
 constexpr milliseconds kEntryLife = 3 * kHeartbeat;
+// Longer than a slow store takes, shorter than the life of an entry.
 constexpr milliseconds kStoreLimit{1000};
 // The bound `drain_ms` of the platform, and how much longer the stand-in stays to see who comes late.
 constexpr milliseconds kDrainTime{2000};
 constexpr milliseconds kStaysLonger{700};
+// Speeds of a small engine and of a plain service: a long answer takes 3.2 s, longer than the time that an engine which leaves
+// stays, so that it has to move.
 constexpr milliseconds kPrompt{30};
 constexpr milliseconds kEventTime{20};
 constexpr milliseconds kCallTime{30};
 constexpr milliseconds kCopyTime{20};
 constexpr milliseconds kStopCheck{2};
+// Sizes that the deployments' sheets give for their engines and services.
 constexpr unsigned kSlotsOfEngine = 24;
 constexpr unsigned kSlotsOfService = 6;
 constexpr unsigned kMemoryTokens = 34000;
@@ -412,4 +419,4 @@
     d_->leave(std::move(onGone));
 }
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetendpoint.h
+++ b/deploy/standins/fleetendpoint.h
@@ -20,7 +20,7 @@
 ///   engine.leave([&] { io.stop(); });
 /// @endcode
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 
 struct FleetEndpointOptions
@@ -49,4 +49,4 @@
     std::unique_ptr<Private> d_;
 };
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetstore.cpp
+++ b/deploy/standins/fleetstore.cpp
@@ -1,4 +1,4 @@
-#include "platform/standins/fleetstore.h"
+#include "deploy/standins/fleetstore.h"
 
 #include "daisystream/base/base64.h"
 #include "platform/names.h"
@@ -12,9 +12,11 @@
 #include <map>
 #include <tuple>
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 
+namespace names = platform::names;
+
 namespace asio = boost::asio;
 using nlohmann::json;
 using soak::Moment;
@@ -24,9 +26,10 @@
 namespace
 {
 
+// Small beside the bounds that a soak checks, the least of which is 200 ms.
 constexpr milliseconds kFeedCheck{10};
 constexpr milliseconds kLapseCheck{100};
-constexpr std::size_t kRowsOfPage = 500;
+constexpr std::size_t kRowsOfPage = 500; // The platform's limit.
 constexpr unsigned kGone = 410;
 constexpr unsigned kConditionFailed = 412;
 constexpr unsigned kForbidden = 403;
@@ -328,4 +331,4 @@
     return d_->server_.port();
 }
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/fleetstore.h
+++ b/deploy/standins/fleetstore.h
@@ -20,7 +20,7 @@
 ///   callers.connect(store.port());
 /// @endcode
 
-namespace daisystream::platform
+namespace daisystream::standins
 {
 
 /// Faults of the store, all off by default.
@@ -55,4 +55,4 @@
     std::unique_ptr<Private> d_;
 };
 
-} // namespace daisystream::platform
+} // namespace daisystream::standins
--- a/platform/standins/main.cpp
+++ b/deploy/standins/main.cpp
@@ -1,6 +1,6 @@
-#include "platform/standins/fleetcallers.h"
-#include "platform/standins/fleetendpoint.h"
-#include "platform/standins/fleetstore.h"
+#include "deploy/standins/fleetcallers.h"
+#include "deploy/standins/fleetendpoint.h"
+#include "deploy/standins/fleetstore.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
@@ -47,11 +47,11 @@
     asio::io_context io;
     asio::signal_set signals(io, SIGTERM, SIGINT);
     if (FLAGS_role == "store") {
-        const platform::FleetStore store(io, static_cast<std::uint16_t>(FLAGS_port));
+        const standins::FleetStore store(io, static_cast<std::uint16_t>(FLAGS_port));
         signals.async_wait([](const boost::system::error_code &, int) { endProcess(); });
         io.run();
     } else if (FLAGS_role == "engine" || FLAGS_role == "service") {
-        platform::FleetEndpoint endpoint(io,
+        standins::FleetEndpoint endpoint(io,
                                          {.name = FLAGS_name,
                                           .service = FLAGS_service,
                                           .isEngine = FLAGS_role == "engine",
@@ -61,7 +61,7 @@
         signals.async_wait([&](const boost::system::error_code &, int) { endpoint.leave(endProcess); });
         io.run();
     } else if (FLAGS_role == "callers") {
-        platform::FleetCallers callers(io, soak::decodeCallerPlan(readFile(FLAGS_plan)));
+        standins::FleetCallers callers(io, soak::decodeCallerPlan(readFile(FLAGS_plan)));
         callers.start();
         signals.async_wait([&](const boost::system::error_code &, int) { callers.stop(endProcess); });
         io.run();
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -1,7 +1,8 @@
 #include "soak/deployment.h"
 
 #include "daisystream/base/overloaded.h"
-#include "platform/standins/fleetconfiguration.h"
+#include "deploy/standins/fleetconfiguration.h"
+#include "deploy/standins/fleetstore.h"
 #include "scenarios/httpcall.h"
 #include "scenarios/process.h"
 #include "standins/relay/relay.h"
@@ -91,13 +92,14 @@
 
 json faultsOf(StoreFault fault)
 {
+    using Outage = standins::FleetStoreFaults::Outage;
     switch (fault) {
     case StoreFault::Refusing:
-        return {{"outage", 1}};
+        return {{"outage", Outage::Refusing}};
     case StoreFault::Closing:
-        return {{"outage", 2}};
+        return {{"outage", Outage::Closing}};
     case StoreFault::Silent:
-        return {{"outage", 3}};
+        return {{"outage", Outage::Silent}};
     case StoreFault::Slow:
         return {{"slowMs", kSlowStore.count()}};
     case StoreFault::LosesReplies:
@@ -362,7 +364,7 @@
             if (configurations.empty() || configurations.back().configuration != waiting.front()) {
                 configurations.push_back({.configuration = waiting.front(), .sentAt = now()});
             }
-            if (post(storePort, "/standin/row", platform::configurationRow(waiting.front())) != 200) {
+            if (post(storePort, "/standin/row", standins::configurationRow(waiting.front())) != 200) {
                 return;
             }
             configurations.back().acknowledgedAt = now();
@@ -377,7 +379,7 @@
         const auto port = ports.next();
         endpointPorts[name] = port;
         auto &relay = relays[{LinkKind::Endpoint, name}] = std::make_unique<Relay>(port);
-        processes[name] = {.program = "platform/standin_fleet",
+        processes[name] = {.program = "deploy/standin_fleet",
                            .arguments = {"--role",
                                          role,
                                          "--name",
@@ -432,7 +434,7 @@
                                  .keys = plan.allKeys()};
         const std::string path = options.scratch + "/" + name + ".json";
         std::ofstream(path) << encodeCallerPlan(callers);
-        processes[name] = {.program = "platform/standin_fleet", .arguments = {"--role", "callers", "--plan", path}};
+        processes[name] = {.program = "deploy/standin_fleet", .arguments = {"--role", "callers", "--plan", path}};
         startProcess(name);
     }
 
@@ -456,7 +458,7 @@
 
     void start()
     {
-        processes["store"] = {.program = "platform/standin_fleet", .arguments = {"--role", "store", "--port", std::to_string(storePort)}};
+        processes["store"] = {.program = "deploy/standin_fleet", .arguments = {"--role", "store", "--port", std::to_string(storePort)}};
         startProcess("store");
         waiting.push_back(plan.configurations.front());
         waitFor("the store takes the first configuration", [this] {
