--- a/bench/harness.cpp
+++ b/bench/harness.cpp
@@ -54,6 +54,19 @@
 constexpr std::uint32_t kDigestBytes = 16;
 constexpr std::uint32_t kReportBytes = 90;
 
+LoadReport reportOf(const EndpointId &engine, const EngineLoad &load)
+{
+    return {engine,
+            load.measuredAt,
+            load.running,
+            load.waiting,
+            load.memoryUsedTokens,
+            load.memoryCapacityTokens,
+            load.stepMilliseconds,
+            load.preemptions,
+            load.generatedTokens};
+}
+
 double inSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -785,15 +798,7 @@
             return;
         }
         const EngineLoad load = engines[engine].core.load(now());
-        const LoadReport report{engines[engine].id,
-                                load.measuredAt,
-                                load.running,
-                                load.waiting,
-                                load.memoryUsedTokens,
-                                load.memoryCapacityTokens,
-                                load.stepMilliseconds,
-                                load.preemptions,
-                                load.generatedTokens};
+        const LoadReport report = reportOf(engines[engine].id, load);
         atVm(owner, now() + delay, [this, owner, cell, report] {
             ownerAt(owner, cell).scheduler.onLoadReport(report, now());
             pump(owner, cell);
@@ -1095,15 +1100,7 @@
           static_cast<double>(load.memoryUsedTokens) / static_cast<double>(load.memoryCapacityTokens),
           load.stepMilliseconds,
           static_cast<unsigned long long>(load.preemptions));
-    const LoadReport report{from.id,
-                            load.measuredAt,
-                            load.running,
-                            load.waiting,
-                            load.memoryUsedTokens,
-                            load.memoryCapacityTokens,
-                            load.stepMilliseconds,
-                            load.preemptions,
-                            load.generatedTokens};
+    const LoadReport report = reportOf(from.id, load);
     for (int v = 0; v < static_cast<int>(vms.size()); ++v) {
         // In a large fleet only the first two VMs in the order of ownership read the reports of a cell.
         const auto &order = cells[from.cell].order;
--- a/daemon/control/settings.cpp
+++ b/daemon/control/settings.cpp
@@ -355,6 +355,9 @@
     if (settings.advertisePeers && !settings.listenPeers) {
         faults.add("advertisePeers", "has no meaning without listenPeers");
     }
+    if (settings.advertisePeers && settings.platformProtocol == "own") {
+        faults.add("advertisePeers", "has no meaning with the own protocol, whose platform lists the addresses");
+    }
     if (settings.listenPeers && *settings.listenPeers == settings.listen && settings.listen.port != 0) {
         faults.add("listenPeers", "must differ from listen");
     }
--- a/daemon/control/settings_test.cpp
+++ b/daemon/control/settings_test.cpp
@@ -74,6 +74,16 @@
     CHECK(settings.peerTls->authorityFile == "c");
 }
 
+TEST_CASE("an address for other VMs that nobody would be told is refused")
+{
+    const auto settings = [](const std::string &more) {
+        return R"({"vm": "vm1", "zone": "z", "listen": "127.0.0.1:1", "platform": "127.0.0.1:3", "advertisePeers": "10.0.0.1:7000")" + more + "}";
+    };
+    CHECK(std::holds_alternative<Settings>(parseSettings(settings(R"(, "listenPeers": "127.0.0.1:2", "platformProtocol": "fleet")"), "vm.json")));
+    CHECK(faultsOf(settings(R"(, "platformProtocol": "fleet")")).find("advertisePeers: has no meaning without listenPeers") != std::string::npos);
+    CHECK(faultsOf(settings(R"(, "listenPeers": "127.0.0.1:2")")).find("advertisePeers: has no meaning with the own protocol") != std::string::npos);
+}
+
 TEST_CASE("the gateway's settings are read and checked")
 {
     const auto result = parseSettings(R"({"vm": "vm1", "zone": "z", "listen": "127.0.0.1:1", "listenReadiness": "127.0.0.1:2",
--- a/daemon/gateway/answermove.h
+++ b/daemon/gateway/answermove.h
@@ -13,7 +13,7 @@
 ///
 /// Example:
 /// @code
-///   auto move = AnswerMove::start(gateway, strand, plan, [] { stream->abort(); });
+///   auto move = AnswerMove::start(gateway, strand, plan);
 ///   ...                                          // the stream ends because the answer was stopped
 ///   if (const auto moved = move->wait(yield)) { continueAt(*moved); }
 /// @endcode
@@ -27,7 +27,6 @@
     WorkRequest work;    ///< For the dispatcher: the answer as it will run at the other engine.
     std::string attempt; ///< Id under which the engine runs the answer.
     EndpointSettings source;
-    std::chrono::milliseconds handleLife{0};
     TimePoint deadline{}; ///< The answer is of no use after this.
 };
 
--- a/daemon/gateway/gatewaydialect.h
+++ b/daemon/gateway/gatewaydialect.h
@@ -55,7 +55,6 @@
     std::optional<std::uint32_t> priority{}; ///< At an engine; 0 is the most urgent.
     std::optional<std::string> lastEvent{};  ///< The answer goes on after this event.
     std::optional<AnswerMemory> memory{};    ///< The answer goes on from this memory.
-    std::optional<SocketAddress> backup{};   ///< Engine that gets a copy of the memory as it grows.
 
     friend auto operator<=>(const EndpointOptions &, const EndpointOptions &) = default;
 };
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -360,13 +360,10 @@
         moved.mayMove = false;
         moved.arrival = gateway_.now();
         moved.firstTokenDeadline = moved.arrival + kMoveDeadline;
-        move_ = AnswerMove::start(gateway_,
-                                  strandOf(connection_.executor()),
-                                  {.work = moved,
-                                   .attempt = request_.head.attempt,
-                                   .source = endpoint_,
-                                   .handleLife = request_.engine->handleLife,
-                                   .deadline = std::min(request_.deadline, moved.firstTokenDeadline)});
+        move_ = AnswerMove::start(
+            gateway_,
+            strandOf(connection_.executor()),
+            {.work = moved, .attempt = request_.head.attempt, .source = endpoint_, .deadline = std::min(request_.deadline, moved.firstTokenDeadline)});
     }
 
     RunEnd endOfStream(asio::yield_context yield)
--- a/daemon/store/storewatch.cpp
+++ b/daemon/store/storewatch.cpp
@@ -25,7 +25,8 @@
 
 // The store holds a watch back for so long if nothing changes. Each reply proves contact, and each call has its price.
 constexpr milliseconds kConfigWait{1000};
-// Between two replies to the watch of the configuration, unless the platform was silent.
+// Between two replies to the watch of the configuration, unless the platform was silent: a slow store takes 50 times its 4 ms,
+// for each of the three calls between two replies.
 constexpr milliseconds kLongestGap = kConfigWait + milliseconds(700);
 constexpr milliseconds kEndpointWait{5000};
 constexpr milliseconds kVmWait{10000};
--- a/daisystream/routes/routetable.h
+++ b/daisystream/routes/routetable.h
@@ -85,14 +85,12 @@
 /// Properties that all engines of a service share.
 struct EngineProfile
 {
-    std::uint32_t batch = 1;                 ///< Answers decoded at the same time.
-    std::uint64_t memoryTokens = 0;          ///< For running answers and cached prompts.
-    std::uint64_t bytesPerToken = 0;         ///< Of that memory, when it is copied to another engine.
-    double linkMegabitsPerSecond = 0;        ///< For such copies.
-    std::uint32_t tokensPerEvent = 1;        ///< Tokens in one event of a stream.
-    bool movesAnswers = false;               ///< A running answer can be handed to another engine.
-    bool backsUpAnswers = false;             ///< An engine can copy a running answer to another one as it grows.
-    std::chrono::milliseconds handleLife{0}; ///< How long an engine keeps a copy that nobody uses.
+    std::uint32_t batch = 1;          ///< Answers decoded at the same time.
+    std::uint64_t memoryTokens = 0;   ///< For running answers and cached prompts.
+    std::uint64_t bytesPerToken = 0;  ///< Of that memory, when it is copied to another engine.
+    double linkMegabitsPerSecond = 0; ///< For such copies.
+    std::uint32_t tokensPerEvent = 1; ///< Tokens in one event of a stream.
+    bool movesAnswers = false;        ///< A running answer can be handed to another engine.
 
     friend auto operator<=>(const EngineProfile &, const EngineProfile &) = default;
 };
