Let the soak say what it did not check

The check of drains looked for an earlier run of the same start to tell a restarted endpoint from one that leaves, and so passed over one that had served nothing before it left; the observation now names the start. A plan whose processes never came back was judged as if they had. And nothing told whether the bounds of time applied to any request.

--- a/deploy/standins/fleetendpoint.cpp
+++ b/deploy/standins/fleetendpoint.cpp
@@ -92,7 +92,7 @@
             while (!registerSelf(yield)) {
                 pause(kHeartbeat, yield);
             }
-            soak::write(soak::LeaveAnnounced{.endpoint = options_.name, .at = soak::now()});
+            soak::write(soak::LeaveAnnounced{.endpoint = options_.name, .start = startName(), .at = soak::now()});
             pause(kDrainTime + kStaysLonger, yield);
             isGone_ = true;
             const json row{{"table", names::kEndpointTable}, {"key", options_.name}, {"remove", true}};
@@ -140,6 +140,12 @@
         }
     }
 
+    /// @return a name for this start of the endpoint.
+    [[nodiscard]] std::string startName() const
+    {
+        return options_.name + "@" + std::to_string(startedAt_);
+    }
+
     [[nodiscard]] unsigned slots() const
     {
         return options_.isEngine ? kSlotsOfEngine : kSlotsOfService;
@@ -248,7 +254,7 @@
         }
         const std::string attempt(request[names::kAttempt]);
         auto run = std::make_shared<Run>();
-        run->segment = options_.name + "@" + std::to_string(startedAt_) + "-" + std::to_string(++segments_);
+        run->segment = startName() + "-" + std::to_string(++segments_);
         run->name = from ? from->run : run->segment;
         run->attempt = attempt;
         const auto lastEvent = request[names::kLastEvent];
--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -31,6 +31,13 @@
     return status == kTimeout || status == kMisdirected || status == kTooMany || status == kUnavailable;
 }
 
+/// @return whether a VM and the store were calm for long enough before a span and throughout it.
+bool isInTouch(const Timeline &timeline, const std::string &vm, Moment from, Moment to, const Bounds &bounds)
+{
+    const auto since = from - bounds.stable;
+    return timeline.isCalm(vm, since, to) && timeline.isCalm(kStoreName, since, to);
+}
+
 class Checker
 {
 public:
@@ -91,11 +98,9 @@
         return found == endOf_.end() ? nullptr : found->second;
     }
 
-    /// @return whether a VM and the store were calm for long enough before a span and throughout it.
     [[nodiscard]] bool isInTouch(const std::string &vm, Moment from, Moment to) const
     {
-        const auto since = from - bounds_.stable;
-        return record_.timeline.isCalm(vm, since, to) && record_.timeline.isCalm(kStoreName, since, to);
+        return soak::isInTouch(record_.timeline, vm, from, to, bounds_);
     }
 
     // Whole answers, each to its own request.
@@ -254,7 +259,7 @@
             return;
         }
         for (const auto &leave : record_.leaves) {
-            const bool isLate = leave.endpoint == run.endpoint && run.at > leave.at + bounds_.drain && !hasReturned(leave, run);
+            const bool isLate = run.segment.starts_with(leave.start + "-") && run.at > leave.at + bounds_.drain;
             // The stand-in of the endpoint is one of the processes that may be frozen with a request in its queue.
             if (isLate && isInTouch(exchange->second->vm, leave.at, run.at) && record_.timeline.isCalmButPlanned(run.endpoint, leave.at, run.at)) {
                 report("drain", run.segment + " got " + run.attempt + " " + std::to_string((run.at - leave.at).count()) + " ms after it announced to leave");
@@ -262,17 +267,6 @@
         }
     }
 
-    /// @return whether the endpoint had been started again before a run. Its segments then have another beginning.
-    [[nodiscard]] bool hasReturned(const LeaveAnnounced &leave, const RunStarted &run) const
-    {
-        const auto incarnation = [](const std::string &segment) {
-            return segment.substr(0, segment.rfind('-'));
-        };
-        return std::none_of(record_.started.begin(), record_.started.end(), [&](const RunStarted &other) {
-            return other.endpoint == run.endpoint && other.at <= leave.at && incarnation(other.segment) == incarnation(run.segment);
-        });
-    }
-
     void checkOverlaps()
     {
         std::unordered_map<std::string, std::vector<const RunStarted *>> segments;
@@ -429,6 +423,7 @@
         ++summary.requests;
         summary.served += isServed(exchange) ? 1 : 0;
         summary.refused += promisesNotRun(exchange.status) ? 1 : 0;
+        summary.inTouch += isInTouch(record.timeline, exchange.vm, exchange.sentAt, exchange.endedAt, bounds) ? 1 : 0;
         const auto &steady = record.configurations.front().configuration;
         const bool isOwed = steady.hasRoute(exchange.route) && !steady.teamOf(exchange.key).empty() && !exchange.leftAt;
         if (isOwed && exchange.sentAt > record.calmSince + bounds.recovery) {
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -83,6 +83,7 @@
     std::size_t requests = 0;
     std::size_t served = 0;
     std::size_t refused = 0;
+    std::size_t inTouch = 0; ///< At VMs that were held to bounds of time throughout.
     std::size_t runs = 0;
     std::size_t moved = 0;       ///< Runs that went on at another endpoint.
     double servedAfterwards = 0; ///< Share of the requests after the recovery time.
--- a/soak/checks_test.cpp
+++ b/soak/checks_test.cpp
@@ -210,18 +210,11 @@
 TEST_CASE("a request that reaches an endpoint that leaves is found, one that reaches its successor is not")
 {
     Scene scene;
-    scene.run("a5", "engine1", kModelService, -4000, -3900); // Shows when the engine had started.
-    scene.serve("a5", "long", Kind::Stream, -4005);
-    scene.record.started.erase(scene.record.started.end() - 1);
-    scene.record.leaves.push_back({.endpoint = "engine1", .at = at(-1900)});
+    scene.record.leaves.push_back({.endpoint = "engine1", .start = "engine1@1", .at = at(-1900)});
     CHECK(scene.broken().empty());
     scene.record.leaves.front().at = at(-2100);
     CHECK(scene.broken() == Promises{"drain", "drain"});
-    for (auto &run : scene.record.started) {
-        if (run.endpoint == "engine1" && run.at > at(-2100)) {
-            run.segment = "engine1@2" + run.segment.substr(run.segment.rfind('-'));
-        }
-    }
+    scene.record.leaves.front().start = "engine1@0"; // It has been started again since.
     CHECK(scene.broken().empty());
 }
 
@@ -286,6 +279,14 @@
     CHECK(scene.broken() == Promises{"budget"});
 }
 
+TEST_CASE("only requests at calm VMs count as in touch")
+{
+    Scene scene;
+    CHECK(summarize(scene.record, {}).inTouch == 4);
+    (void)scene.record.timeline.begin("vm1", Disturbance::Unplanned, at(50));
+    CHECK(summarize(scene.record, {}).inTouch == 0);
+}
+
 TEST_CASE("a fleet that does not recover, and a process that ends, are found")
 {
     Scene scene;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -68,6 +68,7 @@
     while (!deployment.isCalm() && now() < lastEnd) {
         deployment.tick();
     }
+    const bool hasCalmed = deployment.isCalm();
     const auto calmSince = now();
     while (now() < calmSince + Bounds().recovery + kCountedAfterwards) {
         deployment.tick();
@@ -75,6 +76,9 @@
     deployment.stop();
     auto record = deployment.record();
     record.calmSince = calmSince;
+    if (!hasCalmed) {
+        record.unexpectedEnds.emplace_back("the processes did not all run again within " + std::to_string(kLongestEnd.count()) + " ms of the last disturbance");
+    }
     return record;
 }
 
@@ -96,8 +100,8 @@
     const auto stalls
         = std::count_if(record.timeline.spans().begin(), record.timeline.spans().end(), [](const auto &span) { return span.name == kEverything; });
     std::cout << "seed " << seed << ": " << violations.size() << " broken; " << summary.requests << " requests, " << summary.served << " served, "
-              << summary.refused << " refused, " << summary.runs << " runs, " << summary.moved << " moved; " << summary.servedAfterwards
-              << " served afterwards; " << stalls << " stalls of the machine" << std::endl;
+              << summary.refused << " refused, " << summary.inTouch << " in touch, " << summary.runs << " runs, " << summary.moved << " moved; "
+              << summary.servedAfterwards << " served afterwards; " << stalls << " stalls of the machine" << std::endl;
     for (const auto &violation : violations) {
         std::cout << "  " << violation.promise << ": " << violation.text << '\n';
     }
--- a/soak/observation.cpp
+++ b/soak/observation.cpp
@@ -53,7 +53,7 @@
 
 json toJson(const LeaveAnnounced &leave)
 {
-    return {{"what", "leave"}, {"endpoint", leave.endpoint}, {"at", leave.at.count()}};
+    return {{"what", "leave"}, {"endpoint", leave.endpoint}, {"start", leave.start}, {"at", leave.at.count()}};
 }
 
 Moment momentOf(const json &value)
@@ -134,7 +134,10 @@
         if (what == "end") {
             return RunEnded{line.at("segment").get<std::string>(), momentOf(line.at("at")), line.at("how").get<Ending>()};
         }
-        return what == "leave" ? std::optional<Observation>(LeaveAnnounced{line.at("endpoint").get<std::string>(), momentOf(line.at("at"))}) : std::nullopt;
+        if (what == "leave") {
+            return LeaveAnnounced{line.at("endpoint").get<std::string>(), line.at("start").get<std::string>(), momentOf(line.at("at"))};
+        }
+        return std::nullopt;
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/soak/observation.h
+++ b/soak/observation.h
@@ -95,6 +95,7 @@
 struct LeaveAnnounced
 {
     std::string endpoint;
+    std::string start; ///< Which start of the endpoint; the names of its segments begin with it and a dash.
     Moment at{};
 
     friend bool operator==(const LeaveAnnounced &, const LeaveAnnounced &) = default;
--- a/soak/observation_test.cpp
+++ b/soak/observation_test.cpp
@@ -23,7 +23,7 @@
     for (const Observation &observation : {Observation(exchange),
                                            Observation(run),
                                            Observation(RunEnded{.segment = "engine1@5-1", .at = Moment(7), .how = Ending::Moved}),
-                                           Observation(LeaveAnnounced{.endpoint = "engine1", .at = Moment(3)})}) {
+                                           Observation(LeaveAnnounced{.endpoint = "engine1", .start = "engine1@5", .at = Moment(3)})}) {
         CHECK(decode(encode(observation)) == observation);
     }
 }
