Place answers by the time they add, with the pace of engines learnt from their streams

Hypothesis: answers that run when all VMs fail are lost, so that their number counts, and with it the time that each spends at an engine; engines differ in speed by 1.3, which least-loaded placement does not see. Cause: where engines send no load reports, the cost model was never calibrated. Change: each engine's calibration follows the progress of its answers, less the prompts that it read meanwhile; a request goes where its own time and the delay of the others are least in sum. The stream log says the time of the first event and the longest gap. Ruled out: calibration without prompts (an engine that reads many looked 1.6 times slower; test). Pace seen 10.5 ms a token where the step is 7.9: prompts of others cost the rest.

--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -39,6 +39,7 @@
         options.memoryQuantile = settings.gateway->memoryQuantile;
         options.urgentReserve = settings.gateway->urgentReserve;
         options.reservesEndpoints = false;
+        options.placement = Placement::LeastAddedTime;
         options.reportTimeout = kNoReports;
     }
     return options;
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -309,8 +309,10 @@
         }
         const auto now = gateway_.now();
         if (events_ == 0) {
+            firstEventAt_ = now;
             gateway_.onFirstEvent(request_);
         } else if (count > 0) {
+            longestGap_ = std::max(longestGap_, now - lastEventAt_);
             gateway_.onGap(now - lastEventAt_);
         }
         lastEventAt_ = now;
@@ -457,6 +459,8 @@
             .field("events", std::to_string(events_))
             .field("prompt_tokens", std::to_string(request_.head.promptTokens))
             .field("most_tokens", std::to_string(request_.head.maxOutputTokens))
+            .field("first_event_ms", firstEventAt_ ? std::to_string(std::chrono::duration_cast<milliseconds>(*firstEventAt_ - request_.arrival).count()) : "")
+            .field("longest_gap_ms", std::to_string(std::chrono::duration_cast<milliseconds>(longestGap_).count()))
             .field("age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(gateway_.now() - request_.arrival).count()))
             .field("detail", end == RunEnd::Failed ? failure_.detail : "")
             .write();
@@ -513,6 +517,8 @@
     Error failure_{};
     TimePoint lastProgress_{};
     TimePoint lastEventAt_{};
+    std::optional<TimePoint> firstEventAt_;
+    Duration longestGap_{};  ///< Between two events of the answer, over all its runs.
     TimePoint progressAt_{}; ///< Of the last whole event of this run, or of its header.
     TimePoint movedAt_{};    ///< The last move was started.
     bool firstEventOfRun_ = true;
--- a/daisystream/endpoint/endpointhealth.cpp
+++ b/daisystream/endpoint/endpointhealth.cpp
@@ -116,6 +116,11 @@
     return phase_ == Phase::Working || (phase_ == Phase::Recovering && awaitingFirstToken == 0);
 }
 
+bool EndpointHealth::reports() const
+{
+    return reported_;
+}
+
 bool EndpointHealth::hasFrozenReport(TimePoint now) const
 {
     return reported_ && now - freshAt_ >= options_.reportTimeout;
--- a/daisystream/endpoint/endpointhealth.h
+++ b/daisystream/endpoint/endpointhealth.h
@@ -72,6 +72,9 @@
 
     [[nodiscard]] std::optional<TimePoint> nextCheck() const;
     [[nodiscard]] bool accepts(std::uint32_t awaitingFirstToken) const;
+    /// @return whether the endpoint has ever sent a load report.
+    [[nodiscard]] bool reports() const;
+
     [[nodiscard]] bool hasFrozenReport(TimePoint now) const;
     [[nodiscard]] Phase phase() const;
     [[nodiscard]] Cause cause() const;
--- a/daisystream/endpoint/endpointload.cpp
+++ b/daisystream/endpoint/endpointload.cpp
@@ -135,6 +135,21 @@
     return calibration_ * modelStep(running() + extraAnswers, forecast_.held() + othersTokens_ + extraTokens);
 }
 
+double EndpointLoad::modelMilliseconds(double tokens, double promptTokens) const
+{
+    return tokens * modelStep(running(), forecast_.held() + othersTokens_) + promptTokens * info_.stepCost.prefillMillisecondsPerThousandTokens / 1000.0;
+}
+
+double EndpointLoad::promptDelayMilliseconds(double promptTokens) const
+{
+    return calibration_ * promptTokens * info_.stepCost.prefillMillisecondsPerThousandTokens / 1000.0;
+}
+
+double EndpointLoad::answerDelayMilliseconds() const
+{
+    return calibration_ * info_.stepCost.perSequenceMilliseconds;
+}
+
 double EndpointLoad::urgentStepMilliseconds(double extraAnswers, double extraTokens) const
 {
     return calibration_ * modelStep(running_[0] + othersRunning_ + extraAnswers, heldTokens_[0] + othersTokens_ + extraTokens);
--- a/daisystream/endpoint/endpointload.h
+++ b/daisystream/endpoint/endpointload.h
@@ -62,6 +62,9 @@
     /// @return the expected duration of a decode step with some more answers.
     [[nodiscard]] double stepMilliseconds(double extraAnswers, double extraTokens) const;
 
+    /// @return the time that an answer takes for some tokens while the endpoint reads some prompt tokens for others, before calibration.
+    [[nodiscard]] double modelMilliseconds(double tokens, double promptTokens) const;
+
     /// @return the same without the ordinary answers, which leave as they end.
     [[nodiscard]] double urgentStepMilliseconds(double extraAnswers, double extraTokens) const;
 
@@ -72,6 +75,12 @@
     /// @return the expected time until the first token of a prompt that is sent now.
     [[nodiscard]] double firstTokenMilliseconds(std::uint32_t promptTokens) const;
 
+    /// @return by how much reading a prompt delays each answer that is decoded meanwhile.
+    [[nodiscard]] double promptDelayMilliseconds(double promptTokens) const;
+
+    /// @return by how much one more answer delays each token of each other answer.
+    [[nodiscard]] double answerDelayMilliseconds() const;
+
     /// @return the same for an engine without work.
     [[nodiscard]] double idleFirstTokenMilliseconds(std::uint32_t promptTokens) const;
 
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace daisystream::internal
 {
@@ -129,6 +130,7 @@
     request.endpoint = index;
     request.wasAssigned = true;
     request.progressAt = now;
+    request.paceCounts = false;
     request.assignedAt = now;
     request.load.awaitingFirstToken = request.state == State::Assigned;
     request.expected = std::min(kChargedAhead, lengths_.expectedRemaining(request.profile, request.generated, lengthLimit(request.work)));
@@ -221,12 +223,14 @@
         setTimer(slot, std::nullopt);
         request.state = State::Streaming;
         endpoints_[request.endpoint]->load.firstToken(request.load);
+        endpoints_[request.endpoint]->promptsRead += request.load.promptTokens;
     } else {
         return;
     }
+    Endpoint &endpoint = *endpoints_[request.endpoint];
     request.progressAt = now;
+    request.promptsReadThen = endpoint.promptsRead;
     request.generated = std::max(1U, request.generated);
-    Endpoint &endpoint = *endpoints_[request.endpoint];
     endpoint.tokenAt = now;
     endpoint.overdue = 0;
     endpoint.health.onFirstToken(now);
@@ -247,9 +251,11 @@
     }
     const double tokens = generated - request->generated;
     const double elapsed = secondsOf(now - request->progressAt);
+    Endpoint &endpoint = *endpoints_[request->endpoint];
+    const double modelSeconds = endpoint.load.modelMilliseconds(tokens, static_cast<double>(endpoint.promptsRead - request->promptsReadThen)) / 1000.0;
     request->generated = generated;
     request->progressAt = now;
-    Endpoint &endpoint = *endpoints_[request->endpoint];
+    request->promptsReadThen = endpoint.promptsRead;
     endpoint.tokenAt = now;
     const double limit = lengthLimit(request->work);
     endpoint.load.progress(request->load, MemoryForecast::contribution(lengths_, request->profile, request->work.promptTokens, generated, limit));
@@ -258,7 +264,10 @@
     queue_.adjust(request->team, request->expected, expected);
     request->expected = expected;
     reindex(request->endpoint);
-    noteOwnPace(request->endpoint, elapsed, tokens, now);
+    // A moved answer has tokens that its first endpoint made, which are seen with its first progress at this one.
+    if (std::exchange(request->paceCounts, true)) {
+        noteOwnPace(request->endpoint, elapsed, modelSeconds, now);
+    }
 }
 
 void Pool::onFinished(const RequestId &id, std::uint32_t generated, FinishReason reason, TimePoint now)
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -78,6 +78,8 @@
         double expected = 0; // Tokens charged ahead in the fair queue.
         std::uint32_t generated = 0;
         TimePoint progressAt{};
+        bool paceCounts = false;           // Set by the first report of progress at the present endpoint.
+        std::uint64_t promptsReadThen = 0; // `Endpoint::promptsRead` at `progressAt`.
         TimePoint assignedAt{};
     };
 
@@ -96,14 +98,16 @@
         bool frozen = false;
         double score = 0;
         std::optional<TimePoint> timer;
-        std::set<Slot> requests;    // Assigned or streaming here.
-        TimePoint tokenAt{};        // Last sign of progress.
-        std::uint32_t incoming = 0; // Answers whose memory is being copied here.
-        std::uint32_t overdue = 0;  // Overdue first tokens since the last first token.
-        // Own tokens of the present measuring window.
+        std::set<Slot> requests;       // Assigned or streaming here.
+        TimePoint tokenAt{};           // Last sign of progress.
+        std::uint32_t incoming = 0;    // Answers whose memory is being copied here.
+        std::uint32_t overdue = 0;     // Overdue first tokens since the last first token.
+        std::uint64_t promptsRead = 0; // Tokens of prompts that were read, since it is known.
+        // Progress of own answers in the present measuring window, as measured and as the cost model has it.
         TimePoint windowBegin{};
         double windowSeconds = 0;
-        double windowTokens = 0;
+        double windowModelSeconds = 0;
+        std::uint32_t paceWindows = 0; // Measuring windows so far.
     };
 
     struct Choice
@@ -134,7 +138,7 @@
     void setEndpointTimer(EndpointIndex index, std::optional<TimePoint> at);
     void afterHealthChange(EndpointIndex index, TimePoint now);
     void checkEndpoint(EndpointIndex index, TimePoint now, std::vector<Action> &actions);
-    void noteOwnPace(EndpointIndex index, double seconds, double tokens, TimePoint now);
+    void noteOwnPace(EndpointIndex index, double seconds, double modelSeconds, TimePoint now);
 
     // Decisions.
     void runTimers(TimePoint now, std::vector<Action> &actions);
@@ -158,6 +162,7 @@
     chooseFrom(const Index &index, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const;
     [[nodiscard]] bool
     admits(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const;
+    [[nodiscard]] double addedMilliseconds(const Endpoint &endpoint, const Request &request, double expectedTokens) const;
     [[nodiscard]] bool keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn, TimePoint now) const;
     [[nodiscard]] bool sparesUrgent(const Endpoint &endpoint, const WorkRequest &work) const;
     void assign(Slot slot, const Choice &choice, const MemoryForecast::Contribution &memory, TimePoint now, std::vector<Action> &actions);
--- a/daisystream/scheduler/pooldecisions.cpp
+++ b/daisystream/scheduler/pooldecisions.cpp
@@ -23,8 +23,9 @@
 constexpr seconds kTriesKept(5);
 // Interval at which waiting requests are checked for whether they can still be served.
 constexpr milliseconds kSweepInterval(50);
-// Endpoints tried, least loaded first, before a request has to wait. Bounds the cost of a decision.
+// Endpoints tried, least loaded first, before a request has to wait. Bounds the cost of a decision, as does the next one.
 constexpr int kCandidates = 6;
+constexpr int kComparedCandidates = 48; // The same where endpoints are compared by the time that a request adds.
 constexpr int kShedCandidates = 4;
 // How much more loaded an endpoint with a cached prefix may be than the least loaded one that is free as well.
 constexpr double kPrefixTolerance = 0.10;
@@ -242,13 +243,33 @@
 std::optional<Pool::EndpointIndex>
 Pool::chooseFrom(const Index &index, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const
 {
+    const double expectedTokens = lengths_.expectedRemaining(request.profile, request.generated, lengthLimit(request.work));
+    std::optional<EndpointIndex> best;
+    double least = 0;
     int tried = 0;
-    for (auto candidate = index.begin(); candidate != index.end() && tried < kCandidates; ++candidate, ++tried) {
-        if (admits(*endpoints_[candidate->second], request, memory, floorTurn, now)) {
-            return candidate->second;
+    const bool compares = options_.placement == Placement::LeastAddedTime;
+    for (auto candidate = index.begin(); candidate != index.end() && tried < (compares ? kComparedCandidates : kCandidates); ++candidate, ++tried) {
+        const Endpoint &endpoint = *endpoints_[candidate->second];
+        const double added = addedMilliseconds(endpoint, request, expectedTokens);
+        if ((!best || added < least) && admits(endpoint, request, memory, floorTurn, now)) {
+            best = candidate->second;
+            least = added;
+            if (!compares) {
+                break;
+            }
         }
     }
-    return std::nullopt;
+    return best;
+}
+
+// Time that the answer takes at an endpoint, and by which it delays those that run there, summed over the answers.
+double Pool::addedMilliseconds(const Endpoint &endpoint, const Request &request, double expectedTokens) const
+{
+    const EndpointLoad &load = endpoint.load;
+    const std::uint32_t unread = unreadTokens(request.work);
+    const double own = load.firstTokenMilliseconds(unread) + expectedTokens * load.stepMilliseconds(1, request.work.promptTokens);
+    const double others = load.running() * (load.promptDelayMilliseconds(unread) + expectedTokens * load.answerDelayMilliseconds());
+    return own + others;
 }
 
 bool Pool::admits(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const
--- a/daisystream/scheduler/poolendpoints.cpp
+++ b/daisystream/scheduler/poolendpoints.cpp
@@ -12,6 +12,11 @@
 
 using std::chrono::seconds;
 
+constexpr double kLeastWindow = 0.5; // Seconds of decoding, summed over answers, that tell a pace.
+// How fast the calibration of an endpoint follows its measured pace, and that of an unknown one follows all.
+constexpr double kLeastPaceGain = 0.2;
+constexpr double kTypicalGain = 0.02;
+
 } // namespace
 
 bool Pool::hasEndpoint(const EndpointId &id) const
@@ -202,22 +207,28 @@
     }
 }
 
-// Compares the pace of own answers with the expected one, about once a second.
-void Pool::noteOwnPace(EndpointIndex index, double seconds, double tokens, TimePoint now)
+// Compares the pace of own answers with that of the cost model, about once a second. Without load reports, it calibrates the model.
+void Pool::noteOwnPace(EndpointIndex index, double seconds, double modelSeconds, TimePoint now)
 {
     Endpoint &endpoint = *endpoints_[index];
     endpoint.windowSeconds += seconds;
-    endpoint.windowTokens += tokens;
-    if (now - endpoint.windowBegin < std::chrono::seconds(1) || endpoint.windowSeconds < 0.5) {
+    endpoint.windowModelSeconds += modelSeconds;
+    if (now - endpoint.windowBegin < std::chrono::seconds(1) || endpoint.windowSeconds < kLeastWindow) {
         return;
     }
-    const double measured = 1000.0 * endpoint.windowSeconds / std::max(1.0, endpoint.windowTokens);
+    const double ratio = endpoint.windowSeconds / endpoint.windowModelSeconds;
     endpoint.windowBegin = now;
     endpoint.windowSeconds = 0;
-    endpoint.windowTokens = 0;
-    endpoint.health.onOwnPace(measured / endpoint.load.stepMilliseconds(0, 0), now);
+    endpoint.windowModelSeconds = 0;
+    endpoint.health.onOwnPace(ratio / typicalCalibration_, now);
     if (endpoint.health.phase() == EndpointHealth::Phase::Suspected) {
         afterHealthChange(index, now);
+    } else if (!endpoint.health.reports()) {
+        ++endpoint.paceWindows;
+        const double gain = std::max(kLeastPaceGain, 1.0 / (1.0 + endpoint.paceWindows));
+        const double own = endpoint.load.calibration() + gain * (ratio - endpoint.load.calibration());
+        endpoint.load.setCalibration(std::clamp(own, 0.5 * typicalCalibration_, 2.0 * typicalCalibration_));
+        typicalCalibration_ += kTypicalGain * (std::min(ratio, 2.0 * typicalCalibration_) - typicalCalibration_);
     }
 }
 
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -133,9 +133,18 @@
 
 using Action = std::variant<Assign, Refuse, Cancel, Probe>;
 
+/// Which of the endpoints that can take a request gets it.
+enum class Placement : std::uint8_t {
+    LeastLoaded, ///< Leaves the most room for a promised pace.
+    /// Where the request's own time and the delay of the answers that run there are least in sum. Answers are short, but a promised
+    /// pace may be kept by less.
+    LeastAddedTime,
+};
+
 /// Tunable parameters.
 struct SchedulerOptions
 {
+    Placement placement = Placement::LeastLoaded;
     double ordinaryFloor = 0.10; ///< Share of generated tokens that ordinary work keeps while it has any.
     /// Probability with which the memory of an engine must suffice, for each assignment. An engine takes thousands of
     /// assignments in a flood: 0.99 gave 0.3 of least-outstanding's preemptions, 0.9997 up to 0.11, 0.99999 less than 0.05.
