Count the risk of a preemption when an answer is placed

Hypothesis: an answer that overflows its engine's memory costs a prompt read again and a caller who waited, which placement by running answers alone does not see. Cause: engines with few answers of large prompts looked better than engines with many small ones. Change: the probability that the memory overflows with the answer, times the cost of a preemption, is part of what an answer adds.

--- a/daisystream/admission/memoryforecast.cpp
+++ b/daisystream/admission/memoryforecast.cpp
@@ -55,6 +55,18 @@
     return peak;
 }
 
+double MemoryForecast::overflowProbability(const Contribution &extra, double capacity) const
+{
+    double most = 0;
+    for (std::size_t i = 0; i < kSteps.size(); ++i) {
+        const double room = capacity - sum_.mean[i] - extra.mean[i];
+        const double deviation = std::sqrt(sum_.variance[i] + extra.variance[i]);
+        const double probability = deviation > 0 ? 0.5 * std::erfc(room / deviation / std::sqrt(2.0)) : (room < 0 ? 1.0 : 0.0);
+        most = std::max(most, probability);
+    }
+    return most;
+}
+
 double MemoryForecast::peak(double deviations) const
 {
     return peakWith(Contribution{}, deviations);
--- a/daisystream/admission/memoryforecast.h
+++ b/daisystream/admission/memoryforecast.h
@@ -50,6 +50,9 @@
     /// @return the largest forecast with one more answer, in tokens.
     [[nodiscard]] double peakWith(const Contribution &extra, double deviations) const;
 
+    /// @return the probability that the answers with one more hold more than `capacity` tokens at some time.
+    [[nodiscard]] double overflowProbability(const Contribution &extra, double capacity) const;
+
     /// @return the largest forecast, in tokens.
     [[nodiscard]] double peak(double deviations) const;
 
--- a/daisystream/endpoint/endpointload.cpp
+++ b/daisystream/endpoint/endpointload.cpp
@@ -185,6 +185,11 @@
     return memoryCapacity_ == 0 ? 0.0 : (forecast_.peakWith(extra, deviations) + othersTokens_) / static_cast<double>(memoryCapacity_);
 }
 
+double EndpointLoad::overflowProbability(const MemoryForecast::Contribution &extra) const
+{
+    return memoryCapacity_ == 0 ? 0.0 : forecast_.overflowProbability(extra, static_cast<double>(memoryCapacity_) - othersTokens_);
+}
+
 double EndpointLoad::heldShare(std::uint64_t furtherTokens) const
 {
     const double held = forecast_.held() + othersTokens_ + static_cast<double>(furtherTokens);
--- a/daisystream/endpoint/endpointload.h
+++ b/daisystream/endpoint/endpointload.h
@@ -87,6 +87,9 @@
     /// @return the forecast share of the memory with one more answer; 0 while the capacity is unknown.
     [[nodiscard]] double memoryShare(const MemoryForecast::Contribution &extra, double deviations) const;
 
+    /// @return the probability that the memory overflows with one more answer; 0 while the capacity is unknown.
+    [[nodiscard]] double overflowProbability(const MemoryForecast::Contribution &extra) const;
+
     /// @return the share of the memory that is in use now with further tokens; 0 while the capacity is unknown.
     [[nodiscard]] double heldShare(std::uint64_t furtherTokens) const;
 
--- a/daisystream/scheduler/pace_test.cpp
+++ b/daisystream/scheduler/pace_test.cpp
@@ -21,7 +21,7 @@
 class Cell
 {
 public:
-    explicit Cell(const std::map<std::string, double> &slowness)
+    explicit Cell(const std::map<std::string, double> &slowness, std::uint64_t memoryTokens = 60000)
         : slowness_(slowness)
     {
         std::vector<EndpointInfo> engines;
@@ -29,7 +29,7 @@
             EndpointInfo info;
             info.id = EndpointId(id);
             info.model = kModel;
-            info.memoryCapacityTokens = 60000;
+            info.memoryCapacityTokens = memoryTokens;
             info.maxBatch = 24;
             info.stepCost = {.baseMilliseconds = kStepMilliseconds,
                              .perSequenceMilliseconds = 0.12,
@@ -144,4 +144,19 @@
     CHECK(cell.forecastStep() == doctest::Approx(kStepMilliseconds).epsilon(0.1));
 }
 
+// Pattern: answers of unknown length with large prompts. An engine that runs out of memory in mid-answer preempts one of them.
+TEST_CASE("an answer goes to a busier engine if its memory is the safer one")
+{
+    constexpr std::uint32_t kLargePrompt = 6000;
+    constexpr std::uint32_t kSmallPrompt = 1000;
+    Cell cell({{"a", 1.0}, {"b", 1.0}}, 21000);
+    const std::string full = cell.start("large1", kLargePrompt);
+    const std::string roomy = cell.start("small1", kSmallPrompt);
+    CHECK(roomy != full);
+    CHECK(cell.start("small2", kSmallPrompt) == roomy);
+    CHECK(cell.start("large2", kLargePrompt) == full);
+    CHECK(cell.start("small3", kSmallPrompt) == roomy);
+    CHECK(cell.start("large3", kLargePrompt) == roomy);
+}
+
 } // namespace daisystream
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -162,7 +162,8 @@
     chooseFrom(const Index &index, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const;
     [[nodiscard]] bool
     admits(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const;
-    [[nodiscard]] double addedMilliseconds(const Endpoint &endpoint, const Request &request, double expectedTokens) const;
+    [[nodiscard]] double
+    addedMilliseconds(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens) const;
     [[nodiscard]] bool keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool floorTurn, TimePoint now) const;
     [[nodiscard]] bool sparesUrgent(const Endpoint &endpoint, const WorkRequest &work) const;
     void assign(Slot slot, const Choice &choice, const MemoryForecast::Contribution &memory, TimePoint now, std::vector<Action> &actions);
--- a/daisystream/scheduler/pooldecisions.cpp
+++ b/daisystream/scheduler/pooldecisions.cpp
@@ -26,6 +26,8 @@
 // Endpoints tried, least loaded first, before a request has to wait. Bounds the cost of a decision, as does the next one.
 constexpr int kCandidates = 6;
 constexpr int kComparedCandidates = 48; // The same where endpoints are compared by the time that a request adds.
+// What a preemption costs: the prompt is read again, and the caller has waited too long for the next token.
+constexpr double kPreemptionMilliseconds = 10000;
 constexpr int kShedCandidates = 4;
 // How much more loaded an endpoint with a cached prefix may be than the least loaded one that is free as well.
 constexpr double kPrefixTolerance = 0.10;
@@ -250,7 +252,7 @@
     const bool compares = options_.placement == Placement::LeastAddedTime;
     for (auto candidate = index.begin(); candidate != index.end() && tried < (compares ? kComparedCandidates : kCandidates); ++candidate, ++tried) {
         const Endpoint &endpoint = *endpoints_[candidate->second];
-        const double added = addedMilliseconds(endpoint, request, expectedTokens);
+        const double added = addedMilliseconds(endpoint, request, memory, expectedTokens);
         if ((!best || added < least) && admits(endpoint, request, memory, floorTurn, now)) {
             best = candidate->second;
             least = added;
@@ -263,13 +265,13 @@
 }
 
 // Time that the answer takes at an endpoint, and by which it delays those that run there, summed over the answers.
-double Pool::addedMilliseconds(const Endpoint &endpoint, const Request &request, double expectedTokens) const
+double Pool::addedMilliseconds(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens) const
 {
     const EndpointLoad &load = endpoint.load;
     const std::uint32_t unread = unreadTokens(request.work);
     const double own = load.firstTokenMilliseconds(unread) + expectedTokens * load.stepMilliseconds(1, request.work.promptTokens);
     const double others = load.running() * (load.promptDelayMilliseconds(unread) + expectedTokens * load.answerDelayMilliseconds());
-    return own + others;
+    return own + others + kPreemptionMilliseconds * load.overflowProbability(memory);
 }
 
 bool Pool::admits(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const
