Let requests that cannot be in time wait behind those that can

Cause: a request whose promise could not be met was refused whatever its caller's patience. Change: a request carries until when its caller takes a first token (3.5 response-time objectives, of the 4 after which callers leave). Past its promise it waits behind all that can be in time and gets what they leave; who would wait in vain is refused at once, and who waits until its limit is told before its caller leaves. The entry VM waits as long. When a VM begins to stop, long answers that wait for an engine are refused as not run at once, since they would outlive the process (test failed first).

--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -312,8 +312,32 @@
 void GatewayContext::beginShutdown()
 {
     const auto at = now();
-    const std::lock_guard lock(mutex_);
-    stoppingSince_ = at;
+    std::vector<std::weak_ptr<std::function<void()>>> watches;
+    {
+        const std::lock_guard lock(mutex_);
+        stoppingSince_ = at;
+        watches.swap(shutdownWatches_);
+    }
+    for (const auto &weak : watches) {
+        if (const auto watch = weak.lock()) {
+            (*watch)();
+        }
+    }
+}
+
+std::shared_ptr<void> GatewayContext::watchShutdown(std::function<void()> onShutdown)
+{
+    auto watch = std::make_shared<std::function<void()>>(std::move(onShutdown));
+    {
+        const std::lock_guard lock(mutex_);
+        if (!stoppingSince_) {
+            std::erase_if(shutdownWatches_, [](const auto &entry) { return entry.expired(); });
+            shutdownWatches_.push_back(watch);
+            return watch;
+        }
+    }
+    (*watch)();
+    return watch;
 }
 
 void GatewayContext::endAdmission()
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -139,6 +139,10 @@
     /// SIGTERM came: the process is killed after the grace time.
     void beginShutdown();
 
+    /// @param onShutdown called on any thread when the shutdown begins, at once if it has begun.
+    /// @return keeps the callback registered.
+    [[nodiscard]] std::shared_ptr<void> watchShutdown(std::function<void()> onShutdown);
+
     /// Every request that is admitted from now on is refused as not run; those admitted before count as running.
     void endAdmission();
 
@@ -162,6 +166,7 @@
     EndpointRests rests_;
     ServiceRetryBudget budget_;
     Watches watches_;
+    std::vector<std::weak_ptr<std::function<void()>>> shutdownWatches_;
     std::map<EndpointId, TimePoint> leavingSince_; ///< When this VM learned that an endpoint leaves.
     std::optional<TimePoint> stoppingSince_;
     bool admissionEnded_ = false;
--- a/daemon/gateway/gatewayhandler.cpp
+++ b/daemon/gateway/gatewayhandler.cpp
@@ -15,8 +15,6 @@
 
 // Bounds the wait of a request whose caller and route state no limit.
 constexpr std::chrono::milliseconds kLongestWait{120000};
-// A request that would be cut when the process is killed; another VM takes it at once.
-constexpr std::chrono::milliseconds kRetryElsewhere{0};
 
 std::chrono::milliseconds waitOf(const CallerHead &head, const Route &route)
 {
@@ -84,7 +82,7 @@
         routed.priority = team->priority.value_or(route->priority);
     }
     if (!gateway_.canServe(route->kind)) {
-        return Error{ResultCode::Stopping, "this VM is shutting down", kRetryElsewhere};
+        return shuttingDown();
     }
     routed.service = chooseService(*route);
     const auto *service = table->service(routed.service);
--- a/daemon/gateway/gatewayreply.cpp
+++ b/daemon/gateway/gatewayreply.cpp
@@ -40,4 +40,9 @@
     return response;
 }
 
+Error shuttingDown()
+{
+    return {ResultCode::Stopping, "this VM is shutting down", std::chrono::milliseconds(0)};
+}
+
 } // namespace daisystream
--- a/daemon/gateway/gatewayreply.h
+++ b/daemon/gateway/gatewayreply.h
@@ -18,4 +18,7 @@
 /// @return a response whose status says "not run" (503, or a client error) only if that is true.
 [[nodiscard]] HttpResponse gatewayReply(const GatewayDialect &dialect, const Error &error, GivenUp givenUp);
 
+/// @return why a request is given up that would be cut when the process is killed; another VM takes it at once.
+[[nodiscard]] Error shuttingDown();
+
 } // namespace daisystream
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds kLeastSilence{1500};
 // The same until the first event, in response-time objectives: callers give up after 4.
 constexpr int kGoalsUntilSilent = 4;
+// Callers wait for the first event for 4 response-time objectives. Less is left for the way and for an engine that is slower than
+// forecast.
+constexpr double kGoalsUntilCallerLeaves = 3.5;
 constexpr milliseconds kProgressInterval{200};
 constexpr milliseconds kRetryAfterFailure{300};
 // A moved answer needs the first event of its new run within this time.
@@ -116,6 +119,8 @@
                 .weight = 1,
                 .paceTokensPerSecond = pace,
                 .firstTokenDeadline = std::min(request_.deadline, (started_ ? gateway_.now() : request_.arrival) + request_.route->goal),
+                .lastUsefulFirstToken
+                = std::min(request_.deadline, request_.arrival + std::chrono::duration_cast<Duration>(kGoalsUntilCallerLeaves * request_.route->goal)),
                 .arrival = request_.arrival,
                 .prefixHash = request_.head.prefixHash,
                 .lengthClass = request_.route->name.value(),
@@ -133,6 +138,7 @@
             refused_ = true;
             return RunEnd::Complete;
         }
+        const auto shutdownWatch = watchShutdown();
         const auto reply = asking_.ask(work(), request_.deadline, yield);
         if (const auto *error = std::get_if<Error>(&reply)) {
             failure_ = *error;
@@ -162,6 +168,19 @@
         return end;
     }
 
+    /// A VM that stops has no time for an answer that has not begun, while another VM has.
+    [[nodiscard]] std::shared_ptr<void> watchShutdown()
+    {
+        return gateway_.watchShutdown([weak = weak_from_this(), executor = strandOf(connection_.executor())] {
+            asio::post(executor, [weak] {
+                const auto self = weak.lock();
+                if (self && !self->gateway_.canServe(self->request_.route->kind)) {
+                    self->asking_.giveUp(shuttingDown());
+                }
+            });
+        });
+    }
+
     /// Goes on at the engine to which the answer was moved.
     RunEnd continueMoved(asio::yield_context yield)
     {
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -98,6 +98,7 @@
   once @18 :Bool;                 # It may not run again if it fails.
   avoids @19 :Text;               # Endpoint where it has just failed; empty: none.
   barred @20 :List(Text);         # Endpoints that take nothing from its entry VM at present.
+  usefulIn @21 :Int64 = -1;       # Until the caller takes no first token any more; -1: the deadline counts.
 }
 
 struct Reference {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -185,7 +185,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e733484531a31e03, 7, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(e733484531a31e03, 8, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1462,6 +1462,8 @@
   inline bool hasBarred() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getBarred() const;
 
+  inline  ::int64_t getUsefulIn() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1594,6 +1596,9 @@
   inline void adoptBarred(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownBarred();
 
+  inline  ::int64_t getUsefulIn();
+  inline void setUsefulIn( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5726,6 +5731,20 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t Work::Reader::getUsefulIn() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t Work::Builder::getUsefulIn() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void Work::Builder::setUsefulIn( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline bool Reference::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -92,6 +92,9 @@
     out.setAge(toMicroseconds(now - work.arrival).count());
     out.setPrefixHash(work.prefixHash);
     out.setLengthClass(text(work.lengthClass));
+    if (work.lastUsefulFirstToken) {
+        out.setUsefulIn(std::max<std::int64_t>(0, toMicroseconds(*work.lastUsefulFirstToken - now).count()));
+    }
     out.setFixed(!work.mayMove);
     out.setHeldTokens(work.heldTokens);
     out.setOnce(!work.mayRepeat);
@@ -124,6 +127,9 @@
     work.paceTokensPerSecond = in.getPace();
     work.firstTokenDeadline = now + readDuration(in.getDeadlineIn());
     work.arrival = now - readDuration(in.getAge());
+    if (in.getUsefulIn() >= 0) {
+        work.lastUsefulFirstToken = now + readDuration(in.getUsefulIn());
+    }
     work.prefixHash = in.getPrefixHash();
     work.lengthClass = string(in.getLengthClass());
     work.mayMove = !in.getFixed();
--- a/daemon/peers/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -28,6 +28,7 @@
     request.avoids = EndpointId("e2");
     request.barred = {EndpointId("e3"), EndpointId("e4")};
     request.movesFrom = RunningAt{.endpoint = EndpointId("e1"), .zone = ZoneId("z1")};
+    request.lastUsefulFirstToken = now + std::chrono::seconds(9);
     request.mayMove = false;
     request.firstTokenDeadline = now + std::chrono::milliseconds(660);
     request.arrival = now - std::chrono::milliseconds(2);
--- a/daisystream/cell/asktracker.cpp
+++ b/daisystream/cell/asktracker.cpp
@@ -96,7 +96,7 @@
 {
     if (Private::Pending *ask = d_->pendingAt(from, request)) {
         ask->queued = true;
-        d_->arm(*ask, ask->request.firstTokenDeadline);
+        d_->arm(*ask, ask->request.latestFirstToken());
     }
 }
 
@@ -130,7 +130,7 @@
     }
     const auto [found, isNew] = d_->pending.emplace(request.id, std::move(ask));
     if (isNew) {
-        d_->arm(found->second, request.firstTokenDeadline);
+        d_->arm(found->second, request.latestFirstToken());
     }
 }
 
--- a/daisystream/cell/cell_test.cpp
+++ b/daisystream/cell/cell_test.cpp
@@ -147,6 +147,19 @@
     CHECK(asks.tracker.onAssign(asks.vms[0], asks.assign(), asks.clock.now()) == std::vector<AskAction>{SendUnused{asks.vms[0], CellId{}, asks.work.id}});
 }
 
+// Guards against a request that waits late at its owner and is given up by its entry VM meanwhile.
+TEST_CASE("an ask waits at its owner until the caller takes no first token any more")
+{
+    Asks asks;
+    asks.work.lastUsefulFirstToken = asks.clock.now() + milliseconds(2640);
+    (void)asks.tracker.ask(asks.work, asks.cell, asks.vms, asks.clock.now());
+    asks.tracker.onQueued(asks.vms[0], asks.work.id, asks.clock.now());
+    asks.clock.advance(milliseconds(2639));
+    CHECK(asks.tracker.expire(asks.clock.now()).empty());
+    asks.clock.advance(milliseconds(1));
+    CHECK_FALSE(asks.tracker.expire(asks.clock.now()).empty());
+}
+
 // Guards against using the late answer of an owner whose ask was withdrawn, which would run the request twice.
 TEST_CASE("only the owner that is being asked settles the ask")
 {
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -61,6 +61,7 @@
     }
     Request &request = requests_[slot];
     request.work = work;
+    request.firstTokenLimit = work.firstTokenDeadline;
     request.team = queue_.team(work.rank, work.team, work.weight);
     request.order = nextOrder_++;
     request.profile = lengths_.profileOf(work.lengthClass.empty() ? work.team : TeamId(work.lengthClass), model_);
@@ -118,6 +119,8 @@
         std::erase(departures_[request.work.movesFrom->endpoint].waiting, slot);
     } else if (request.state == State::Queued) {
         queue_.remove(request.team, request.order);
+    } else if (request.state == State::Overdue) {
+        overdue_.erase({request.work.rank, request.work.arrival, slot});
     }
     setTimer(slot, std::nullopt);
 }
@@ -142,7 +145,7 @@
         const double firstToken = endpoint.load.firstTokenMilliseconds(unreadTokens(request.work)) / 1000.0;
         const Duration late = std::max<Duration>(kLeastOverdue, durationOf(kOverdueFactor * firstToken));
         // Half of the time left is kept for a second attempt.
-        const Duration half = std::max<Duration>((request.work.firstTokenDeadline - now) / 2, durationOf(kSurelyOverdue * firstToken));
+        const Duration half = std::max<Duration>((request.firstTokenLimit - now) / 2, durationOf(kSurelyOverdue * firstToken));
         setTimer(slot, now + std::min(late, half));
         if (request.work.rank == Rank::Ordinary && request.work.mayMove) {
             ordinaryAwaiting_.emplace(now, slot);
@@ -209,7 +212,7 @@
     }
     const Slot slot = found->second;
     Request &request = requests_[slot];
-    if (request.state == State::Held || request.state == State::Queued) {
+    if (request.state == State::Held || request.state == State::Queued || request.state == State::Overdue) {
         // The first token crossed the Cancel: the request still runs where it was.
         if (!request.wasAssigned || endpoints_[request.endpoint] == nullptr) {
             return;
@@ -278,7 +281,7 @@
     }
     const Slot slot = found->second;
     Request &request = requests_[slot];
-    if (request.state == State::Queued || request.state == State::Held) {
+    if (request.state == State::Queued || request.state == State::Overdue || request.state == State::Held) {
         dequeue(slot);
         destroy(slot);
         return;
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -59,6 +60,7 @@
     enum class State : std::uint8_t {
         Free,
         Queued,
+        Overdue,   // Queued behind all that can be in time.
         Held,      // Taken back from an endpoint; queued again when the first token can no longer cross the Cancel.
         Assigned,  // Without first token.
         Streaming, // With first token.
@@ -68,6 +70,7 @@
     {
         WorkRequest work;
         State state = State::Free;
+        TimePoint firstTokenLimit{}; // Until when its first token is of use, as long as it can be in time, and later if it cannot.
         FairQueue::Team team = 0;
         FairQueue::Order order = 0;
         LengthEstimator::Profile profile = 0;
@@ -110,6 +113,8 @@
         std::uint32_t paceWindows = 0; // Measuring windows so far.
     };
 
+    using OverdueItem = std::tuple<Rank, TimePoint, Slot>; // Urgent ones first, then by arrival.
+
     struct Choice
     {
         EndpointIndex endpoint = 0;
@@ -155,7 +160,13 @@
     bool shedFor(Slot urgent, TimePoint now, std::vector<Action> &actions);
     void refuseHopeless(TimePoint now, std::vector<Action> &actions);
     bool refuseIfHopeless(const FairQueue::Item &item, TimePoint now, std::vector<Action> &actions);
+
+    // Requests that cannot be in time any more.
+    bool makeOverdue(Slot slot, TimePoint now);
+    void dispatchOverdue(TimePoint now, std::vector<Action> &actions);
+    [[nodiscard]] double overdueWait(const Request &request, TimePoint now) const;
     [[nodiscard]] double waitOf(const Request &request, double position, TimePoint now) const;
+    [[nodiscard]] double idleFirstTokenSeconds(const Request &request) const;
     [[nodiscard]] double slackOf(const Request &request, TimePoint now) const;
     [[nodiscard]] std::optional<Choice> choose(const Request &request, const MemoryForecast::Contribution &memory, bool floorTurn, TimePoint now) const;
     [[nodiscard]] std::optional<EndpointIndex>
@@ -183,6 +194,7 @@
     std::set<std::pair<TimePoint, Slot>> ordinaryAwaiting_; // Ordinary requests without first token, by assignment.
     std::vector<Slot> fresh_;                               // Submitted since the last decision.
     FairQueue::Order nextOrder_ = 0;
+    std::set<OverdueItem> overdue_;
     std::unordered_map<FairQueue::Team, TimePoint> retryAt_; // Latest retry time that the team was told.
 
     /// Answers that leave one endpoint. Copies share its link, so that they go one after the other.
--- a/daisystream/scheduler/pooldecisions.cpp
+++ b/daisystream/scheduler/pooldecisions.cpp
@@ -53,6 +53,7 @@
     dispatchMoves(now, actions);
     dispatch(now, actions);
     refuseHopeless(now, actions);
+    dispatchOverdue(now, actions);
     // Requests that a suspect endpoint lost; their Cancel must precede a new Assign, which follows after a pause.
     actions.insert(actions.end(), std::make_move_iterator(pending_.begin()), std::make_move_iterator(pending_.end()));
     pending_.clear();
@@ -73,7 +74,7 @@
     if (!endpointTimers_.empty()) {
         consider(endpointTimers_.begin()->first);
     }
-    if (queue_.queued(Rank::Urgent) + queue_.queued(Rank::Ordinary) > 0) {
+    if (queue_.queued(Rank::Urgent) + queue_.queued(Rank::Ordinary) + overdue_.size() > 0) {
         consider(decidedAt_ + kSweepInterval);
     }
     return wake;
@@ -96,7 +97,9 @@
     if (request.state == State::Held) {
         enqueue(slot);
         fresh_.push_back(slot);
-    } else if (request.state == State::Queued) {
+    } else if (request.state == State::Queued && makeOverdue(slot, now)) {
+        return;
+    } else if (request.state == State::Queued || request.state == State::Overdue) {
         refuse(slot, ResultCode::QueueDeadlinePassed, "no endpoint became free before the deadline", waitOf(request, 1, now), now, actions);
     } else if (request.state == State::Assigned) {
         Endpoint &endpoint = *endpoints_[request.endpoint];
@@ -294,7 +297,7 @@
     if (!endpoint.health.accepts(load.awaitingFirstToken()) || load.running() + 1.0 > std::max(1.0, usable * load.info().maxBatch)) {
         return false;
     }
-    if (load.firstTokenMilliseconds(unreadTokens(work)) > 1000.0 * secondsOf(work.firstTokenDeadline - now)) {
+    if (load.firstTokenMilliseconds(unreadTokens(work)) > 1000.0 * secondsOf(request.firstTokenLimit - now)) {
         return false;
     }
     if (load.running() == 0) {
--- a/daisystream/scheduler/poolrefusals.cpp
+++ b/daisystream/scheduler/poolrefusals.cpp
@@ -15,6 +15,8 @@
 constexpr int kSweepTeams = 2;
 constexpr double kLongestRetry = 30.0; // Seconds.
 constexpr double kShortestRetry = 0.05;
+// Share of the service that requests which can be in time are expected to leave to overdue ones.
+constexpr double kOverdueShare = 0.8;
 
 } // namespace
 
@@ -34,11 +36,16 @@
     return waits_.seconds(rank, position, first ? 1.0 : queue_.shareOf(request.team), least, now);
 }
 
+double Pool::idleFirstTokenSeconds(const Request &request) const
+{
+    const Index &index = general_.empty() ? reserved_ : general_;
+    return endpoints_[index.begin()->second]->load.idleFirstTokenMilliseconds(unreadTokens(request.work)) / 1000.0;
+}
+
 // Seconds that a request can wait and still get its first token in time.
 double Pool::slackOf(const Request &request, TimePoint now) const
 {
-    const Index &index = general_.empty() ? reserved_ : general_;
-    const double firstToken = endpoints_[index.begin()->second]->load.idleFirstTokenMilliseconds(unreadTokens(request.work)) / 1000.0;
+    const double firstToken = idleFirstTokenSeconds(request);
     const double promise = secondsOf(request.work.firstTokenDeadline - request.work.arrival);
     return std::min(secondsOf(request.work.firstTokenDeadline - now) - firstToken, kLongestWait * promise - secondsOf(now - request.work.arrival));
 }
@@ -64,6 +71,9 @@
     if (wait <= slack) {
         return false;
     }
+    if (makeOverdue(slot, now)) {
+        return true;
+    }
     refuse(slot, ResultCode::PromiseCannotBeMet, "the promised first-token time cannot be met", wait - slack, now, actions);
     return true;
 }
@@ -91,6 +101,47 @@
     }
 }
 
+// Seconds until the last of the overdue requests would be served.
+double Pool::overdueWait(const Request &request, TimePoint now) const
+{
+    return waitOf(request, static_cast<double>(overdue_.size() + 1) / kOverdueShare, now);
+}
+
+// Lets a request that cannot be in time any more wait for room that nobody else needs, if it is likely to get any.
+bool Pool::makeOverdue(Slot slot, TimePoint now)
+{
+    Request &request = requests_[slot];
+    const auto limit = request.work.lastUsefulFirstToken;
+    if (!limit || (reserved_.empty() && general_.empty())) {
+        return false;
+    }
+    const double slack = secondsOf(*limit - now) - idleFirstTokenSeconds(request);
+    if (overdueWait(request, now) > slack) {
+        return false;
+    }
+    dequeue(slot);
+    request.state = State::Overdue;
+    request.firstTokenLimit = *limit;
+    overdue_.emplace(request.work.rank, request.work.arrival, slot);
+    setTimer(slot, now + durationOf(slack));
+    return true;
+}
+
+void Pool::dispatchOverdue(TimePoint now, std::vector<Action> &actions)
+{
+    while (!overdue_.empty() && queue_.queued(Rank::Urgent) + queue_.queued(Rank::Ordinary) == 0) {
+        const Slot slot = std::get<Slot>(*overdue_.begin());
+        const Request &request = requests_[slot];
+        const auto memory
+            = MemoryForecast::contribution(lengths_, request.profile, request.work.promptTokens, request.work.heldTokens, lengthLimit(request.work));
+        const auto choice = choose(request, memory, false, now);
+        if (!choice) {
+            return;
+        }
+        assign(slot, *choice, memory, now, actions);
+    }
+}
+
 void Pool::refuse(Slot slot, ResultCode code, const char *detail, double wait, TimePoint now, std::vector<Action> &actions)
 {
     const Request &request = requests_[slot];
@@ -98,6 +149,9 @@
     // Callers that are told to come back are spread over time at the rate at which the team is served.
     TimePoint &latest = retryAt_[request.team];
     const double interval = waitOf(request, 1, now);
+    if (!overdue_.empty()) {
+        wait = std::max(wait, overdueWait(request, now)); // Those that wait already come first.
+    }
     const TimePoint retry = std::max(now + durationOf(std::clamp(wait, kShortestRetry, kLongestRetry)), latest + durationOf(interval));
     latest = std::min(retry, now + durationOf(kLongestRetry));
     const auto after = std::chrono::ceil<milliseconds>(latest - now);
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -57,6 +57,9 @@
     double weight = 1.0;               ///< Of the plan.
     double paceTokensPerSecond = 0;    ///< Promised by the plan; 0: none.
     TimePoint firstTokenDeadline{};    ///< Arrival plus the promised first-token time.
+    /// Until then the caller takes a first token, though later than promised. It is served in such time with what requests that can
+    /// still be in time leave free. Nothing: it is refused once its promise cannot be met.
+    std::optional<TimePoint> lastUsefulFirstToken{};
     TimePoint arrival{};
     std::uint64_t prefixHash = 0;         ///< Hash of the first prompt block; 0: none.
     std::string lengthClass{};            ///< Requests of one class have answers of similar length; empty: those of one team.
@@ -67,6 +70,12 @@
     std::vector<EndpointId> barred{};     ///< Endpoints that take nothing from its entry VM at present.
     bool mayMove = true;                  ///< Until its first token it may be taken back and given to another endpoint.
 
+    /// @return until when an endpoint is of use.
+    [[nodiscard]] TimePoint latestFirstToken() const
+    {
+        return lastUsefulFirstToken.value_or(firstTokenDeadline);
+    }
+
     friend auto operator<=>(const WorkRequest &, const WorkRequest &) = default;
 };
 
