Ask again for a request that waits, and give no move up at its promise

Cause, found when the diff was read: a move carried over until when its caller takes a first token, which has passed long ago for an answer that runs, so that its entry VM gave it up as soon as it was queued. Change: an ask waits until the later of both times; a move has no such limit; a request that may wait past its promise is asked for again each second, which its owner ignores if it knows it, and goes to the next owner without a reply.

--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -230,7 +230,7 @@
     void submit(const CellId &id, const WorkRequest &work, TimePoint now)
     {
         OwnedCell &cell = cellFor(id, now);
-        cell.requests[work.id] = {.entry = work.entry, .team = work.team, .rank = work.rank, .endpoint = {}};
+        cell.requests.try_emplace(work.id, TrackedRequest{.entry = work.entry, .team = work.team, .rank = work.rank, .endpoint = {}});
         cell.scheduler.submit(work, now);
         decide(id, now);
     }
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -397,6 +397,7 @@
         }
         movedAt_ = gateway_.now();
         auto moved = work();
+        moved.lastUsefulFirstToken.reset(); // Its copy is waited for, not its first token.
         moved.heldTokens = tokens();
         moved.movesFrom = RunningAt{.endpoint = endpoint_.id, .zone = endpoint_.zone};
         moved.rank = Rank::Urgent; // It must not wait behind requests that have not begun.
--- a/daisystream/cell/asktracker.cpp
+++ b/daisystream/cell/asktracker.cpp
@@ -43,6 +43,14 @@
         arm(ask, now + (ask.request.rank == Rank::Urgent ? options.urgentTimeout : options.ordinaryTimeout));
     }
 
+    // An owner that was restarted has lost its queue. A request that may wait long is asked for again, which its owner ignores if
+    // it still knows it.
+    [[nodiscard]] TimePoint nextLook(const Pending &ask, TimePoint now) const
+    {
+        const TimePoint last = ask.request.latestFirstToken();
+        return ask.request.lastUsefulFirstToken ? std::min<TimePoint>(last, now + options.askAgain) : last;
+    }
+
     // Asks the current owner, or decides alone if there is none left.
     void askCurrent(Pending &ask, TimePoint now, std::vector<AskAction> &actions)
     {
@@ -92,11 +100,11 @@
     return actions;
 }
 
-void AskTracker::onQueued(const VmId &from, const RequestId &request, TimePoint)
+void AskTracker::onQueued(const VmId &from, const RequestId &request, TimePoint now)
 {
     if (Private::Pending *ask = d_->pendingAt(from, request)) {
         ask->queued = true;
-        d_->arm(*ask, ask->request.latestFirstToken());
+        d_->arm(*ask, d_->nextLook(*ask, now));
     }
 }
 
@@ -168,7 +176,11 @@
     while (!d_->timeouts.empty() && d_->timeouts.begin()->first <= now) {
         const RequestId id = d_->timeouts.begin()->second;
         Private::Pending &ask = d_->pending.at(id);
-        if (ask.queued) {
+        if (ask.queued && now < ask.request.latestFirstToken()) {
+            ask.queued = false;
+            actions.emplace_back(SendAsk{ask.owners[ask.current], ask.cell, ask.request});
+            d_->armReplyTimeout(ask, now);
+        } else if (ask.queued) {
             const Error error{ResultCode::QueueDeadlinePassed, "the owner of the cell gave no endpoint in time", std::chrono::milliseconds(1000)};
             actions.emplace_back(SendWithdraw{ask.owners[ask.current], ask.cell, id});
             actions.emplace_back(Settle{id, {}, error});
--- a/daisystream/cell/asktracker.h
+++ b/daisystream/cell/asktracker.h
@@ -86,6 +86,7 @@
 {
     std::chrono::milliseconds urgentTimeout{100};   ///< Without a reply from an owner, for urgent work.
     std::chrono::milliseconds ordinaryTimeout{250}; ///< The same for ordinary work.
+    std::chrono::milliseconds askAgain{1000};       ///< Between two asks for a request that waits, if it may wait past its promise.
     std::uint32_t ownersAsked = 2;                  ///< Owners asked before the VM decides alone.
 };
 
--- a/daisystream/cell/cell_test.cpp
+++ b/daisystream/cell/cell_test.cpp
@@ -154,10 +154,40 @@
     asks.work.lastUsefulFirstToken = asks.clock.now() + milliseconds(2640);
     (void)asks.tracker.ask(asks.work, asks.cell, asks.vms, asks.clock.now());
     asks.tracker.onQueued(asks.vms[0], asks.work.id, asks.clock.now());
-    asks.clock.advance(milliseconds(2639));
+    for (const milliseconds pause : {milliseconds(1000), milliseconds(1000)}) {
+        asks.clock.advance(pause);
+        CHECK(asks.tracker.expire(asks.clock.now()) == std::vector<AskAction>{SendAsk{asks.vms[0], asks.cell, asks.work}});
+        asks.tracker.onQueued(asks.vms[0], asks.work.id, asks.clock.now());
+    }
+    asks.clock.advance(milliseconds(639));
     CHECK(asks.tracker.expire(asks.clock.now()).empty());
     asks.clock.advance(milliseconds(1));
-    CHECK_FALSE(asks.tracker.expire(asks.clock.now()).empty());
+    CHECK(asks.tracker.expire(asks.clock.now()).size() == 2);
+}
+
+// Guards against a request that hangs for seconds because its owner was restarted and has lost its queue.
+TEST_CASE("an ask that waits goes to the next owner when its owner does not know it any more and does not reply")
+{
+    Asks asks;
+    asks.work.lastUsefulFirstToken = asks.clock.now() + milliseconds(2640);
+    (void)asks.tracker.ask(asks.work, asks.cell, asks.vms, asks.clock.now());
+    asks.tracker.onQueued(asks.vms[0], asks.work.id, asks.clock.now());
+    asks.clock.advance(milliseconds(1000));
+    CHECK(asks.tracker.expire(asks.clock.now()).size() == 1);
+    asks.clock.advance(milliseconds(100));
+    CHECK(asks.tracker.expire(asks.clock.now())
+          == std::vector<AskAction>{SendWithdraw{asks.vms[0], asks.cell, asks.work.id}, SendAsk{asks.vms[1], asks.cell, asks.work}});
+}
+
+// Guards against a move that is given up at once because the promise of its request has passed long ago.
+TEST_CASE("an ask with a deadline after the patience of its caller waits until that deadline")
+{
+    Asks asks;
+    asks.work.lastUsefulFirstToken = asks.clock.now() - milliseconds(1);
+    (void)asks.tracker.ask(asks.work, asks.cell, asks.vms, asks.clock.now());
+    asks.tracker.onQueued(asks.vms[0], asks.work.id, asks.clock.now());
+    asks.clock.advance(milliseconds(659));
+    CHECK(asks.tracker.expire(asks.clock.now()).empty());
 }
 
 // Guards against using the late answer of an owner whose ask was withdrawn, which would run the request twice.
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -6,6 +6,7 @@
 #include "daisystream/base/result.h"
 #include "daisystream/endpoint/endpointinfo.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -73,7 +74,7 @@
     /// @return until when an endpoint is of use.
     [[nodiscard]] TimePoint latestFirstToken() const
     {
-        return lastUsefulFirstToken.value_or(firstTokenDeadline);
+        return std::max(firstTokenDeadline, lastUsefulFirstToken.value_or(firstTokenDeadline));
     }
 
     friend auto operator<=>(const WorkRequest &, const WorkRequest &) = default;
