Refuse requests that wait late at once when no engine is left

Cause, found when the diff was read: overdue requests were only refused at their limit, up to 14 s later, when the last engine of their model left.

--- a/daisystream/scheduler/overdue_test.cpp
+++ b/daisystream/scheduler/overdue_test.cpp
@@ -21,7 +21,7 @@
 public:
     explicit Cell(std::uint32_t slots)
     {
-        EndpointInfo info;
+        EndpointInfo &info = engine_;
         info.id = EndpointId("engine");
         info.model = ModelId("assistant");
         info.memoryCapacityTokens = 200000;
@@ -34,6 +34,13 @@
         scheduler_.setEndpoints({info}, now);
     }
 
+    void leave()
+    {
+        engine_.state = EndpointState::Draining;
+        scheduler_.setEndpoints({engine_}, now);
+        decide();
+    }
+
     void submit(const std::string &id, Duration promise, std::optional<Duration> patience)
     {
         WorkRequest work;
@@ -80,6 +87,7 @@
         }
     }
 
+    EndpointInfo engine_;
     Scheduler scheduler_{{.placement = Placement::LeastAddedTime, .memoryQuantile = 0.9, .reservesEndpoints = false, .reportTimeout = std::chrono::hours(1000)},
                          Random(1)};
 };
@@ -138,6 +146,18 @@
     CHECK(cell.refusedAt.size() > kFlood / 2);
 }
 
+// Pattern: the last engine of a model leaves while requests wait.
+TEST_CASE("requests that wait late are refused at once when no engine is left")
+{
+    Cell cell(1);
+    cell.submit("a", seconds(4), seconds(14));
+    cell.submit("late", seconds(4), seconds(14));
+    cell.wait(seconds(5));
+    CHECK(cell.refusedAt.empty());
+    cell.leave();
+    CHECK(cell.refusedAt.contains("late"));
+}
+
 // Pattern: the caller of a request that waits late leaves.
 TEST_CASE("a withdrawn request does not keep its place behind the others")
 {
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -159,6 +159,7 @@
     bool dispatchHead(Rank rank, bool floorTurn, TimePoint now, std::vector<Action> &actions);
     bool shedFor(Slot urgent, TimePoint now, std::vector<Action> &actions);
     void refuseHopeless(TimePoint now, std::vector<Action> &actions);
+    bool refuseWithoutEndpoint(Slot slot, TimePoint now, std::vector<Action> &actions);
     bool refuseIfHopeless(const FairQueue::Item &item, TimePoint now, std::vector<Action> &actions);
 
     // Requests that cannot be in time any more.
--- a/daisystream/scheduler/poolrefusals.cpp
+++ b/daisystream/scheduler/poolrefusals.cpp
@@ -50,21 +50,25 @@
     return std::min(secondsOf(request.work.firstTokenDeadline - now) - firstToken, kLongestWait * promise - secondsOf(now - request.work.arrival));
 }
 
+bool Pool::refuseWithoutEndpoint(Slot slot, TimePoint now, std::vector<Action> &actions)
+{
+    // Recovering endpoints with a trial in progress are out of the index for the moment, but will serve.
+    const bool recovering = std::any_of(endpoints_.begin(), endpoints_.end(), [](const auto &endpoint) {
+        return endpoint != nullptr && endpoint->load.info().state == EndpointState::InService && endpoint->health.phase() == EndpointHealth::Phase::Recovering;
+    });
+    if (recovering) {
+        return false;
+    }
+    refuse(slot, ResultCode::NoEndpoint, "no endpoint of the model is in service", secondsOf(options_.probeInterval), now, actions);
+    return true;
+}
+
 bool Pool::refuseIfHopeless(const FairQueue::Item &item, TimePoint now, std::vector<Action> &actions)
 {
     const auto slot = static_cast<Slot>(item.ticket);
     const Request &request = requests_[slot];
     if (reserved_.empty() && general_.empty()) {
-        // Recovering endpoints with a trial in progress are out of the index for the moment, but will serve.
-        const bool recovering = std::any_of(endpoints_.begin(), endpoints_.end(), [](const auto &endpoint) {
-            return endpoint != nullptr && endpoint->load.info().state == EndpointState::InService
-                && endpoint->health.phase() == EndpointHealth::Phase::Recovering;
-        });
-        if (recovering) {
-            return false;
-        }
-        refuse(slot, ResultCode::NoEndpoint, "no endpoint of the model is in service", secondsOf(options_.probeInterval), now, actions);
-        return true;
+        return refuseWithoutEndpoint(slot, now, actions);
     }
     const double wait = waitOf(request, static_cast<double>(queue_.queued(item.team)), now);
     const double slack = slackOf(request, now);
@@ -131,6 +135,12 @@
 {
     while (!overdue_.empty() && queue_.queued(Rank::Urgent) + queue_.queued(Rank::Ordinary) == 0) {
         const Slot slot = std::get<Slot>(*overdue_.begin());
+        if (reserved_.empty() && general_.empty()) {
+            if (!refuseWithoutEndpoint(slot, now, actions)) {
+                return;
+            }
+            continue;
+        }
         const Request &request = requests_[slot];
         const auto memory
             = MemoryForecast::contribution(lengths_, request.profile, request.work.promptTokens, request.work.heldTokens, lengthLimit(request.work));
