Refuse requests that wait late once they turn out to get nothing

What overdue requests get was expected and never compared with what they got. Change: the rate at which they were served in the last seconds corrects the expectation; the last ones are refused as soon as their wait is forecast to pass their limit by half.

--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -165,7 +165,9 @@
     // Requests that cannot be in time any more.
     bool makeOverdue(Slot slot, TimePoint now);
     void dispatchOverdue(TimePoint now, std::vector<Action> &actions);
-    [[nodiscard]] double overdueWait(const Request &request, TimePoint now) const;
+    [[nodiscard]] double overdueWait(const Request &request, std::size_t position, TimePoint now) const;
+    void noteOverdueTime(TimePoint now);
+    void refuseOverdueInVain(TimePoint now, std::vector<Action> &actions);
     [[nodiscard]] double waitOf(const Request &request, double position, TimePoint now) const;
     [[nodiscard]] double idleFirstTokenSeconds(const Request &request) const;
     [[nodiscard]] double slackOf(const Request &request, TimePoint now) const;
@@ -196,6 +198,9 @@
     std::vector<Slot> fresh_;                               // Submitted since the last decision.
     FairQueue::Order nextOrder_ = 0;
     std::set<OverdueItem> overdue_;
+    double overdueServed_ = 0;                               // Overdue requests that were served lately, and
+    double overdueSeconds_ = 0;                              // the time for which some have waited lately.
+    TimePoint overdueAt_{};                                  // Until when that is counted.
     std::unordered_map<FairQueue::Team, TimePoint> retryAt_; // Latest retry time that the team was told.
 
     /// Answers that leave one endpoint. Copies share its link, so that they go one after the other.
--- a/daisystream/scheduler/poolrefusals.cpp
+++ b/daisystream/scheduler/poolrefusals.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace daisystream::internal
 {
@@ -17,6 +18,9 @@
 constexpr double kShortestRetry = 0.05;
 // Share of the service that requests which can be in time are expected to leave to overdue ones.
 constexpr double kOverdueShare = 0.8;
+constexpr double kOverduePriorSeconds = 5;   // Weight of that expectation against what is seen.
+constexpr double kOverdueMemorySeconds = 10; // For which it is remembered how many were served.
+constexpr double kOverdueDoubt = 1.5;        // A wait may be forecast longer by this factor than when it began.
 
 } // namespace
 
@@ -105,10 +109,35 @@
     }
 }
 
-// Seconds until the last of the overdue requests would be served.
-double Pool::overdueWait(const Request &request, TimePoint now) const
+// Seconds until the overdue request at a position would be served, by the rate at which such requests were served lately.
+double Pool::overdueWait(const Request &request, std::size_t position, TimePoint now) const
 {
-    return waitOf(request, static_cast<double>(overdue_.size() + 1) / kOverdueShare, now);
+    const double expected = kOverdueShare / std::max(1e-3, waitOf(request, 1, now));
+    const double rate = (overdueServed_ + kOverduePriorSeconds * expected) / (overdueSeconds_ + kOverduePriorSeconds);
+    return static_cast<double>(position) / std::max(1e-6, rate);
+}
+
+void Pool::noteOverdueTime(TimePoint now)
+{
+    const double elapsed = std::max(0.0, secondsOf(now - overdueAt_));
+    const double kept = std::exp(-elapsed / kOverdueMemorySeconds);
+    overdueServed_ *= kept;
+    overdueSeconds_ = overdueSeconds_ * kept + (overdue_.empty() ? 0.0 : elapsed);
+    overdueAt_ = now;
+}
+
+// Those that can be in time may leave less than was expected: the last ones are told as soon as that shows.
+void Pool::refuseOverdueInVain(TimePoint now, std::vector<Action> &actions)
+{
+    while (!overdue_.empty()) {
+        const Slot slot = std::get<Slot>(*overdue_.rbegin());
+        const Request &request = requests_[slot];
+        const double slack = secondsOf(request.firstTokenLimit - now) - idleFirstTokenSeconds(request);
+        if (overdueWait(request, overdue_.size(), now) <= kOverdueDoubt * slack) {
+            return;
+        }
+        refuse(slot, ResultCode::PromiseCannotBeMet, "the endpoints are kept busy by requests that can be in time", slack, now, actions);
+    }
 }
 
 // Lets a request that cannot be in time any more wait for room that nobody else needs, if it is likely to get any.
@@ -120,7 +149,7 @@
         return false;
     }
     const double slack = secondsOf(*limit - now) - idleFirstTokenSeconds(request);
-    if (overdueWait(request, now) > slack) {
+    if (overdueWait(request, overdue_.size() + 1, now) > slack) {
         return false;
     }
     dequeue(slot);
@@ -133,6 +162,7 @@
 
 void Pool::dispatchOverdue(TimePoint now, std::vector<Action> &actions)
 {
+    noteOverdueTime(now);
     while (!overdue_.empty() && queue_.queued(Rank::Urgent) + queue_.queued(Rank::Ordinary) == 0) {
         const Slot slot = std::get<Slot>(*overdue_.begin());
         if (reserved_.empty() && general_.empty()) {
@@ -146,9 +176,13 @@
             = MemoryForecast::contribution(lengths_, request.profile, request.work.promptTokens, request.work.heldTokens, lengthLimit(request.work));
         const auto choice = choose(request, memory, false, now);
         if (!choice) {
-            return;
+            break;
         }
         assign(slot, *choice, memory, now, actions);
+        ++overdueServed_;
+    }
+    if (!reserved_.empty() || !general_.empty()) {
+        refuseOverdueInVain(now, actions);
     }
 }
 
@@ -160,7 +194,7 @@
     TimePoint &latest = retryAt_[request.team];
     const double interval = waitOf(request, 1, now);
     if (!overdue_.empty()) {
-        wait = std::max(wait, overdueWait(request, now)); // Those that wait already come first.
+        wait = std::max(wait, overdueWait(request, overdue_.size(), now)); // Those that wait already come first.
     }
     const TimePoint retry = std::max(now + durationOf(std::clamp(wait, kShortestRetry, kLongestRetry)), latest + durationOf(interval));
     latest = std::min(retry, now + durationOf(kLongestRetry));
