--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -70,7 +70,7 @@
     {
         WorkRequest work;
         State state = State::Free;
-        TimePoint firstTokenLimit{}; // Until when its first token is of use, as long as it can be in time, and later if it cannot.
+        TimePoint firstTokenLimit{}; // The promised time of its first token; once it is overdue, the last useful one.
         FairQueue::Team team = 0;
         FairQueue::Order order = 0;
         LengthEstimator::Profile profile = 0;
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -58,8 +58,8 @@
     double weight = 1.0;               ///< Of the plan.
     double paceTokensPerSecond = 0;    ///< Promised by the plan; 0: none.
     TimePoint firstTokenDeadline{};    ///< Arrival plus the promised first-token time.
-    /// Until then the caller takes a first token, though later than promised. It is served in such time with what requests that can
-    /// still be in time leave free. Nothing: it is refused once its promise cannot be met.
+    /// Latest time at which the caller still takes a first token, after the promised one. A request that misses its promise waits behind
+    /// all that can keep theirs. Nothing: it is refused once its promise cannot be met.
     std::optional<TimePoint> lastUsefulFirstToken{};
     TimePoint arrival{};
     std::uint64_t prefixHash = 0;         ///< Hash of the first prompt block; 0: none.
