Show the request limit that an endpoint states in the log and in a metric

No line showed that an endpoint had stated a limit of requests a second, so that logs could not tell whether VMs do not know the limit, each apply the whole of it, or exceed it by repeats. No decision uses the limit yet.

--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -93,6 +93,7 @@
                                      yield);
         if (exchange_->bytesSent()) {
             state_.onSent();
+            gateway_.onSent(endpoint.id);
         }
         if (!fault) {
             fault = exchange_->readAll(timeLimit, kMaxResponseBytes, yield, &gateway_.responseBytes);
@@ -154,6 +155,7 @@
         gateway_.startLine("send", request_)
             .field("choice", endpoint.id.value())
             .field("attempt", std::to_string(state_.sent()))
+            .field("limit", gateway_.limitText(endpoint.id))
             .field("outcome",
                    fault                   ? toString(fault->kind)
                        : isForOtherRequest ? "foreign"
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -1,5 +1,7 @@
 #include "daemon/gateway/gatewaycontext.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 
 namespace daisystream
@@ -75,6 +77,7 @@
         , moveTime(metrics.histogram("daisystream_move_seconds", "Time to move a running answer to another engine."))
         , moved(metrics.counter("daisystream_moves_total", "Attempts to move a running answer to another engine.", {{"outcome", "moved"}}))
         , notMoved(metrics.counter("daisystream_moves_total", "Attempts to move a running answer to another engine.", {{"outcome", "not_moved"}}))
+        , sentToLimited(metrics.counter("daisystream_limited_sends_total", "Requests sent to endpoints that state a request limit."))
     {
     }
 
@@ -102,6 +105,7 @@
     Histogram &moveTime;
     Counter &moved;
     Counter &notMoved;
+    Counter &sentToLimited;
 };
 
 GatewayContext::GatewayContext(
@@ -206,6 +210,7 @@
 
 void GatewayContext::onEndpointHeaders(const EndpointId &endpoint, const EndpointHeaders &head)
 {
+    noteLimit(endpoint, head);
     if (!head.isLeaving && !head.isThrottled) {
         return;
     }
@@ -226,6 +231,42 @@
     }
 }
 
+void GatewayContext::noteLimit(const EndpointId &endpoint, const EndpointHeaders &head)
+{
+    std::optional<double> before;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto known = limits_.find(endpoint);
+        before = known == limits_.end() ? std::nullopt : std::optional(known->second);
+        if (head.requestsPerSecond) {
+            limits_[endpoint] = *head.requestsPerSecond;
+        } else if (head.isVerified) {
+            limits_.erase(endpoint);
+        } else {
+            return;
+        }
+    }
+    if (before != head.requestsPerSecond) {
+        LOG(INFO) << "event=endpoint_limit endpoint=" << endpoint << " per_second=" << (head.requestsPerSecond ? *head.requestsPerSecond : 0.0)
+                  << " before=" << before.value_or(0.0);
+    }
+}
+
+std::string GatewayContext::limitText(const EndpointId &endpoint)
+{
+    const std::lock_guard lock(mutex_);
+    const auto known = limits_.find(endpoint);
+    return known == limits_.end() ? "" : std::to_string(known->second);
+}
+
+void GatewayContext::onSent(const EndpointId &endpoint)
+{
+    const std::lock_guard lock(mutex_);
+    if (limits_.contains(endpoint)) {
+        series_->sentToLimited.add(1);
+    }
+}
+
 void GatewayContext::setLeavingHandler(std::function<void(const EndpointId &)> handler)
 {
     leavingHandler_ = std::move(handler);
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -121,6 +121,12 @@
     /// requests for a time. Must be called before the response is forwarded.
     void onEndpointHeaders(const EndpointId &endpoint, const EndpointHeaders &head);
 
+    /// Counts a request that was sent to an endpoint, for the metric of requests to endpoints with a limit.
+    void onSent(const EndpointId &endpoint);
+
+    /// @return the requests a second that the endpoint states as its limit, for the log; empty if it states none.
+    [[nodiscard]] std::string limitText(const EndpointId &endpoint);
+
     /// Sets the handler for endpoints that state in a response that they are leaving. It is called without locks and only until
     /// `announceLeaving` has been called for the endpoint.
     void setLeavingHandler(std::function<void(const EndpointId &)> handler);
@@ -175,6 +181,8 @@
     [[nodiscard]] bool mayResumeAt(const EndpointId &endpoint);
 
 private:
+    void noteLimit(const EndpointId &endpoint, const EndpointHeaders &head);
+
     class Series;
     using Watches = std::multimap<EndpointId, std::weak_ptr<std::function<void()>>>;
 
@@ -184,6 +192,7 @@
     ServiceBalancer balancer_;
     EndpointCooldowns cooldowns_;
     ServiceRetryBudget budget_;
+    std::map<EndpointId, double> limits_; ///< Requests a second, as endpoints last stated them to this VM.
     Watches watches_;
     std::vector<std::weak_ptr<std::function<void()>>> shutdownWatches_;
     std::map<EndpointId, TimePoint> leavingSince_; ///< When this VM learned that an endpoint is leaving.
--- a/daemon/gateway/gatewaydialect.h
+++ b/daemon/gateway/gatewaydialect.h
@@ -70,6 +70,7 @@
     std::optional<std::chrono::milliseconds> retryAfter;
     bool isLeaving = false;   ///< The endpoint is shutting down and accepts requests only for a short time.
     bool isThrottled = false; ///< The endpoint asks this VM to send no requests for the time `retryAfter`.
+    std::optional<double> requestsPerSecond{}; ///< Limit that the endpoint states for the requests of all VMs together.
 
     friend auto operator<=>(const EndpointHeaders &, const EndpointHeaders &) = default;
 };
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -234,6 +234,9 @@
         const auto connectTime = memory ? kMovedConnectTimeout : kConnectTimeout;
         const auto fault
             = exchange_->open(gateway_.dialect.toEndpoint(request_.http, options), {.connect = std::min(left, connectTime), .header = silenceLimit()}, yield);
+        if (exchange_->bytesSent()) {
+            gateway_.onSent(endpoint_.id);
+        }
         if (exchange_->bytesSent() && !memory) {
             state_.onSent();
         }
@@ -484,6 +487,7 @@
         gateway_.startLine("stream", request_)
             .field("choice", endpoint_.id.value())
             .field("attempt", std::to_string(state_.sent()))
+            .field("limit", gateway_.limitText(endpoint_.id))
             .field("outcome", kNames[static_cast<std::size_t>(end)])
             .field("priority", std::to_string(request_.priority))
             .field("events", std::to_string(events_))
