Show in the fault soak that endpoints get more than the limit that they state

Endpoints of the soak state limits of requests a second (0.4 to 200) that bind all VMs together, write down each arrival and each answer that told the limit, and do not enforce it. The new check 'limit' counts the arrivals of any 4 s from calm VMs that were told 0.5 s before or earlier, and allows 1.5 times the limit and 5 more, as the users' rule says. checks_test shows it to fail for two VMs that keep to the limit each for itself.

--- a/deploy/standins/fleetendpoint.cpp
+++ b/deploy/standins/fleetendpoint.cpp
@@ -50,6 +50,7 @@
 constexpr unsigned kSlotsOfService = 6;
 constexpr unsigned kMemoryTokens = 34000;
 constexpr unsigned kPromptTokens = 1000;
+constexpr unsigned kMisdirected = 421;
 
 /// An answer that an engine makes.
 struct Run
@@ -162,6 +163,12 @@
             slowFactor_ = faults.value("slowFactor", 1.0);
             return sendJson(stream, request, 200, "{}", yield);
         }
+        if (target == "/standin/limit") {
+            const auto perSecond = json::parse(request.body()).value("perSecond", 0.0);
+            limitPeriods_ += limitPerSecond_ == 0 && perSecond > 0 ? 1 : 0;
+            limitPerSecond_ = perSecond;
+            return sendJson(stream, request, 200, "{}", yield);
+        }
         if (target == "/standin/copy") {
             return takeCopy(stream, request, yield);
         }
@@ -221,6 +228,37 @@
         return std::to_string(active_) + ",0," + std::to_string(slots());
     }
 
+    /// @return a name for the span in which this start of the endpoint states a limit.
+    [[nodiscard]] std::string limitPeriod() const
+    {
+        return startName() + "-" + std::to_string(limitPeriods_);
+    }
+
+    void noteArrival(const std::string &attempt) const
+    {
+        if (limitPerSecond_ > 0) {
+            soak::write(soak::LimitedArrival{
+                .endpoint = options_.name, .period = limitPeriod(), .attempt = attempt, .at = soak::now(), .perSecond = limitPerSecond_});
+        }
+    }
+
+    /// @return the header line that states the limit; empty if there is none.
+    [[nodiscard]] std::string limitLine(const std::string &attempt) const
+    {
+        if (limitPerSecond_ == 0) {
+            return "";
+        }
+        soak::write(soak::LimitTold{.endpoint = options_.name, .period = limitPeriod(), .attempt = attempt, .at = soak::now()});
+        return std::string(names::kLimit) + ": " + limitText() + "\r\n";
+    }
+
+    [[nodiscard]] std::string limitText() const
+    {
+        std::array<char, 32> text{};
+        std::snprintf(text.data(), text.size(), "%g", limitPerSecond_);
+        return text.data();
+    }
+
     /// Refuses a request that was not run.
     bool refuse(Stream &stream, const StandInRequest &request, unsigned status, asio::yield_context yield)
     {
@@ -228,6 +266,9 @@
         response.set(names::kNotRun, "1");
         response.set(names::kAttempt, request[names::kAttempt]);
         response.set(names::kLoad, loadText());
+        if (limitPerSecond_ > 0 && status != kMisdirected) {
+            response.set(names::kLimit, limitText());
+        }
         response.keep_alive(request.keep_alive());
         response.prepare_payload();
         boost::system::error_code error;
@@ -238,8 +279,9 @@
     bool serve(Stream &stream, const StandInRequest &request, asio::yield_context yield)
     {
         if (const auto meant = request[names::kExpectEndpoint]; !meant.empty() && meant != options_.name) {
-            return refuse(stream, request, 421, yield);
+            return refuse(stream, request, kMisdirected, yield);
         }
+        noteArrival(std::string(request[names::kAttempt]));
         if (active_ >= slots()) {
             return refuse(stream, request, 503, yield);
         }
@@ -301,7 +343,7 @@
         const std::string body = answerBody(run.name, run.attempt);
         std::string text = isFailure ? "HTTP/1.1 500 Internal Server Error\r\n" : "HTTP/1.1 200 OK\r\n";
         text += std::string(names::kAttempt) + ": " + run.attempt + "\r\n" + names::kProof + ": seal\r\n" + names::kLoad + ": " + loadText()
-            + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+            + "\r\n" + limitLine(run.attempt) + "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
         if (isDue(garbleEvery_)) {
             writeText(stream, text + body + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", yield);
             return Ending::Broken;
@@ -313,10 +355,10 @@
     {
         pause(scaled(kPrompt), yield);
         std::string text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
-        text += std::string(names::kAttempt) + ": " + run.attempt + "\r\n" + names::kProof + ": seal\r\n\r\n";
         if (run.mustStop) {
             return Ending::Moved;
         }
+        text += std::string(names::kAttempt) + ": " + run.attempt + "\r\n" + names::kProof + ": seal\r\n" + limitLine(run.attempt) + "\r\n";
         if (!writeText(stream, text, yield)) {
             return Ending::Closed;
         }
@@ -408,6 +450,8 @@
     unsigned failEvery_ = 0;
     unsigned garbleEvery_ = 0;
     double slowFactor_ = 1;
+    double limitPerSecond_ = 0; ///< Requests a second that it states as its limit; 0: it states none.
+    unsigned limitPeriods_ = 0;
     bool isLeaving_ = false;
     bool isGone_ = false;
     StandInServer server_;
--- a/deploy/standins/fleetendpoint.h
+++ b/deploy/standins/fleetendpoint.h
@@ -12,7 +12,8 @@
 /// registers itself in the store and writes what it does as observations.
 ///
 /// `POST /standin/faults` replaces its faults: {"loseEvery": n, "failEvery": n, "garbleEvery": n, "slowFactor": f}; "every"
-/// counts its answers, 0 is never.
+/// counts its answers, 0 is never. `POST /standin/limit` with {"perSecond": f} makes it state a limit of requests a second,
+/// which it does not enforce; 0 ends that.
 ///
 /// Example:
 /// @code
--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -1,6 +1,7 @@
 #include "soak/checks.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -72,6 +73,7 @@
         checkLoss();
         checkLeft();
         checkRetries();
+        checkLimits();
         checkRecovery();
         for (const auto &name : record_.unexpectedEnds) {
             report("end", name);
@@ -391,6 +393,62 @@
         }
     }
 
+    // Requests to endpoints that state a limit for all VMs together.
+
+    void checkLimits()
+    {
+        std::map<std::string, std::vector<const LimitedArrival *>> arrivalsOf;
+        for (const auto &arrival : record_.limitedArrivals) {
+            arrivalsOf[arrival.period].push_back(&arrival);
+        }
+        for (const auto &[period, arrivals] : arrivalsOf) {
+            checkLimit(period, arrivals);
+        }
+    }
+
+    void checkLimit(const std::string &period, const std::vector<const LimitedArrival *> &arrivals)
+    {
+        std::optional<Moment> firstToldAt;
+        std::map<std::string, Moment> toldAt; // By VM.
+        for (const auto &told : record_.limitsTold) {
+            const auto exchange = exchangeOf_.find(told.attempt);
+            if (told.period == period && exchange != exchangeOf_.end()) {
+                firstToldAt = firstToldAt.value_or(told.at);
+                toldAt.try_emplace(exchange->second->vm, told.at);
+            }
+        }
+        if (!firstToldAt) {
+            return;
+        }
+        std::deque<const LimitedArrival *> counted;
+        for (const auto *arrival : arrivals) {
+            const auto exchange = exchangeOf_.find(arrival->attempt);
+            if (exchange == exchangeOf_.end() || arrival->at < *firstToldAt + bounds_.stable) {
+                continue;
+            }
+            const auto &vm = exchange->second->vm;
+            const auto told = toldAt.find(vm);
+            const bool knows = told != toldAt.end() && told->second + bounds_.limitDelay <= arrival->at;
+            if (!knows || !record_.timeline.isCalm(vm, arrival->at - bounds_.stable, arrival->at)) {
+                continue;
+            }
+            counted.push_back(arrival);
+            while (counted.front()->at + bounds_.limitWindow < arrival->at) {
+                counted.pop_front();
+            }
+            const auto highest = std::max_element(counted.begin(), counted.end(), [](const auto *a, const auto *b) { return a->perSecond < b->perSecond; });
+            const auto seconds = std::chrono::duration<double>(bounds_.limitWindow).count();
+            const auto allowed = bounds_.limitRatio * (*highest)->perSecond * seconds + bounds_.limitAllowance;
+            if (static_cast<double>(counted.size()) > allowed) {
+                report("limit",
+                       arrival->endpoint + " stated a limit of " + std::to_string((*highest)->perSecond) + " a second and got "
+                           + std::to_string(counted.size()) + " requests within " + std::to_string(bounds_.limitWindow.count())
+                           + " ms from VMs that it had told; allowed " + std::to_string(allowed));
+                return;
+            }
+        }
+    }
+
     void checkRecovery()
     {
         const auto summary = summarize(record_, bounds_);
@@ -431,6 +489,7 @@
             lateServed += isServed(exchange) ? 1 : 0;
         }
     }
+    summary.limited = record.limitedArrivals.size();
     summary.runs = record.started.size();
     summary.moved
         = static_cast<std::size_t>(std::count_if(record.started.begin(), record.started.end(), [](const RunStarted &run) { return run.continuesMemory; }));
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -38,6 +38,8 @@
     std::vector<RunStarted> started;
     std::vector<RunEnded> ended;
     std::vector<LeaveAnnounced> leaves;
+    std::vector<LimitedArrival> limitedArrivals; ///< In the order of their times.
+    std::vector<LimitTold> limitsTold;           ///< In the order of their times.
     std::vector<ConfigurationInForce> configurations; ///< In the order of their versions.
     std::vector<std::string> unexpectedEnds;          ///< Processes that ended by themselves or did not end when told to.
     Timeline timeline;
@@ -62,6 +64,10 @@
     double retryRatio = 0.2;                     ///< Repeats for each request that a service gets within the window.
     unsigned retryAllowance = 58;                ///< Repeats beside these.
     std::chrono::milliseconds retryWindow{10000};
+    std::chrono::milliseconds limitWindow{4000}; ///< Within which requests to an endpoint with a limit are counted.
+    std::chrono::milliseconds limitDelay{500};   ///< From when a VM passed a limit on until its requests count.
+    double limitRatio = 1.5;                     ///< Of what the limit allows in the window.
+    unsigned limitAllowance = 5;                 ///< Requests beside that.
 
     friend bool operator==(const Bounds &, const Bounds &) = default;
 };
@@ -86,6 +92,7 @@
     std::size_t inTouch = 0; ///< At VMs that were held to bounds of time throughout.
     std::size_t runs = 0;
     std::size_t moved = 0;       ///< Runs that went on at another endpoint.
+    std::size_t limited = 0;     ///< Requests that reached an endpoint with a limit.
     double servedAfterwards = 0; ///< Share of the requests after the recovery time.
 
     friend bool operator==(const Summary &, const Summary &) = default;
--- a/soak/checks_test.cpp
+++ b/soak/checks_test.cpp
@@ -299,5 +299,38 @@
     CHECK(ended.broken() == Promises{"end"});
 }
 
+/// Lets requests reach an endpoint with a limit, through two VMs that were told of it.
+/// @param perSecond the limit.
+/// @param gap between two requests.
+Scene limitedScene(double perSecond, int gap, int count)
+{
+    Scene scene;
+    for (int i = 0; i < count; ++i) {
+        const std::string attempt = "limited" + std::to_string(i);
+        const int time = 1000 + gap * i;
+        scene.serve(attempt, "lookup", Kind::Safe, time);
+        scene.exchange(attempt).vm = "vm" + std::to_string(1 + i % 2);
+        scene.record.limitedArrivals.push_back({.endpoint = "service1", .period = "p", .attempt = attempt, .at = at(time), .perSecond = perSecond});
+        scene.record.limitsTold.push_back({.endpoint = "service1", .period = "p", .attempt = attempt, .at = at(time + 10)});
+    }
+    return scene;
+}
+
+// Two VMs that each keep to the limit send twice of what the endpoint takes.
+TEST_CASE("limit: VMs that were told a limit may not send more than it allows together")
+{
+    CHECK(limitedScene(3, 250, 60).broken().empty());
+    CHECK(limitedScene(3, 165, 60).broken() == std::vector<std::string>{"limit"});
+    CHECK(limitedScene(3, 165, 20).broken().empty()); // Until the time for learning of the limit is over.
+    CHECK(limitedScene(0.4, 2000, 20).broken().empty());
+    CHECK(limitedScene(0.4, 400, 40).broken() == std::vector<std::string>{"limit"});
+    auto untold = limitedScene(3, 165, 60);
+    std::erase_if(untold.record.limitsTold, [&](const LimitTold &told) { return untold.exchange(told.attempt).vm == "vm2"; });
+    CHECK(untold.broken().empty());
+    auto disturbed = limitedScene(3, 165, 60);
+    disturbed.record.timeline.begin("vm2", Disturbance::Unplanned, at(0));
+    CHECK(disturbed.broken().empty());
+}
+
 } // namespace
 } // namespace daisystream::soak
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -337,6 +337,36 @@
         later(action.length, action.process, [this, name = action.process](Managed &) { calmEndpoint(name); });
     }
 
+    /// A later limit of the same endpoint replaces an earlier one.
+    void begin(const LimitEndpoint &action)
+    {
+        if (!isRunning(action.process) || isDisturbed(action.process)) {
+            return; // A frozen process would not take it.
+        }
+        const auto generation = ++limitGeneration[action.process];
+        setLimit(action.process, action.perSecond);
+        later(action.length, action.process, [this, name = action.process, generation](Managed &) { endLimit(name, generation); });
+    }
+
+    void endLimit(const std::string &name, unsigned generation)
+    {
+        if (limitGeneration[name] != generation || !isRunning(name)) {
+            return;
+        }
+        if (isDisturbed(name)) {
+            later(kTellAgain, name, [this, name, generation](Managed &) { endLimit(name, generation); });
+        } else {
+            setLimit(name, 0);
+        }
+    }
+
+    void setLimit(const std::string &name, double perSecond)
+    {
+        if (post(endpointPorts.at(name), "/standin/limit", json{{"perSecond", perSecond}}.dump()) != 200) {
+            std::cerr << "the limit of " << name << " could not be set\n";
+        }
+    }
+
     void calmEndpoint(const std::string &name)
     {
         if (isDisturbed(name)) {
@@ -538,6 +568,7 @@
     std::vector<CallerTarget> callerTargets;
     std::map<std::pair<LinkKind, std::string>, std::unique_ptr<Relay>> relays;
     std::map<std::pair<LinkKind, std::string>, unsigned> linkGeneration;
+    std::map<std::string, unsigned> limitGeneration; // By endpoint.
     unsigned storeGeneration = 0;
     std::map<std::string, Managed> processes;
     std::vector<Task> tasks;
@@ -603,13 +634,17 @@
                 std::visit(Overloaded{[&](const Exchange &seen) { record.exchanges.push_back(seen); },
                                       [&](const RunStarted &seen) { record.started.push_back(seen); },
                                       [&](const RunEnded &seen) { record.ended.push_back(seen); },
-                                      [&](const LeaveAnnounced &seen) {
-                                          record.leaves.push_back(seen);
+                                      [&](const LeaveAnnounced &seen) { record.leaves.push_back(seen); },
+                                      [&](const LimitedArrival &seen) { record.limitedArrivals.push_back(seen); },
+                                      [&](const LimitTold &seen) {
+                                          record.limitsTold.push_back(seen);
                                       }},
                            *observation);
             }
         }
     }
+    std::stable_sort(record.limitedArrivals.begin(), record.limitedArrivals.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
+    std::stable_sort(record.limitsTold.begin(), record.limitsTold.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
     std::stable_sort(record.started.begin(), record.started.end(), [](const RunStarted &a, const RunStarted &b) { return a.at < b.at; });
     return record;
 }
--- a/soak/observation.cpp
+++ b/soak/observation.cpp
@@ -56,6 +56,21 @@
     return {{"what", "leave"}, {"endpoint", leave.endpoint}, {"start", leave.start}, {"at", leave.at.count()}};
 }
 
+json toJson(const LimitedArrival &arrival)
+{
+    return {{"what", "limited_arrival"},
+            {"endpoint", arrival.endpoint},
+            {"period", arrival.period},
+            {"attempt", arrival.attempt},
+            {"at", arrival.at.count()},
+            {"per_second", arrival.perSecond}};
+}
+
+json toJson(const LimitTold &told)
+{
+    return {{"what", "limit_told"}, {"endpoint", told.endpoint}, {"period", told.period}, {"attempt", told.attempt}, {"at", told.at.count()}};
+}
+
 Moment momentOf(const json &value)
 {
     return Moment(value.get<std::int64_t>());
@@ -137,6 +152,19 @@
         if (what == "leave") {
             return LeaveAnnounced{line.at("endpoint").get<std::string>(), line.at("start").get<std::string>(), momentOf(line.at("at"))};
         }
+        if (what == "limited_arrival") {
+            return LimitedArrival{.endpoint = line.at("endpoint").get<std::string>(),
+                                  .period = line.at("period").get<std::string>(),
+                                  .attempt = line.at("attempt").get<std::string>(),
+                                  .at = momentOf(line.at("at")),
+                                  .perSecond = line.at("per_second").get<double>()};
+        }
+        if (what == "limit_told") {
+            return LimitTold{.endpoint = line.at("endpoint").get<std::string>(),
+                             .period = line.at("period").get<std::string>(),
+                             .attempt = line.at("attempt").get<std::string>(),
+                             .at = momentOf(line.at("at"))};
+        }
         return std::nullopt;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/soak/observation.h
+++ b/soak/observation.h
@@ -101,7 +101,30 @@
     friend bool operator==(const LeaveAnnounced &, const LeaveAnnounced &) = default;
 };
 
-using Observation = std::variant<Exchange, RunStarted, RunEnded, LeaveAnnounced>;
+/// A request reached an endpoint that states a limit of requests a second, whether it ran there or not.
+struct LimitedArrival
+{
+    std::string endpoint;
+    std::string period; ///< Unique: one span in which one start of the endpoint states a limit, of whatever rate.
+    std::string attempt;
+    Moment at{};
+    double perSecond = 0; ///< The limit at that moment.
+
+    friend bool operator==(const LimitedArrival &, const LimitedArrival &) = default;
+};
+
+/// The limit of an endpoint was written in an answer.
+struct LimitTold
+{
+    std::string endpoint;
+    std::string period; ///< As in `LimitedArrival`.
+    std::string attempt;
+    Moment at{};
+
+    friend bool operator==(const LimitTold &, const LimitTold &) = default;
+};
+
+using Observation = std::variant<Exchange, RunStarted, RunEnded, LeaveAnnounced, LimitedArrival, LimitTold>;
 
 /// @return one line without its end.
 [[nodiscard]] std::string encode(const Observation &observation);
--- a/soak/observation_test.cpp
+++ b/soak/observation_test.cpp
@@ -23,7 +23,9 @@
     for (const Observation &observation : {Observation(exchange),
                                            Observation(run),
                                            Observation(RunEnded{.segment = "engine1@5-1", .at = Moment(7), .how = Ending::Moved}),
-                                           Observation(LeaveAnnounced{.endpoint = "engine1", .start = "engine1@5", .at = Moment(3)})}) {
+                                           Observation(LeaveAnnounced{.endpoint = "engine1", .start = "engine1@5", .at = Moment(3)}),
+                                           Observation(LimitedArrival{.endpoint = "engine1", .period = "p", .attempt = "a", .at = Moment(4), .perSecond = 2.5}),
+                                           Observation(LimitTold{.endpoint = "engine1", .period = "p", .attempt = "a", .at = Moment(5)})}) {
         CHECK(decode(encode(observation)) == observation);
     }
 }
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -35,12 +35,21 @@
             at = random_.uniform() < kBurstShare ? std::min(size_.length, at + upTo(kBurstGap)) : upTo(size_.length);
             plan_.steps.push_back({at, action()});
         }
-        std::stable_sort(plan_.steps.begin(), plan_.steps.end(), [](const Step &a, const Step &b) { return a.at < b.at; });
+        sortSteps();
         writeConfigurations();
+        for (unsigned i = 0; i < size_.limits; ++i) {
+            plan_.steps.push_back({upTo(size_.length), limit()});
+        }
+        sortSteps();
         return std::move(plan_);
     }
 
 private:
+    void sortSteps()
+    {
+        std::stable_sort(plan_.steps.begin(), plan_.steps.end(), [](const Step &a, const Step &b) { return a.at < b.at; });
+    }
+
     milliseconds upTo(milliseconds most)
     {
         return milliseconds(random_.below(static_cast<std::uint64_t>(most.count())));
@@ -101,6 +110,16 @@
         }
     }
 
+    /// @return a limit of an endpoint. Limits are drawn last, so that the other steps of a seed do not depend on their number.
+    Action limit()
+    {
+        constexpr std::array kRates{0.4, 1.0, 2.7, 3.7, 8.0, 20.0, 200.0};
+        // Longer than a VM is given to learn of the limit and the window in which requests are counted.
+        constexpr milliseconds kShortestLimit{8000};
+        constexpr milliseconds kLongestLimit{16000};
+        return LimitEndpoint{endpoint(), kRates.at(random_.below(kRates.size())), kShortestLimit + upTo(kLongestLimit - kShortestLimit)};
+    }
+
     /// Fills the changes in, once their order in time is known.
     void writeConfigurations()
     {
@@ -239,6 +258,9 @@
                                      },
                                      [](const DisturbStore &action) { return std::string("the store ") + nameOf(action.fault) + lengthText(action.length); },
                                      [](const DisturbEndpoint &action) { return action.process + " " + nameOf(action.fault) + lengthText(action.length); },
+                                     [](const LimitEndpoint &action) {
+                                         return action.process + " takes " + std::to_string(action.perSecond) + " requests a second" + lengthText(action.length);
+                                     },
                                      [](const ChangeConfiguration &action) { return "configuration " + std::to_string(action.next.version); },
                                  },
                                  step.action);
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -110,7 +110,18 @@
     friend bool operator==(const ChangeConfiguration &, const ChangeConfiguration &) = default;
 };
 
-using Action = std::variant<FreezeProcess, KillProcess, StopProcess, ReloadProcess, DisturbLink, DisturbStore, DisturbEndpoint, ChangeConfiguration>;
+/// An endpoint states for a while how many requests a second it takes from all VMs together. It is not a disturbance.
+struct LimitEndpoint
+{
+    std::string process;
+    double perSecond = 0;
+    milliseconds length{};
+
+    friend bool operator==(const LimitEndpoint &, const LimitEndpoint &) = default;
+};
+
+using Action
+    = std::variant<FreezeProcess, KillProcess, StopProcess, ReloadProcess, DisturbLink, DisturbStore, DisturbEndpoint, ChangeConfiguration, LimitEndpoint>;
 
 struct Step
 {
@@ -127,6 +138,7 @@
     unsigned engines = 4;
     unsigned services = 3;
     unsigned steps = 14;
+    unsigned limits = 3;       ///< Times that an endpoint states a limit.
     milliseconds length{14000}; ///< Within which steps begin.
 
     friend bool operator==(const PlanSize &, const PlanSize &) = default;
