--- a/daemon/cells/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -337,7 +337,7 @@
         const auto now = parts.clock.now();
         // The message is forwarded before its changes are processed here, which takes time.
         const bool hasChanges = message.endpoints && message.endpoints->upTo > ownVersions[static_cast<std::size_t>(DocumentKind::Endpoints)];
-        bool hasNews = hasChanges || !message.cells.empty();
+        bool hasNews = hasChanges || !message.cells.empty() || !message.limits.empty();
         bool viewChanged = false;
         std::vector<EndpointId> leaving;
         {
@@ -370,6 +370,9 @@
                 handlers.onLeaving(endpoint);
             }
         }
+        if (!message.limits.empty() && handlers.onLimits) {
+            handlers.onLimits(message.limits);
+        }
         for (const auto &cell : message.cells) {
             parts.dispatcher.onDigest(message.origin, cell);
         }
@@ -591,6 +594,9 @@
         }
         if (changed) {
             parts.dispatcher.setVms(live, dead);
+            if (liveHandler) {
+                liveHandler(live);
+            }
         }
     }
 
@@ -738,6 +744,7 @@
     std::vector<VmId> lastDead;
     std::set<VmId> cutOff; ///< Other VMs that reported that they do not reach the platform.
     std::function<bool()> cutOffSource;
+    std::function<void(const std::vector<VmId> &)> liveHandler;
     std::atomic<unsigned> heartbeatTicks{0};
     TimePoint platformContactAt{}; ///< Latest time at which the platform is known to have confirmed the data in force, to this VM or another one.
     TimePoint lastPeerContactAt{}; ///< When the latest heartbeat that another VM has confirmed was sent.
@@ -876,6 +883,11 @@
     d_->handlers = std::move(handlers);
 }
 
+void VmMonitor::setLiveHandler(std::function<void(const std::vector<VmId> &)> handler)
+{
+    d_->liveHandler = std::move(handler);
+}
+
 void VmMonitor::setCutOffSource(std::function<bool()> source)
 {
     d_->cutOffSource = std::move(source);
--- a/daemon/cells/vmmonitor.h
+++ b/daemon/cells/vmmonitor.h
@@ -47,6 +47,8 @@
     std::function<void(const EndpointChanges &, std::function<void()> onGap)> onChanges{};
     /// Handles the announcement that an endpoint will shut down. Called once for each endpoint.
     std::function<void(const EndpointId &)> onLeaving{};
+    /// Handles the request limits that endpoints stated to other VMs.
+    std::function<void(const std::vector<LimitStatement> &)> onLimits{};
 };
 
 /// Objects that the monitor uses. All of them must outlive the monitor.
@@ -87,6 +89,9 @@
     /// @param asOf time at which the data that the platform returned was in force.
     void onStoreContact(TimePoint asOf);
 
+    /// Sets the handler of changes of the live VMs, which include this one. Called without locks. Call it before `start`.
+    void setLiveHandler(std::function<void(const std::vector<VmId> &)> handler);
+
     /// Sets the function that determines whether this VM is cut off from the platform. Call it before `start`.
     /// @param source returns true if this VM does not reach the platform.
     void setCutOffSource(std::function<bool()> source);
--- a/daemon/control/controlplane.cpp
+++ b/daemon/control/controlplane.cpp
@@ -99,8 +99,14 @@
                   daemonSettings,
                   {.lists = lists, .platform = platform, .peers = peers, .dispatcher = dispatcher, .metrics = metrics, .clock = clock},
                   monitorOptions(options.monitor, daemonSettings))
+        , permits(io, daemonSettings.vm, clock, metrics, [this](const VmId &to, const PeerMessage &message) { return peers.send(to, message); })
         , load(io, dispatcher, clock, metrics, loadOptions(options))
     {
+        permits.setAnnouncer([this](const std::vector<LimitStatement> &statements) {
+            NewsMessage news;
+            news.limits = statements;
+            monitor.broadcast(std::move(news), "limits/" + statements.front().endpoint.value());
+        });
         if (options.adapter.watch) {
             watch.emplace(io,
                           daemonSettings,
@@ -193,6 +199,9 @@
         inServiceBefore = std::move(inService);
         dispatcher.setDraining(draining);
         dispatcher.setEndpoints(endpoints);
+        std::vector<EndpointId> ids;
+        std::transform(endpoints.begin(), endpoints.end(), std::back_inserter(ids), [](const auto &endpoint) { return endpoint.id; });
+        permits.setEndpoints(ids);
         if (!leaving.empty() && endpointHandler) {
             endpointHandler(leaving);
         }
@@ -248,6 +257,7 @@
     PeerLink peers;
     CellDispatcher dispatcher;
     VmMonitor monitor;
+    PermitClient permits;
     LoadPoller load;
     std::optional<StoreWatch> watch;
     std::function<void(const std::vector<EndpointId> &)> endpointHandler;
@@ -300,6 +310,7 @@
     d_->peers.setMessageHandler([this](const VmId &from, std::uint64_t incarnation, const PeerMessage &message) {
         d_->monitor.onMessage(from, incarnation, message);
         d_->dispatcher.onMessage(from, message);
+        d_->permits.onMessage(from, message);
     });
     d_->peers.setAckHandler([this](const VmId &from, TimePoint sentAt, const PeerView &view) { d_->monitor.onAck(from, sentAt, view); });
     d_->peers.setViewSource([this] { return d_->monitor.view(); });
@@ -307,7 +318,21 @@
     if (auto error = d_->peers.start(d_->settings.listenPeers, d_->settings.peerTls)) {
         return error;
     }
+    d_->monitor.setLiveHandler([this](const std::vector<VmId> &live) { d_->permits.setVms(live); });
+    NewsHandlers news{.onLimits = [this](const std::vector<LimitStatement> &statements) {
+        d_->permits.onStatements(statements);
+    }};
+    if (d_->watch) {
+        news.onChanges = [this](const EndpointChanges &changes, std::function<void()> onGap) {
+            d_->watch->onChanges(changes, std::move(onGap));
+        };
+        news.onLeaving = [this](const EndpointId &endpoint) {
+            d_->onEngineLeaving(endpoint);
+        };
+    }
+    d_->monitor.setNewsHandlers(std::move(news));
     d_->monitor.start();
+    d_->permits.start();
     if (d_->watch) {
         // The route table determines which endpoints are engines.
         d_->lists.onChange([this](DocumentKind kind) {
@@ -317,12 +342,6 @@
         });
         d_->dispatcher.setProbeHandler([this](const EndpointSettings &engine) { d_->load.probe(engine); });
         d_->load.watchLeaving([this] { return d_->enginesToPollForLeaving(); }, [this](const EndpointId &engine) { onEndpointLeaving(engine); });
-        d_->monitor.setNewsHandlers(
-            {.onChanges = [this](const EndpointChanges &changes, std::function<void()> onGap) { d_->watch->onChanges(changes, std::move(onGap)); },
-             .onLeaving =
-                 [this](const EndpointId &endpoint) {
-                     d_->onEngineLeaving(endpoint);
-                 }});
         d_->monitor.setCutOffSource([this] { return d_->watch->isLost(); });
         d_->watch->start(d_->peers.port());
     } else {
@@ -372,6 +391,11 @@
     return d_->monitor;
 }
 
+PermitClient &ControlPlane::permits()
+{
+    return d_->permits;
+}
+
 Metrics &ControlPlane::metrics()
 {
     return d_->metrics;
--- a/daemon/control/controlplane.h
+++ b/daemon/control/controlplane.h
@@ -5,6 +5,7 @@
 #include "daemon/control/platformadapter.h"
 #include "daemon/control/settings.h"
 #include "daemon/endpoints/loadpoller.h"
+#include "daemon/endpoints/permitclient.h"
 #include "daemon/peers/peerlink.h"
 #include "daemon/status/metrics.h"
 #include "daemon/store/listtable.h"
@@ -82,6 +83,7 @@
     [[nodiscard]] PeerLink &peers();
     [[nodiscard]] PlatformClient &platform();
     [[nodiscard]] VmMonitor &monitor();
+    [[nodiscard]] PermitClient &permits();
     [[nodiscard]] Metrics &metrics();
 
     /// @return the state of this VM as JSON, which the command `daisystream status` shows.
--- a/daemon/frontend/frontendfixture_test.h
+++ b/daemon/frontend/frontendfixture_test.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/endpoints/permitclient.h"
 #include "daemon/endpoints/ssereader.h"
 #include "daemon/frontend/httpfrontend.h"
 #include "daisystream/lists/planlist.h"
@@ -269,10 +270,11 @@
     Vm(asio::io_context &io, OrderNet &net, MemoryRecords &records, const std::string &name, std::uint64_t seed, const FrontendOptions &options)
         : dispatcher(io)
         , peers(net, VmId(name), seed)
+        , permits(io, VmId(name), clock, metrics, [](const VmId &, const PeerMessage &) { return false; })
     {
         offerLists(lists);
         const FrontendParts parts{
-            .lists = lists, .dispatcher = dispatcher, .peers = peers, .records = records, .metrics = metrics, .clock = clock, .seed = seed};
+            .lists = lists, .dispatcher = dispatcher, .peers = peers, .records = records, .permits = permits, .metrics = metrics, .clock = clock, .seed = seed};
         frontend = std::make_unique<HttpFrontend>(io, SocketAddress{.ip = "127.0.0.1", .port = 0}, options, parts);
         REQUIRE(!frontend->start());
     }
@@ -287,6 +289,7 @@
     NetForwarding peers;
     Metrics metrics;
     SteadyClock clock;
+    PermitClient permits;
     std::unique_ptr<HttpFrontend> frontend;
 };
 
--- a/daemon/frontend/httpfrontend.h
+++ b/daemon/frontend/httpfrontend.h
@@ -32,6 +32,7 @@
 class CellDispatcher;
 class GatewayContext;
 class GatewayDialect;
+class PermitClient;
 
 /// What the front end needs beside its other parts where callers are forwarded by routes.
 struct GatewayParts
@@ -49,6 +50,7 @@
     Dispatcher &dispatcher;                ///< Chooses endpoints. The front end sets its cancel handler.
     OrderForwarding &peers;                ///< Forwards orders with a ticket to its issuer. The front end sets its order handler.
     OrderRecords &records;                 ///< Records of orders with a caller's own key.
+    PermitClient &permits;                 ///< Keeps requests within the limits that endpoints state.
     Metrics &metrics;                      ///< Shown at `/metrics`.
     const Clock &clock;                    ///< Time of deadlines.
     std::uint64_t seed = 1;                ///< Of request ids and jitter; must differ between two runs.
--- a/daemon/gateway/answermove.cpp
+++ b/daemon/gateway/answermove.cpp
@@ -128,7 +128,7 @@
 std::optional<EndpointSettings> AnswerMove::findTarget(asio::yield_context yield)
 {
     plan_.work.id = gateway_.frontend.newRequestId();
-    plan_.work.barred = gateway_.endpointsInCooldown();
+    plan_.work.barred = gateway_.unavailable(gateway_.dispatcher.engines(plan_.work.model), plan_.work.rank == Rank::Urgent);
     const auto answer = requester_.ask(plan_.work, plan_.deadline, yield);
     const auto *assign = std::get_if<Assign>(&answer);
     if (assign == nullptr) {
@@ -171,6 +171,7 @@
     }
     ++copies_;
     EndpointExchange exchange(strand_, plan_.source.address);
+    const auto sentAt = gateway_.now();
     const auto request = gateway_.dialect.moveRequest(plan_.attempt, target.address, isLast);
     if (exchange.open(request, {.connect = kConnectTimeout, .header = kCopyTimeout}, yield)) {
         return {};
@@ -178,7 +179,7 @@
     if (exchange.readAll(kCopyTimeout, kMaxReplyBytes, yield)) {
         return {};
     }
-    gateway_.onEndpointHeaders(plan_.source.id, gateway_.dialect.readEndpoint(exchange.response()));
+    gateway_.onEndpointHeaders(plan_.source.id, gateway_.dialect.readEndpoint(exchange.response()), sentAt);
     return gateway_.dialect.readMove(exchange.response());
 }
 
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -1,6 +1,7 @@
 #include "daemon/gateway/callforwarder.h"
 
 #include "daemon/endpoints/endpointexchange.h"
+#include "daemon/endpoints/permitclient.h"
 #include "daemon/gateway/gatewayreply.h"
 #include "daemon/status/decisionlog.h"
 #include "daisystream/forwarding/forwardingstate.h"
@@ -26,6 +27,8 @@
 constexpr std::chrono::milliseconds kConnectTimeout{300};
 // Retry time for callers when every endpoint is full: the duration of a few calls.
 constexpr std::chrono::milliseconds kRetryAfterFull{200};
+// A call waits for a permit for at most this part of its response-time objective.
+constexpr int kMaxWaitDivisor = 4;
 
 /// Forwards a single call, with its retries.
 class Call
@@ -36,6 +39,8 @@
         , connection_(connection)
         , request_(request)
         , state_(request.route->kind, request.route->attempts)
+        , attemptHash_(permitHash(request.id.value()))
+        , requestHash_(permitRequestHash(request))
     {
     }
 
@@ -49,9 +54,8 @@
         });
         gateway_.countRequest(request_.service);
         while (mayAttempt()) {
-            const auto endpoint = gateway_.startCall(request_.service, tried_);
+            const auto endpoint = chooseEndpoint(yield);
             if (!endpoint) {
-                failure_ = failure_.value_or(noEndpointError());
                 break;
             }
             tried_.push_back(endpoint->id);
@@ -74,6 +78,60 @@
         return true;
     }
 
+    /// Chooses an endpoint that takes a request now. If none does because of request limits, waits in line for a short time.
+    /// @return nothing if there is no such endpoint; `failure_` is set.
+    [[nodiscard]] std::optional<EndpointSettings> chooseEndpoint(boost::asio::yield_context yield)
+    {
+        const bool isUrgent = rankOf(request_) == Rank::Urgent;
+        auto excluded = tried_;
+        while (const auto endpoint = gateway_.startCall(request_.service, excluded, isUrgent)) {
+            const auto denied = gateway_.frontend.parts.permits.acquire(
+                {.endpoint = endpoint->id, .attempt = attemptHash_, .request = requestHash_, .isUrgent = isUrgent}, yield);
+            if (!denied && !callerLeft_) {
+                return endpoint;
+            }
+            gateway_.onCallEnded(endpoint->id, CallResult::CallerLeft, {});
+            if (callerLeft_) {
+                return std::nullopt;
+            }
+            excluded.push_back(endpoint->id);
+        }
+        return waitInLine(isUrgent, yield);
+    }
+
+    [[nodiscard]] std::optional<EndpointSettings> waitInLine(bool isUrgent, boost::asio::yield_context yield)
+    {
+        const auto left = gateway_.timeUntil(request_.deadline);
+        LineRequest line{.endpoints = {},
+                         .attempt = attemptHash_,
+                         .request = requestHash_,
+                         .isUrgent = isUrgent,
+                         .maxWait = std::min(left, request_.route->goal) / kMaxWaitDivisor,
+                         .patience = state_.sent() > 0 ? std::chrono::milliseconds(0) : left / kReturnDivisor};
+        for (const auto &endpoint : gateway_.dispatcher.serviceEndpoints(request_.service)) {
+            const bool isTried = std::find(tried_.begin(), tried_.end(), endpoint.id) != tried_.end();
+            if (!isTried && gateway_.frontend.parts.permits.limit(endpoint.id) && !gateway_.isInCooldown(endpoint.id)) {
+                line.endpoints.push_back(endpoint.id);
+            }
+        }
+        if (line.endpoints.empty()) {
+            failure_ = failure_.value_or(noEndpointError());
+            return std::nullopt;
+        }
+        const auto reply = gateway_.frontend.parts.permits.waitInLine(line, yield);
+        if (const auto *error = std::get_if<Error>(&reply)) {
+            failure_ = failure_.value_or(*error);
+            return std::nullopt;
+        }
+        const auto endpoint = gateway_.dispatcher.findEndpoint(std::get<EndpointId>(reply));
+        if (callerLeft_ || !endpoint || !gateway_.isInService(endpoint->id)) {
+            failure_ = failure_.value_or(noEndpointError());
+            return std::nullopt;
+        }
+        gateway_.startCallAt(endpoint->id);
+        return endpoint;
+    }
+
     /// @return the error for a call that has no endpoint left to be sent to.
     [[nodiscard]] Error noEndpointError()
     {
@@ -87,6 +145,7 @@
     {
         const auto left = gateway_.timeUntil(request_.deadline);
         const auto timeLimit = attemptTimeLimit(left);
+        sentAt_ = gateway_.now();
         exchange_.emplace(connection_.executor(), endpoint.address);
         auto fault = exchange_->open(gateway_.dialect.toEndpoint(request_.http, {.endpointName = endpoint.name, .timeLeft = left, .team = request_.team}),
                                      {.connect = std::min(left, kConnectTimeout), .header = timeLimit},
@@ -114,7 +173,7 @@
         const auto &response = exchange_->response();
         const auto head = fault ? EndpointHeaders{} : gateway_.dialect.readEndpoint(response);
         if (!fault) {
-            gateway_.onEndpointHeaders(endpoint.id, head);
+            gateway_.onEndpointHeaders(endpoint.id, head, sentAt_);
         }
         const bool isForOtherRequest = !fault && !head.attempt.empty() && head.attempt != request_.head.attempt;
         auto end = AttemptEnd::MayHaveRun;
@@ -195,10 +254,13 @@
     HttpConnection &connection_;
     const RoutedRequest &request_;
     ForwardingState state_;
+    const std::uint64_t attemptHash_; ///< As PermitRequest::attempt.
+    const std::uint64_t requestHash_; ///< As PermitRequest::request.
     std::optional<EndpointExchange> exchange_;
     std::vector<EndpointId> tried_;      ///< Endpoints that were already attempted.
     std::optional<HttpResponse> answer_; ///< Latest response that an endpoint gave to this call.
     std::optional<Error> failure_;       ///< Error of the first failed attempt, or of the latest refused attempt.
+    TimePoint sentAt_{};                 ///< When the latest attempt began.
     std::size_t unreachableCount_ = 0;   ///< Attempts of which no byte was sent.
     bool answered_ = false;              ///< `answer_` is final.
     bool budgetExhausted_ = false;
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -1,6 +1,6 @@
 #include "daemon/gateway/gatewaycontext.h"
 
-#include <glog/logging.h>
+#include "daemon/endpoints/permitclient.h"
 
 #include <algorithm>
 
@@ -62,6 +62,13 @@
     return request.priority == 0 || request.route->priority == 0 ? Rank::Urgent : Rank::Ordinary;
 }
 
+std::uint64_t permitRequestHash(const RoutedRequest &request)
+{
+    std::string text = request.team ? request.team->value() : "";
+    text.append(1, '\0').append(request.http.target()).append(1, '\0').append(request.http.body());
+    return permitHash(text);
+}
+
 std::uint32_t enginePriority(const RoutedRequest &request)
 {
     return kRoutePriorityLevels * request.priority + std::min(request.route->priority, kRoutePriorityLevels - 1);
@@ -176,14 +183,14 @@
     return std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now()));
 }
 
-std::optional<EndpointSettings> GatewayContext::startCall(const ServiceId &service, const std::vector<EndpointId> &tried)
+std::optional<EndpointSettings> GatewayContext::startCall(const ServiceId &service, const std::vector<EndpointId> &tried, bool isUrgent)
 {
     const auto endpoints = dispatcher.serviceEndpoints(service);
     std::vector<ServiceCandidate> candidates;
     candidates.reserve(endpoints.size());
-    const auto inCooldown = this->endpointsInCooldown();
+    const auto excluded = unavailable(endpoints, isUrgent);
     for (const auto &endpoint : endpoints) {
-        if (std::binary_search(inCooldown.begin(), inCooldown.end(), endpoint.id)) {
+        if (std::find(excluded.begin(), excluded.end(), endpoint.id) != excluded.end()) {
             continue;
         }
         candidates.push_back({.id = endpoint.id, .slots = endpoint.slots, .isNear = endpoint.zone == zone_, .isCold = endpoint.isCold});
@@ -198,6 +205,13 @@
     return *std::find_if(endpoints.begin(), endpoints.end(), [&](const auto &endpoint) { return endpoint.id == *chosen; });
 }
 
+void GatewayContext::startCallAt(const EndpointId &endpoint)
+{
+    const auto at = now();
+    const std::lock_guard lock(mutex_);
+    balancer_.onStarted(endpoint, at);
+}
+
 void GatewayContext::onCallEnded(const EndpointId &endpoint, CallResult result, const std::optional<ReportedLoad> &load)
 {
     const auto at = now();
@@ -208,9 +222,9 @@
     }
 }
 
-void GatewayContext::onEndpointHeaders(const EndpointId &endpoint, const EndpointHeaders &head)
+void GatewayContext::onEndpointHeaders(const EndpointId &endpoint, const EndpointHeaders &head, TimePoint sentAt)
 {
-    noteLimit(endpoint, head);
+    frontend.parts.permits.onAnswer(endpoint, head.requestsPerSecond, head.isVerified, sentAt);
     if (!head.isLeaving && !head.isThrottled) {
         return;
     }
@@ -231,38 +245,15 @@
     }
 }
 
-void GatewayContext::noteLimit(const EndpointId &endpoint, const EndpointHeaders &head)
-{
-    std::optional<double> before;
-    {
-        const std::lock_guard lock(mutex_);
-        const auto known = limits_.find(endpoint);
-        before = known == limits_.end() ? std::nullopt : std::optional(known->second);
-        if (head.requestsPerSecond) {
-            limits_[endpoint] = *head.requestsPerSecond;
-        } else if (head.isVerified) {
-            limits_.erase(endpoint);
-        } else {
-            return;
-        }
-    }
-    if (before != head.requestsPerSecond) {
-        LOG(INFO) << "event=endpoint_limit endpoint=" << endpoint << " per_second=" << (head.requestsPerSecond ? *head.requestsPerSecond : 0.0)
-                  << " before=" << before.value_or(0.0);
-    }
-}
-
 std::string GatewayContext::limitText(const EndpointId &endpoint)
 {
-    const std::lock_guard lock(mutex_);
-    const auto known = limits_.find(endpoint);
-    return known == limits_.end() ? "" : std::to_string(known->second);
+    const auto limit = frontend.parts.permits.limit(endpoint);
+    return limit ? std::to_string(*limit) : "";
 }
 
 void GatewayContext::onSent(const EndpointId &endpoint)
 {
-    const std::lock_guard lock(mutex_);
-    if (limits_.contains(endpoint)) {
+    if (frontend.parts.permits.limit(endpoint)) {
         series_->sentToLimited.add(1);
     }
 }
@@ -286,6 +277,17 @@
     return cooldowns_.endpointsInCooldown(at);
 }
 
+std::vector<EndpointId> GatewayContext::unavailable(const std::vector<EndpointSettings> &endpoints, bool isUrgent)
+{
+    auto found = endpointsInCooldown();
+    for (const auto &endpoint : endpoints) {
+        if (frontend.parts.permits.isFull(endpoint.id, isUrgent) && std::find(found.begin(), found.end(), endpoint.id) == found.end()) {
+            found.push_back(endpoint.id);
+        }
+    }
+    return found;
+}
+
 std::optional<std::chrono::milliseconds> GatewayContext::timeUntilAvailable(const std::vector<EndpointSettings> &endpoints)
 {
     const auto at = now();
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -49,6 +49,12 @@
 /// @return the scheduling rank of the request: `Urgent` if its team or its route has priority 0.
 [[nodiscard]] Rank rankOf(const RoutedRequest &request);
 
+/// Callers come back within this part of the time that they have left, so that a later permit would stay unused.
+constexpr int kReturnDivisor = 3;
+
+/// @return a hash that is the same for all attempts of a request, as callers repeat it: of its team, target and body.
+[[nodiscard]] std::uint64_t permitRequestHash(const RoutedRequest &request);
+
 /// @return the priority that is sent to an engine, 0 being the most urgent: by the priority of the team, then of the route.
 [[nodiscard]] std::uint32_t enginePriority(const RoutedRequest &request);
 
@@ -110,8 +116,12 @@
 
     /// Chooses an endpoint of a plain service for a call and counts the call as running there until `onCallEnded`.
     /// @param tried endpoints that are not chosen again.
-    /// @return the endpoint, or nothing if no untried endpoint is available.
-    [[nodiscard]] std::optional<EndpointSettings> startCall(const ServiceId &service, const std::vector<EndpointId> &tried);
+    /// @param isUrgent whether the call may use permits that ordinary ones leave.
+    /// @return the endpoint, or nothing if no untried endpoint takes a request now.
+    [[nodiscard]] std::optional<EndpointSettings> startCall(const ServiceId &service, const std::vector<EndpointId> &tried, bool isUrgent);
+
+    /// Counts a call as running at an endpoint that was chosen otherwise.
+    void startCallAt(const EndpointId &endpoint);
 
     /// Ends a call that `startCall` began.
     /// @param load the load that the endpoint stated in its response, if any.
@@ -119,7 +129,8 @@
 
     /// Processes what the header of an endpoint's response says about the endpoint: that it is leaving, or that it wants no
     /// requests for a time. Must be called before the response is forwarded.
-    void onEndpointHeaders(const EndpointId &endpoint, const EndpointHeaders &head);
+    /// @param sentAt when the request was sent.
+    void onEndpointHeaders(const EndpointId &endpoint, const EndpointHeaders &head, TimePoint sentAt);
 
     /// Counts a request that was sent to an endpoint, for the metric of requests to endpoints with a limit.
     void onSent(const EndpointId &endpoint);
@@ -137,6 +148,9 @@
     /// @return all endpoints for which `isInCooldown` is true, sorted by id.
     [[nodiscard]] std::vector<EndpointId> endpointsInCooldown();
 
+    /// @return those of the endpoints that take no request of this VM now: they are in cooldown, or their request limit is used up.
+    [[nodiscard]] std::vector<EndpointId> unavailable(const std::vector<EndpointSettings> &endpoints, bool isUrgent);
+
     /// @return the time until the first of `endpoints` accepts requests from this VM again; nothing if one of them does now or
     ///     if `endpoints` is empty.
     [[nodiscard]] std::optional<std::chrono::milliseconds> timeUntilAvailable(const std::vector<EndpointSettings> &endpoints);
@@ -181,8 +195,6 @@
     [[nodiscard]] bool mayResumeAt(const EndpointId &endpoint);
 
 private:
-    void noteLimit(const EndpointId &endpoint, const EndpointHeaders &head);
-
     class Series;
     using Watches = std::multimap<EndpointId, std::weak_ptr<std::function<void()>>>;
 
@@ -192,7 +204,6 @@
     ServiceBalancer balancer_;
     EndpointCooldowns cooldowns_;
     ServiceRetryBudget budget_;
-    std::map<EndpointId, double> limits_; ///< Requests a second, as endpoints last stated them to this VM.
     Watches watches_;
     std::vector<std::weak_ptr<std::function<void()>>> shutdownWatches_;
     std::map<EndpointId, TimePoint> leavingSince_; ///< When this VM learned that an endpoint is leaving.
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -1,6 +1,7 @@
 #include "daemon/gateway/streamforwarder.h"
 
 #include "daemon/endpoints/endpointexchange.h"
+#include "daemon/endpoints/permitclient.h"
 #include "daemon/endpoints/ssereader.h"
 #include "daemon/gateway/answermove.h"
 #include "daemon/gateway/gatewayreply.h"
@@ -42,6 +43,12 @@
 // Minimum time between the starts of two moves of an answer whose leaving engine still generates it.
 constexpr milliseconds kMoveRetryInterval{300};
 constexpr double kMillisecondsPerSecond = 1000;
+// An answer waits for a permit for at most this part of its response-time objective.
+constexpr int kMaxPermitWaitDivisor = 4;
+// An unused permit must not add to those of a later time.
+constexpr milliseconds kPermitLifetime{300};
+// A moved answer has lost its engine already, so that it waits longer for a permit.
+constexpr milliseconds kMovedPermitWait{1500};
 
 /// How one run of the answer ended.
 enum class RunEnd : std::uint8_t {
@@ -128,7 +135,7 @@
                 .lengthClass = request_.route->name.value(),
                 .mayRepeat = kind_.resumable,
                 .avoids = lastFailedEngine_,
-                .barred = gateway_.endpointsInCooldown(),
+                .barred = gateway_.unavailable(gateway_.dispatcher.engines(ModelId(request_.service.value())), rankOf(request_) == Rank::Urgent),
                 .mayMove = kind_.resumable};
     }
 
@@ -141,23 +148,9 @@
             return RunEnd::Complete;
         }
         const auto shutdownWatch = watchShutdown();
-        const auto reply = requester_.ask(work(), request_.deadline, yield);
-        if (const auto *error = std::get_if<Error>(&reply)) {
-            failure_ = *error;
-            refused_ = true;
-            return callerLeft_ ? RunEnd::CallerLeft : RunEnd::Complete;
-        }
-        const auto &assign = std::get<Assign>(reply);
-        const auto endpoint = gateway_.dispatcher.findEndpoint(assign.endpoint);
-        const bool isInCooldown = endpoint && gateway_.isInCooldown(endpoint->id); // May have changed while waiting for the assignment.
-        if (!endpoint || isInCooldown || callerLeft_) {
-            gateway_.dispatcher.onFinished(workId_, 0, FinishReason::MovedAway);
-            failure_ = {ResultCode::NoEndpoint,
-                        "endpoint " + assign.endpoint.value() + (isInCooldown ? " asked this VM to send nothing for a time" : " has left"),
-                        kRetryAfterFailure};
-            return callerLeft_ ? RunEnd::CallerLeft : RunEnd::Failed;
+        if (const auto ended = assignEngine(yield)) {
+            return *ended;
         }
-        endpoint_ = *endpoint;
         auto end = runAtEndpoint(std::nullopt, yield);
         while (end == RunEnd::Moved) {
             end = continueMoved(yield);
@@ -170,6 +163,87 @@
         return end;
     }
 
+    /// Sets `endpoint_` to an engine that is assigned to the request and takes it within its request limit.
+    /// @return how the run ends if there is none.
+    [[nodiscard]] std::optional<RunEnd> assignEngine(asio::yield_context yield)
+    {
+        std::vector<EndpointId> denied; // Engines of which this run got no permit.
+        for (;;) {
+            std::optional<EndpointId> permitted;
+            auto wanted = work();
+            wanted.barred.insert(wanted.barred.end(), denied.begin(), denied.end());
+            if (const auto limited = limitedEngines(wanted.barred)) {
+                const auto reply = waitInLine(*limited, yield);
+                if (const auto *error = std::get_if<Error>(&reply)) {
+                    failure_ = *error;
+                    refused_ = true;
+                    return callerLeft_ ? RunEnd::CallerLeft : RunEnd::Complete;
+                }
+                permitted = std::get<EndpointId>(reply);
+                std::erase(wanted.barred, *permitted);
+            }
+            const auto askedAt = gateway_.now();
+            const auto reply = requester_.ask(wanted, request_.deadline, yield);
+            if (const auto *error = std::get_if<Error>(&reply)) {
+                failure_ = *error;
+                refused_ = true;
+                return callerLeft_ ? RunEnd::CallerLeft : RunEnd::Complete;
+            }
+            const auto &assign = std::get<Assign>(reply);
+            const auto endpoint = gateway_.dispatcher.findEndpoint(assign.endpoint);
+            const bool isInCooldown = endpoint && gateway_.isInCooldown(endpoint->id); // May have changed while waiting for the assignment.
+            if (!endpoint || isInCooldown || callerLeft_) {
+                gateway_.dispatcher.onFinished(workId_, 0, FinishReason::MovedAway);
+                failure_ = {ResultCode::NoEndpoint,
+                            "endpoint " + assign.endpoint.value() + (isInCooldown ? " asked this VM to send nothing for a time" : " has left"),
+                            kRetryAfterFailure};
+                return callerLeft_ ? RunEnd::CallerLeft : RunEnd::Failed;
+            }
+            const bool holdsPermit = permitted == endpoint->id && gateway_.now() - askedAt <= kPermitLifetime;
+            if (holdsPermit || !gateway_.frontend.parts.permits.acquire(permitFor(endpoint->id), yield)) {
+                endpoint_ = *endpoint;
+                return std::nullopt;
+            }
+            gateway_.dispatcher.onFinished(workId_, 0, FinishReason::MovedAway);
+            denied.push_back(endpoint->id);
+        }
+    }
+
+    [[nodiscard]] PermitRequest permitFor(const EndpointId &endpoint) const
+    {
+        return {.endpoint = endpoint,
+                .attempt = permitHash(request_.id.value()),
+                .request = permitRequestHash(request_),
+                .isUrgent = rankOf(request_) == Rank::Urgent};
+    }
+
+    /// @return the engines with a request limit, if no engine takes the request without waiting.
+    [[nodiscard]] std::optional<std::vector<EndpointId>> limitedEngines(const std::vector<EndpointId> &barred) const
+    {
+        std::vector<EndpointId> limited;
+        for (const auto &engine : gateway_.dispatcher.engines(ModelId(request_.service.value()))) {
+            if (std::find(barred.begin(), barred.end(), engine.id) == barred.end()) {
+                return std::nullopt;
+            }
+            if (gateway_.frontend.parts.permits.limit(engine.id) && !gateway_.isInCooldown(engine.id)) {
+                limited.push_back(engine.id);
+            }
+        }
+        return limited.empty() ? std::nullopt : std::optional(std::move(limited));
+    }
+
+    [[nodiscard]] Result<EndpointId> waitInLine(const std::vector<EndpointId> &engines, asio::yield_context yield)
+    {
+        const auto left = gateway_.timeUntil(request_.deadline);
+        return gateway_.frontend.parts.permits.waitInLine({.endpoints = engines,
+                                                           .attempt = permitHash(request_.id.value()),
+                                                           .request = permitRequestHash(request_),
+                                                           .isUrgent = rankOf(request_) == Rank::Urgent,
+                                                           .maxWait = std::min(left, request_.route->goal) / kMaxPermitWaitDivisor,
+                                                           .patience = started_ ? milliseconds(0) : left / kReturnDivisor},
+                                                          yield);
+    }
+
     /// Cancels the wait for an engine when this VM shuts down and the answer could not be completed in time. Another VM can
     /// serve the request.
     /// @return keeps the callback registered.
@@ -203,7 +277,7 @@
         workId_ = moved->workId;
         endpoint_ = moved->target;
         awaitsFirstEvent_ = true;
-        const auto end = runAtEndpoint(moved->memory, yield);
+        const auto end = hasPermitForMove(endpoint_.id, yield) ? runAtEndpoint(moved->memory, yield) : RunEnd::Failed;
         const bool isAtSource = moved->target.address == moved->memory.holder;
         if (end != RunEnd::Failed || deliveredInRun_ || callerLeft_ || isAtSource || !gateway_.mayResumeAt(source)) {
             return end;
@@ -211,7 +285,27 @@
         // The source has stopped the answer but still keeps its memory, so that the answer can resume there.
         endpoint_.address = moved->memory.holder;
         endpoint_.name.clear();
-        return runAtEndpoint(moved->memory, yield);
+        return hasPermitForMove(source, yield) ? runAtEndpoint(moved->memory, yield) : RunEnd::Failed;
+    }
+
+    /// @return whether a moved answer may be sent to an endpoint.
+    [[nodiscard]] bool hasPermitForMove(const EndpointId &endpoint, asio::yield_context yield)
+    {
+        auto &permits = gateway_.frontend.parts.permits;
+        if (!permits.acquire(permitFor(endpoint), yield)) {
+            return true;
+        }
+        const LineRequest line{.endpoints = {endpoint},
+                               .attempt = permitHash(workId_.value()),
+                               .request = permitHash(workId_.value()),
+                               .isUrgent = true,
+                               .maxWait = kMovedPermitWait};
+        const auto reply = permits.waitInLine(line, yield);
+        if (const auto *error = std::get_if<Error>(&reply)) {
+            failure_ = *error;
+            return false;
+        }
+        return !callerLeft_;
     }
 
     /// Sends the request to `endpoint_` and relays the response.
@@ -224,6 +318,7 @@
         provenNotRun_ = false;
         reader_ = SseReader();
         registerCancel();
+        sentAt_ = gateway_.now();
         const auto left = gateway_.timeUntil(request_.deadline);
         const EndpointOptions options{.endpointName = endpoint_.name,
                                       .timeLeft = left,
@@ -279,7 +374,7 @@
     RunEnd relay(asio::yield_context yield)
     {
         const auto head = gateway_.dialect.readEndpoint(exchange_->response());
-        gateway_.onEndpointHeaders(endpoint_.id, head);
+        gateway_.onEndpointHeaders(endpoint_.id, head, sentAt_);
         const bool isForOtherRequest = !head.attempt.empty() && head.attempt != request_.head.attempt;
         if (exchange_->response().result() != http::status::ok || isForOtherRequest || !head.isVerified) {
             return relayErrorResponse(head, isForOtherRequest, yield);
@@ -554,6 +649,7 @@
     std::optional<TimePoint> firstEventAt_;
     Duration longestGap_{};        ///< Longest time between two events of the answer, over all its runs.
     TimePoint lastEventOfRunAt_{}; ///< When the last complete event of this run arrived, or its header before any event.
+    TimePoint sentAt_{};           ///< When the request was sent to the engine of the current run.
     TimePoint moveStartedAt_{};    ///< When the last move was started.
     bool awaitsFirstEvent_ = true; ///< No event arrived since the answer began or was moved.
     bool deliveredInRun_ = false;  ///< An event of the current run was sent to the caller.
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -132,6 +132,7 @@
                      .dispatcher = control_.dispatcher(),
                      .peers = control_.peers(),
                      .records = records_,
+                     .permits = control_.permits(),
                      .metrics = control_.metrics(),
                      .clock = clock_,
                      .seed = randomSeed(),
@@ -144,7 +145,8 @@
             gateway->setLeavingHandler([this](const EndpointId &endpoint) { control_.onEndpointLeaving(endpoint); });
             control_.setLoadPollHandlers([gateway](const EndpointId &engine) { return !gateway->isInCooldown(engine); },
                                          [gateway](const EndpointId &engine, const LoadPoller::Response &response) {
-                                             gateway->onEndpointHeaders(engine, gateway->dialect.readEndpoint(response));
+                                             // Without the time of the request, the response can only state a limit or lower it.
+                                             gateway->onEndpointHeaders(engine, gateway->dialect.readEndpoint(response), TimePoint::min());
                                          });
             gateway->setContactAge([this] { return control_.monitor().view().contactAge; });
             control_.setVmHandler([gateway](std::size_t count) { gateway->setVms(count); });
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -29,6 +29,8 @@
     order @18 :Order;
     orderReply @19 :OrderReply;
     news @20 :News;
+    permitAsk @21 :PermitAsk;
+    permitReply @22 :PermitReply;
   }
 }
 
@@ -175,6 +177,34 @@
   documents @4 :List(DocumentVersion);
   leaving @5 :List(Text);         # Endpoints that said in an answer that they leave.
   cells @6 :List(CellDigest);     # Owned by the origin.
+  limits @7 :List(LimitStatement);
+}
+
+# A limit of requests a second that an endpoint stated for all VMs together.
+struct LimitStatement {
+  endpoint @0 :Text;
+  perSecond @1 :Float64;          # 0: it states none any more.
+  age @2 :Int64;                  # Since it was stated.
+}
+
+struct PermitAsk {
+  number @0 :UInt64;
+  vm @1 :Text;
+  attempt @2 :UInt64;
+  request @3 :UInt64;             # The same for all attempts of a request.
+  urgent @4 :Bool;
+  patience @5 :Int64;
+  statement @6 :LimitStatement;   # Names the endpoint.
+}
+
+struct PermitReply {
+  number @0 :UInt64;
+  granted @1 :Bool;               # The next four fields are set only if it is false.
+  retryAfter @2 :Int64;
+  placeKept @3 :Bool;
+  fullFor @4 :Int64;
+  pause @5 :Int64;
+  statement @6 :LimitStatement;   # Names the endpoint.
 }
 
 struct VmReport {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -35,6 +35,9 @@
 CAPNP_DECLARE_SCHEMA(ddea611008b880e6);
 CAPNP_DECLARE_SCHEMA(9de7118613a134d0);
 CAPNP_DECLARE_SCHEMA(b81435d6e66e9c9a);
+CAPNP_DECLARE_SCHEMA(d34958f5f6c2d3f7);
+CAPNP_DECLARE_SCHEMA(9361cac015d2008d);
+CAPNP_DECLARE_SCHEMA(a1aad34f185e3a0e);
 CAPNP_DECLARE_SCHEMA(de8a045f93327f80);
 CAPNP_DECLARE_SCHEMA(942410a7cc2c3ff7);
 CAPNP_DECLARE_SCHEMA(8928c9ee11996c27);
@@ -77,6 +80,8 @@
     ORDER,
     ORDER_REPLY,
     NEWS,
+    PERMIT_ASK,
+    PERMIT_REPLY,
   };
 
   struct _capnpPrivate {
@@ -350,7 +355,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b81435d6e66e9c9a, 1, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(b81435d6e66e9c9a, 1, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LimitStatement {
+  LimitStatement() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d34958f5f6c2d3f7, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitAsk {
+  PermitAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9361cac015d2008d, 5, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitReply {
+  PermitReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a1aad34f185e3a0e, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -564,6 +614,14 @@
   inline bool hasNews() const;
   inline  ::daisystream::wire::News::Reader getNews() const;
 
+  inline bool isPermitAsk() const;
+  inline bool hasPermitAsk() const;
+  inline  ::daisystream::wire::PermitAsk::Reader getPermitAsk() const;
+
+  inline bool isPermitReply() const;
+  inline bool hasPermitReply() const;
+  inline  ::daisystream::wire::PermitReply::Reader getPermitReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -753,6 +811,22 @@
   inline void adoptNews(::capnp::Orphan< ::daisystream::wire::News>&& value);
   inline ::capnp::Orphan< ::daisystream::wire::News> disownNews();
 
+  inline bool isPermitAsk();
+  inline bool hasPermitAsk();
+  inline  ::daisystream::wire::PermitAsk::Builder getPermitAsk();
+  inline void setPermitAsk( ::daisystream::wire::PermitAsk::Reader value);
+  inline  ::daisystream::wire::PermitAsk::Builder initPermitAsk();
+  inline void adoptPermitAsk(::capnp::Orphan< ::daisystream::wire::PermitAsk>&& value);
+  inline ::capnp::Orphan< ::daisystream::wire::PermitAsk> disownPermitAsk();
+
+  inline bool isPermitReply();
+  inline bool hasPermitReply();
+  inline  ::daisystream::wire::PermitReply::Builder getPermitReply();
+  inline void setPermitReply( ::daisystream::wire::PermitReply::Reader value);
+  inline  ::daisystream::wire::PermitReply::Builder initPermitReply();
+  inline void adoptPermitReply(::capnp::Orphan< ::daisystream::wire::PermitReply>&& value);
+  inline ::capnp::Orphan< ::daisystream::wire::PermitReply> disownPermitReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2665,6 +2739,9 @@
   inline bool hasCells() const;
   inline  ::capnp::List< ::daisystream::wire::CellDigest,  ::capnp::Kind::STRUCT>::Reader getCells() const;
 
+  inline bool hasLimits() const;
+  inline  ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2739,6 +2816,13 @@
   inline void adoptCells(::capnp::Orphan< ::capnp::List< ::daisystream::wire::CellDigest,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::CellDigest,  ::capnp::Kind::STRUCT>> disownCells();
 
+  inline bool hasLimits();
+  inline  ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Builder getLimits();
+  inline void setLimits( ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Builder initLimits(unsigned int size);
+  inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>> disownLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2766,9 +2850,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class VmReport::Reader {
+class LimitStatement::Reader {
 public:
-  typedef VmReport Reads;
+  typedef LimitStatement Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2783,19 +2867,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasVm() const;
-  inline  ::capnp::Text::Reader getVm() const;
-
-  inline bool hasReporter() const;
-  inline  ::capnp::Text::Reader getReporter() const;
-
-  inline  ::uint8_t getKind() const;
-
-  inline  ::uint64_t getIncarnation() const;
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
 
-  inline  ::uint64_t getSequence() const;
+  inline double getPerSecond() const;
 
-  inline bool getCutOff() const;
+  inline  ::int64_t getAge() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2809,9 +2886,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class VmReport::Builder {
+class LimitStatement::Builder {
 public:
-  typedef VmReport Builds;
+  typedef LimitStatement Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2825,31 +2902,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasVm();
-  inline  ::capnp::Text::Builder getVm();
-  inline void setVm( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVm(unsigned int size);
-  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVm();
-
-  inline bool hasReporter();
-  inline  ::capnp::Text::Builder getReporter();
-  inline void setReporter( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initReporter(unsigned int size);
-  inline void adoptReporter(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownReporter();
-
-  inline  ::uint8_t getKind();
-  inline void setKind( ::uint8_t value);
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
 
-  inline bool getCutOff();
-  inline void setCutOff(bool value);
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2861,9 +2925,9 @@
 };
 
 #if !CAPNP_LITE
-class VmReport::Pipeline {
+class LimitStatement::Pipeline {
 public:
-  typedef VmReport Pipelines;
+  typedef LimitStatement Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2877,9 +2941,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EndpointChanges::Reader {
+class PermitAsk::Reader {
 public:
-  typedef EndpointChanges Reads;
+  typedef PermitAsk Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2894,12 +2958,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getAfter() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline  ::uint64_t getUpTo() const;
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
 
-  inline bool hasChanges() const;
-  inline  ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+  inline  ::uint64_t getAttempt() const;
+
+  inline  ::uint64_t getRequest() const;
+
+  inline bool getUrgent() const;
+
+  inline  ::int64_t getPatience() const;
+
+  inline bool hasStatement() const;
+  inline  ::daisystream::wire::LimitStatement::Reader getStatement() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2913,9 +2986,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EndpointChanges::Builder {
+class PermitAsk::Builder {
 public:
-  typedef EndpointChanges Builds;
+  typedef PermitAsk Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2929,18 +3002,34 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getAfter();
-  inline void setAfter( ::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline  ::uint64_t getUpTo();
-  inline void setUpTo( ::uint64_t value);
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
 
-  inline bool hasChanges();
-  inline  ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
-  inline void setChanges( ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
-  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>> disownChanges();
+  inline  ::uint64_t getAttempt();
+  inline void setAttempt( ::uint64_t value);
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline bool getUrgent();
+  inline void setUrgent(bool value);
+
+  inline  ::int64_t getPatience();
+  inline void setPatience( ::int64_t value);
+
+  inline bool hasStatement();
+  inline  ::daisystream::wire::LimitStatement::Builder getStatement();
+  inline void setStatement( ::daisystream::wire::LimitStatement::Reader value);
+  inline  ::daisystream::wire::LimitStatement::Builder initStatement();
+  inline void adoptStatement(::capnp::Orphan< ::daisystream::wire::LimitStatement>&& value);
+  inline ::capnp::Orphan< ::daisystream::wire::LimitStatement> disownStatement();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2952,14 +3041,15 @@
 };
 
 #if !CAPNP_LITE
-class EndpointChanges::Pipeline {
+class PermitAsk::Pipeline {
 public:
-  typedef EndpointChanges Pipelines;
+  typedef PermitAsk Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::daisystream::wire::LimitStatement::Pipeline getStatement();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2968,9 +3058,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EndpointChange::Reader {
+class PermitReply::Reader {
 public:
-  typedef EndpointChange Reads;
+  typedef PermitReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2985,27 +3075,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
-
-  inline  ::uint64_t getRevision() const;
-
-  inline bool getRemoved() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline bool getGranted() const;
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline  ::int64_t getRetryAfter() const;
 
-  inline bool hasZone() const;
-  inline  ::capnp::Text::Reader getZone() const;
+  inline bool getPlaceKept() const;
 
-  inline  ::uint8_t getState() const;
+  inline  ::int64_t getFullFor() const;
 
-  inline  ::uint32_t getSlots() const;
+  inline  ::int64_t getPause() const;
 
-  inline  ::uint64_t getStartedAt() const;
+  inline bool hasStatement() const;
+  inline  ::daisystream::wire::LimitStatement::Reader getStatement() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3019,9 +3102,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EndpointChange::Builder {
+class PermitReply::Builder {
 public:
-  typedef EndpointChange Builds;
+  typedef PermitReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3035,48 +3118,30 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
-
-  inline bool getRemoved();
-  inline void setRemoved(bool value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline bool getGranted();
+  inline void setGranted(bool value);
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline  ::int64_t getRetryAfter();
+  inline void setRetryAfter( ::int64_t value);
 
-  inline bool hasZone();
-  inline  ::capnp::Text::Builder getZone();
-  inline void setZone( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+  inline bool getPlaceKept();
+  inline void setPlaceKept(bool value);
 
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
+  inline  ::int64_t getFullFor();
+  inline void setFullFor( ::int64_t value);
 
-  inline  ::uint32_t getSlots();
-  inline void setSlots( ::uint32_t value);
+  inline  ::int64_t getPause();
+  inline void setPause( ::int64_t value);
 
-  inline  ::uint64_t getStartedAt();
-  inline void setStartedAt( ::uint64_t value);
+  inline bool hasStatement();
+  inline  ::daisystream::wire::LimitStatement::Builder getStatement();
+  inline void setStatement( ::daisystream::wire::LimitStatement::Reader value);
+  inline  ::daisystream::wire::LimitStatement::Builder initStatement();
+  inline void adoptStatement(::capnp::Orphan< ::daisystream::wire::LimitStatement>&& value);
+  inline ::capnp::Orphan< ::daisystream::wire::LimitStatement> disownStatement();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3088,14 +3153,15 @@
 };
 
 #if !CAPNP_LITE
-class EndpointChange::Pipeline {
+class PermitReply::Pipeline {
 public:
-  typedef EndpointChange Pipelines;
+  typedef PermitReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::daisystream::wire::LimitStatement::Pipeline getStatement();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3104,9 +3170,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class DocumentVersion::Reader {
+class VmReport::Reader {
 public:
-  typedef DocumentVersion Reads;
+  typedef VmReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3121,9 +3187,19 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasVm() const;
+  inline  ::capnp::Text::Reader getVm() const;
+
+  inline bool hasReporter() const;
+  inline  ::capnp::Text::Reader getReporter() const;
+
   inline  ::uint8_t getKind() const;
 
-  inline  ::uint64_t getNumber() const;
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool getCutOff() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3137,9 +3213,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class DocumentVersion::Builder {
+class VmReport::Builder {
 public:
-  typedef DocumentVersion Builds;
+  typedef VmReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3153,11 +3229,31 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasVm();
+  inline  ::capnp::Text::Builder getVm();
+  inline void setVm( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVm(unsigned int size);
+  inline void adoptVm(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVm();
+
+  inline bool hasReporter();
+  inline  ::capnp::Text::Builder getReporter();
+  inline void setReporter( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReporter(unsigned int size);
+  inline void adoptReporter(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReporter();
+
   inline  ::uint8_t getKind();
   inline void setKind( ::uint8_t value);
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool getCutOff();
+  inline void setCutOff(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3169,9 +3265,9 @@
 };
 
 #if !CAPNP_LITE
-class DocumentVersion::Pipeline {
+class VmReport::Pipeline {
 public:
-  typedef DocumentVersion Pipelines;
+  typedef VmReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3185,9 +3281,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Header::Reader {
+class EndpointChanges::Reader {
 public:
-  typedef Header Reads;
+  typedef EndpointChanges Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3202,11 +3298,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline  ::uint64_t getAfter() const;
 
-  inline bool hasValue() const;
-  inline  ::capnp::Text::Reader getValue() const;
+  inline  ::uint64_t getUpTo() const;
+
+  inline bool hasChanges() const;
+  inline  ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3220,9 +3317,316 @@
   friend class ::capnp::Orphanage;
 };
 
-class Header::Builder {
+class EndpointChanges::Builder {
 public:
-  typedef Header Builds;
+  typedef EndpointChanges Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAfter();
+  inline void setAfter( ::uint64_t value);
+
+  inline  ::uint64_t getUpTo();
+  inline void setUpTo( ::uint64_t value);
+
+  inline bool hasChanges();
+  inline  ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
+  inline void setChanges( ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
+  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>> disownChanges();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointChanges::Pipeline {
+public:
+  typedef EndpointChanges Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EndpointChange::Reader {
+public:
+  typedef EndpointChange Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool getRemoved() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline  ::uint32_t getSlots() const;
+
+  inline  ::uint64_t getStartedAt() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndpointChange::Builder {
+public:
+  typedef EndpointChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline  ::uint64_t getStartedAt();
+  inline void setStartedAt( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointChange::Pipeline {
+public:
+  typedef EndpointChange Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class DocumentVersion::Reader {
+public:
+  typedef DocumentVersion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind() const;
+
+  inline  ::uint64_t getNumber() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DocumentVersion::Builder {
+public:
+  typedef DocumentVersion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint8_t getKind();
+  inline void setKind( ::uint8_t value);
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DocumentVersion::Pipeline {
+public:
+  typedef DocumentVersion Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Header::Reader {
+public:
+  typedef Header Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Header::Builder {
+public:
+  typedef Header Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4633,7 +5037,115 @@
 inline ::capnp::Orphan< ::daisystream::wire::News> Message::Builder::disownNews() {
   KJ_IREQUIRE((which() == Message::NEWS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::daisystream::wire::News>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::News>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isPermitAsk() const {
+  return which() == Message::PERMIT_ASK;
+}
+inline bool Message::Builder::isPermitAsk() {
+  return which() == Message::PERMIT_ASK;
+}
+inline bool Message::Reader::hasPermitAsk() const {
+  if (which() != Message::PERMIT_ASK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasPermitAsk() {
+  if (which() != Message::PERMIT_ASK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::daisystream::wire::PermitAsk::Reader Message::Reader::getPermitAsk() const {
+  KJ_IREQUIRE((which() == Message::PERMIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::PermitAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::daisystream::wire::PermitAsk::Builder Message::Builder::getPermitAsk() {
+  KJ_IREQUIRE((which() == Message::PERMIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::PermitAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setPermitAsk( ::daisystream::wire::PermitAsk::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PERMIT_ASK);
+  ::capnp::_::PointerHelpers< ::daisystream::wire::PermitAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::daisystream::wire::PermitAsk::Builder Message::Builder::initPermitAsk() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PERMIT_ASK);
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::PermitAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptPermitAsk(
+    ::capnp::Orphan< ::daisystream::wire::PermitAsk>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PERMIT_ASK);
+  ::capnp::_::PointerHelpers< ::daisystream::wire::PermitAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::daisystream::wire::PermitAsk> Message::Builder::disownPermitAsk() {
+  KJ_IREQUIRE((which() == Message::PERMIT_ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::PermitAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isPermitReply() const {
+  return which() == Message::PERMIT_REPLY;
+}
+inline bool Message::Builder::isPermitReply() {
+  return which() == Message::PERMIT_REPLY;
+}
+inline bool Message::Reader::hasPermitReply() const {
+  if (which() != Message::PERMIT_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasPermitReply() {
+  if (which() != Message::PERMIT_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::daisystream::wire::PermitReply::Reader Message::Reader::getPermitReply() const {
+  KJ_IREQUIRE((which() == Message::PERMIT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::PermitReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::daisystream::wire::PermitReply::Builder Message::Builder::getPermitReply() {
+  KJ_IREQUIRE((which() == Message::PERMIT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::PermitReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setPermitReply( ::daisystream::wire::PermitReply::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PERMIT_REPLY);
+  ::capnp::_::PointerHelpers< ::daisystream::wire::PermitReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::daisystream::wire::PermitReply::Builder Message::Builder::initPermitReply() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PERMIT_REPLY);
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::PermitReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptPermitReply(
+    ::capnp::Orphan< ::daisystream::wire::PermitReply>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::PERMIT_REPLY);
+  ::capnp::_::PointerHelpers< ::daisystream::wire::PermitReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::daisystream::wire::PermitReply> Message::Builder::disownPermitReply() {
+  KJ_IREQUIRE((which() == Message::PERMIT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::PermitReply>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -6929,6 +7441,368 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool News::Reader::hasLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool News::Builder::hasLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Reader News::Reader::getLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Builder News::Builder::getLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void News::Builder::setLimits( ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Builder News::Builder::initLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void News::Builder::adoptLimits(
+    ::capnp::Orphan< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>> News::Builder::disownLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool LimitStatement::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LimitStatement::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LimitStatement::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LimitStatement::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LimitStatement::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LimitStatement::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LimitStatement::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LimitStatement::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double LimitStatement::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double LimitStatement::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LimitStatement::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LimitStatement::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LimitStatement::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LimitStatement::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitAsk::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitAsk::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitAsk::Reader::hasVm() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitAsk::Builder::hasVm() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PermitAsk::Reader::getVm() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PermitAsk::Builder::getVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitAsk::Builder::setVm( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PermitAsk::Builder::initVm(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitAsk::Builder::adoptVm(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PermitAsk::Builder::disownVm() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PermitAsk::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitAsk::Builder::getAttempt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setAttempt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitAsk::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitAsk::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitAsk::Reader::getUrgent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitAsk::Builder::getUrgent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setUrgent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitAsk::Reader::getPatience() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitAsk::Builder::getPatience() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setPatience( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitAsk::Reader::hasStatement() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitAsk::Builder::hasStatement() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::daisystream::wire::LimitStatement::Reader PermitAsk::Reader::getStatement() const {
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::daisystream::wire::LimitStatement::Builder PermitAsk::Builder::getStatement() {
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::daisystream::wire::LimitStatement::Pipeline PermitAsk::Pipeline::getStatement() {
+  return  ::daisystream::wire::LimitStatement::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void PermitAsk::Builder::setStatement( ::daisystream::wire::LimitStatement::Reader value) {
+  ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::daisystream::wire::LimitStatement::Builder PermitAsk::Builder::initStatement() {
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PermitAsk::Builder::adoptStatement(
+    ::capnp::Orphan< ::daisystream::wire::LimitStatement>&& value) {
+  ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::daisystream::wire::LimitStatement> PermitAsk::Builder::disownStatement() {
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PermitReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitReply::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitReply::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitReply::Reader::getRetryAfter() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitReply::Builder::getRetryAfter() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setRetryAfter( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitReply::Reader::getPlaceKept() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitReply::Builder::getPlaceKept() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setPlaceKept(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitReply::Reader::getFullFor() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitReply::Builder::getFullFor() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setFullFor( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitReply::Reader::getPause() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitReply::Builder::getPause() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setPause( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitReply::Reader::hasStatement() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitReply::Builder::hasStatement() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::daisystream::wire::LimitStatement::Reader PermitReply::Reader::getStatement() const {
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::daisystream::wire::LimitStatement::Builder PermitReply::Builder::getStatement() {
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::daisystream::wire::LimitStatement::Pipeline PermitReply::Pipeline::getStatement() {
+  return  ::daisystream::wire::LimitStatement::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void PermitReply::Builder::setStatement( ::daisystream::wire::LimitStatement::Reader value) {
+  ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::daisystream::wire::LimitStatement::Builder PermitReply::Builder::initStatement() {
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitReply::Builder::adoptStatement(
+    ::capnp::Orphan< ::daisystream::wire::LimitStatement>&& value) {
+  ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::daisystream::wire::LimitStatement> PermitReply::Builder::disownStatement() {
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::LimitStatement>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool VmReport::Reader::hasVm() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -76,6 +76,13 @@
     return std::min(std::chrono::milliseconds(count), std::chrono::duration_cast<std::chrono::milliseconds>(kLongestDuration));
 }
 
+void write(wire::LimitStatement::Builder out, const LimitStatement &statement)
+{
+    out.setEndpoint(text(statement.endpoint.value()));
+    out.setPerSecond(statement.perSecond);
+    out.setAge(toMicroseconds(statement.age).count());
+}
+
 void write(wire::Work::Builder out, const CellId &cell, const WorkRequest &work, TimePoint now)
 {
     out.setCell(text(cell.value()));
@@ -468,6 +475,38 @@
             leaving.set(i, text(message.leaving[i].value()));
         }
         writeCells(out.initCells(static_cast<unsigned>(message.cells.size())), message.cells);
+        auto limits = out.initLimits(static_cast<unsigned>(message.limits.size()));
+        for (unsigned i = 0; i < message.limits.size(); ++i) {
+            write(limits[i], message.limits[i]);
+        }
+    }
+
+    void operator()(const PermitAskMessage &message)
+    {
+        auto out = root_.initPermitAsk();
+        const auto &request = message.ask.request;
+        out.setNumber(message.ask.number);
+        out.setVm(text(request.vm.value()));
+        out.setAttempt(request.attempt);
+        out.setRequest(request.request);
+        out.setUrgent(request.isUrgent);
+        out.setPatience(toMicroseconds(request.patience).count());
+        write(out.initStatement(), message.ask.statement);
+    }
+
+    void operator()(const PermitReplyMessage &message)
+    {
+        auto out = root_.initPermitReply();
+        out.setNumber(message.reply.number);
+        write(out.initStatement(), message.reply.statement);
+        const auto *denied = std::get_if<PermitDenied>(&message.reply.outcome);
+        out.setGranted(denied == nullptr);
+        if (denied != nullptr) {
+            out.setRetryAfter(toMicroseconds(denied->retryAfter).count());
+            out.setPlaceKept(denied->isPlaceKept);
+            out.setFullFor(toMicroseconds(denied->fullFor).count());
+            out.setPause(toMicroseconds(denied->pause).count());
+        }
     }
 
     void operator()(const OrderReplyMessage &message)
@@ -580,6 +619,12 @@
     return kind;
 }
 
+LimitStatement read(wire::LimitStatement::Reader in)
+{
+    KJ_REQUIRE(in.getPerSecond() >= 0 && in.getPerSecond() < 1e12, "request limit out of range");
+    return {.endpoint = EndpointId(string(in.getEndpoint())), .perSecond = in.getPerSecond(), .age = readDuration(in.getAge())};
+}
+
 NewsMessage read(wire::News::Reader in)
 {
     NewsMessage message{.origin = VmId(string(in.getOrigin())), .relay = in.getRelay()};
@@ -601,9 +646,37 @@
         message.leaving.emplace_back(string(endpoint));
     }
     message.cells = readCells(in.getCells());
+    for (const auto statement : in.getLimits()) {
+        message.limits.push_back(read(statement));
+    }
     return message;
 }
 
+PermitAskMessage read(wire::PermitAsk::Reader in)
+{
+    auto statement = read(in.getStatement());
+    PermitRequest request{.endpoint = statement.endpoint,
+                          .vm = VmId(string(in.getVm())),
+                          .attempt = in.getAttempt(),
+                          .request = in.getRequest(),
+                          .isUrgent = in.getUrgent(),
+                          .patience = readDuration(in.getPatience())};
+    return {.ask = {.number = in.getNumber(), .request = std::move(request), .statement = std::move(statement)}};
+}
+
+PermitReplyMessage read(wire::PermitReply::Reader in)
+{
+    PermitReply reply{.number = in.getNumber(), .endpoint = {}, .outcome = PermitGranted{}, .statement = read(in.getStatement())};
+    reply.endpoint = reply.statement.endpoint;
+    if (!in.getGranted()) {
+        reply.outcome = PermitDenied{.retryAfter = readDuration(in.getRetryAfter()),
+                                     .isPlaceKept = in.getPlaceKept(),
+                                     .fullFor = readDuration(in.getFullFor()),
+                                     .pause = readDuration(in.getPause())};
+    }
+    return {.reply = std::move(reply)};
+}
+
 DocumentMessage read(wire::Document::Reader in)
 {
     DocumentMessage message{.kind = readKind(in.getKind()), .number = in.getNumber(), .changeId = string(in.getChangeId()), .text = string(in.getText())};
@@ -680,6 +753,10 @@
         return read(in.getOrderReply());
     case wire::Message::NEWS:
         return read(in.getNews());
+    case wire::Message::PERMIT_ASK:
+        return read(in.getPermitAsk());
+    case wire::Message::PERMIT_REPLY:
+        return read(in.getPermitReply());
     }
     kj::throwFatalException(KJ_EXCEPTION(FAILED, "unknown kind of message"));
 }
@@ -689,8 +766,8 @@
 const char *kindOf(const PeerMessage &message)
 {
     static constexpr std::array<const char *, std::variant_size_v<PeerMessage>> kNames{
-        "hello",  "heartbeat",  "ack",      "ping", "documentRequest", "document",     "ask",        "queued", "assign",     "refuse", "withdraw",
-        "cancel", "firstToken", "progress", "done", "resync",          "shareRequest", "shareGrant", "order",  "orderReply", "news",
+        "hello",      "heartbeat", "ack",  "ping",   "documentRequest", "document",   "ask",   "queued",     "assign", "refuse",    "withdraw",    "cancel",
+        "firstToken", "progress",  "done", "resync", "shareRequest",    "shareGrant", "order", "orderReply", "news",   "permitAsk", "permitReply",
     };
     return kNames[message.index()];
 }
--- a/daemon/peers/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -3,6 +3,7 @@
 #include "daemon/peers/orderforwarding.h"
 #include "daisystream/cell/cellmap.h"
 #include "daisystream/endpoint/endpointdirectory.h"
+#include "daisystream/limits/endpointpermits.h"
 #include "daisystream/membership/fleetring.h"
 #include "daisystream/scheduler/scheduler.h"
 
@@ -28,7 +29,7 @@
 {
 
 /// Both ends of a connection must speak the same version.
-constexpr std::uint32_t kPeerProtocolVersion = 3;
+constexpr std::uint32_t kPeerProtocolVersion = 4;
 
 /// A longer message closes the connection. A whole list of 1,300 teams takes less than 1 MiB.
 constexpr std::uint32_t kMaxPeerMessageBytes = 16U << 20U;
@@ -280,10 +281,25 @@
     std::vector<DocumentVersion> documents{};
     std::vector<EndpointId> leaving{}; ///< Endpoints that said in an answer that they leave.
     std::vector<CellDigest> cells{};   ///< Owned by the origin.
+    std::vector<LimitStatement> limits{};
 
     friend auto operator<=>(const NewsMessage &, const NewsMessage &) = default;
 };
 
+struct PermitAskMessage
+{
+    PermitAsk ask;
+
+    friend auto operator<=>(const PermitAskMessage &, const PermitAskMessage &) = default;
+};
+
+struct PermitReplyMessage
+{
+    PermitReply reply;
+
+    friend auto operator<=>(const PermitReplyMessage &, const PermitReplyMessage &) = default;
+};
+
 using PeerMessage = std::variant<HelloMessage,
                                  HeartbeatMessage,
                                  AckMessage,
@@ -304,7 +320,9 @@
                                  ShareGrantMessage,
                                  OrderMessage,
                                  OrderReplyMessage,
-                                 NewsMessage>;
+                                 NewsMessage,
+                                 PermitAskMessage,
+                                 PermitReplyMessage>;
 
 /// @return the name of the message's kind, as in the schema.
 [[nodiscard]] const char *kindOf(const PeerMessage &message);
--- a/daemon/peers/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -86,7 +86,22 @@
                                                              {.name = "e2", .entry = {}, .revision = 9}}},
                     .documents = {{.kind = 4, .number = 12}},
                     .leaving = {EndpointId("e3")},
-                    .cells = {{cell, 1, 2, 3}}},
+                    .cells = {{cell, 1, 2, 3}},
+                    .limits = {{.endpoint = EndpointId("e4"), .perSecond = 3.7, .age = std::chrono::milliseconds(30)}}},
+        PermitAskMessage{
+            {.number = 5,
+             .request
+             = {.endpoint = EndpointId("e4"), .vm = VmId("vm2"), .attempt = 6, .request = 7, .isUrgent = true, .patience = std::chrono::milliseconds(1300)},
+             .statement = {.endpoint = EndpointId("e4"), .perSecond = 3.7, .age = std::chrono::milliseconds(30)}}},
+        PermitReplyMessage{
+            {.number = 5, .endpoint = EndpointId("e4"), .outcome = PermitGranted{}, .statement = {.endpoint = EndpointId("e4"), .perSecond = 1, .age = {}}}},
+        PermitReplyMessage{{.number = 6,
+                            .endpoint = EndpointId("e4"),
+                            .outcome = PermitDenied{.retryAfter = std::chrono::milliseconds(250),
+                                                    .isPlaceKept = true,
+                                                    .fullFor = std::chrono::milliseconds(20),
+                                                    .pause = std::chrono::milliseconds(10)},
+                            .statement = {.endpoint = EndpointId("e4"), .perSecond = 0, .age = {}}}},
         NewsMessage{.origin = VmId("vm1")},
     };
 }
--- a/schedules/main.cpp
+++ b/schedules/main.cpp
@@ -22,6 +22,9 @@
     for (Property &property : fleetProperties()) {
         properties.push_back(std::move(property));
     }
+    for (Property &property : limitProperties()) {
+        properties.push_back(std::move(property));
+    }
     return properties;
 }
 
--- a/schedules/properties.h
+++ b/schedules/properties.h
@@ -4,6 +4,7 @@
 #include "daisystream/answer/state.h"
 #include "daisystream/balancing/endpointcooldowns.h"
 #include "daisystream/lease/leaseholder.h"
+#include "daisystream/limits/endpointpermits.h"
 #include "daisystream/lists/endpointstates.h"
 #include "daisystream/lists/freshness.h"
 #include "daisystream/lists/listedit.h"
@@ -44,6 +45,7 @@
     internal::LeaseFaults lease;
     internal::EndpointCooldownFaults rests;
     internal::FleetRingFaults ring;
+    internal::EndpointPermitFaults permits;
 };
 
 struct Mutation
@@ -67,6 +69,9 @@
 [[nodiscard]] Property leasesProperty();
 [[nodiscard]] Property restsProperty();
 
+/// Requests to endpoints that state limits for all VMs together, at several sizes of the fleet.
+[[nodiscard]] std::vector<Property> limitProperties();
+
 /// Who is live in large fleets, and how fast they learn of changes.
 [[nodiscard]] std::vector<Property> fleetProperties();
 
