Keep to the request limits of endpoints in the own interface as well

Engines and services of the own interface state their limit in X-Requests-Per-Second; answers and orders obtain a permit like the calls of the platform's interface. What is refused says that it has not run and when to come back.

The handler of live VMs is now also called when it is set.

--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -997,7 +997,7 @@
     return found;
 }
 
-std::vector<EndpointSettings> CellDispatcher::engines(const ModelId &model) const
+std::vector<EndpointSettings> CellDispatcher::enginesFor(const ModelId &model) const
 {
     const std::lock_guard lock(d_->mutex);
     std::vector<EndpointSettings> found;
--- a/daemon/cells/celldispatcher.h
+++ b/daemon/cells/celldispatcher.h
@@ -50,11 +50,9 @@
     void onProgress(const RequestId &request, std::uint32_t tokens) override;
     void onFinished(const RequestId &request, std::uint32_t tokens, FinishReason reason) override;
     [[nodiscard]] std::vector<EndpointSettings> serviceEndpoints(const ServiceId &service) const override;
+    [[nodiscard]] std::vector<EndpointSettings> enginesFor(const ModelId &model) const override;
     [[nodiscard]] std::optional<EndpointSettings> findEndpoint(const EndpointId &endpoint) const override;
 
-    /// @return the engines of a model that are in service, which means that they accept new requests.
-    [[nodiscard]] std::vector<EndpointSettings> engines(const ModelId &model) const;
-
     /// @return whether the endpoint is known and accepts new requests.
     [[nodiscard]] bool isInService(const EndpointId &endpoint) const;
 
--- a/daemon/cells/dispatcher.h
+++ b/daemon/cells/dispatcher.h
@@ -71,6 +71,9 @@
     /// @return the instances of a plain (non-engine) service that accept new requests, in the order of the settings.
     [[nodiscard]] virtual std::vector<EndpointSettings> serviceEndpoints(const ServiceId &service) const = 0;
 
+    /// @return the engines of a model that accept new requests.
+    [[nodiscard]] virtual std::vector<EndpointSettings> enginesFor(const ModelId &model) const = 0;
+
     /// @return the settings of an endpoint, or nothing if it is unknown.
     [[nodiscard]] virtual std::optional<EndpointSettings> findEndpoint(const EndpointId &endpoint) const = 0;
 };
--- a/daemon/cells/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -885,7 +885,11 @@
 
 void VmMonitor::setLiveHandler(std::function<void(const std::vector<VmId> &)> handler)
 {
+    const std::lock_guard order(d_->viewMutex);
     d_->liveHandler = std::move(handler);
+    if (!d_->lastLive.empty()) {
+        d_->liveHandler(d_->lastLive);
+    }
 }
 
 void VmMonitor::setCutOffSource(std::function<bool()> source)
--- a/daemon/cells/vmmonitor.h
+++ b/daemon/cells/vmmonitor.h
@@ -89,7 +89,8 @@
     /// @param asOf time at which the data that the platform returned was in force.
     void onStoreContact(TimePoint asOf);
 
-    /// Sets the handler of changes of the live VMs, which include this one. Called without locks. Call it before `start`.
+    /// Sets the handler of the live VMs, which include this one. It is called at once and at each change, under the lock that
+    /// orders the changes only. Call it before `start`.
     void setLiveHandler(std::function<void(const std::vector<VmId> &)> handler);
 
     /// Sets the function that determines whether this VM is cut off from the platform. Call it before `start`.
--- a/daemon/endpoints/endpointclient.cpp
+++ b/daemon/endpoints/endpointclient.cpp
@@ -1,5 +1,8 @@
 #include "daemon/endpoints/endpointclient.h"
 
+#include "daemon/endpoints/requestlimitheader.h"
+#include "daisystream/limits/requestrate.h"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http.hpp>
@@ -187,6 +190,11 @@
         ResultCode::EndpointRefused, "endpoint " + endpoint_.id.value() + " answered with status " + std::to_string(parser_.get().result_int()), retryAfter};
 }
 
+std::optional<double> EndpointStream::requestsPerSecond() const
+{
+    return hasResponse() ? parseRequestRate(std::string(parser_.get()[kRequestLimitHeader])) : std::nullopt;
+}
+
 Result<std::vector<EngineEvent>> EndpointStream::read(asio::yield_context yield)
 {
     if (pendingError_) {
--- a/daemon/endpoints/endpointclient.h
+++ b/daemon/endpoints/endpointclient.h
@@ -92,6 +92,16 @@
         return provenNotRun_;
     }
 
+    /// @return true if the engine's response header was received, so that `requestsPerSecond` is what the engine states now.
+    [[nodiscard]] bool hasResponse() const
+    {
+        return parser_.is_header_done();
+    }
+
+    /// @return the limit in the `X-Requests-Per-Second` header of the response, for the requests of all VMs together; nothing if
+    ///     there is none.
+    [[nodiscard]] std::optional<double> requestsPerSecond() const;
+
     /// @return the id in the `X-Generation-Id` header of the response; empty if there is none.
     [[nodiscard]] const GenerationId &generation() const
     {
--- a/daemon/frontend/answerrelay.cpp
+++ b/daemon/frontend/answerrelay.cpp
@@ -1,11 +1,13 @@
 #include "daemon/frontend/answerrelay.h"
 
+#include "daemon/endpoints/permitclient.h"
 #include "daemon/status/decisionlog.h"
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace daisystream
@@ -19,6 +21,10 @@
 // A cancel that got no answer is repeated, so that an engine that was paused does not generate for nobody.
 constexpr unsigned kCancelAttempts = 6;
 constexpr auto kCancelPause = std::chrono::seconds(1);
+// A request waits for a permit for at most this part of the time that its plan promises for the first token.
+constexpr int kMaxPermitWaitDivisor = 4;
+// An unused permit must not add to those of a later time.
+constexpr auto kPermitLifetime = std::chrono::milliseconds(300);
 constexpr std::string_view kKeepAlive = ":\n\n";
 
 void sleepFor(std::chrono::milliseconds duration, asio::yield_context yield)
@@ -69,6 +75,7 @@
     [[nodiscard]] std::optional<Error> attemptAt(const Assign &assign, const CompletionRequest &completion, asio::yield_context yield);
     void startEncoder(bool chat, const ModelId &model);
     void registerCancel();
+    [[nodiscard]] Result<Assign> askWithinLimits(const WorkRequest &work, std::uint64_t request, asio::yield_context yield);
     void refuse(const Error &error, asio::yield_context yield);
 
     [[nodiscard]] std::optional<Error> follow(asio::yield_context yield);
@@ -149,7 +156,7 @@
     const auto work = workOf(completion);
     context_.countRequest(grant_.team);
     for (;;) {
-        const auto reply = askFor(dispatcher_, work, yield);
+        const auto reply = askWithinLimits(work, permitHash(grant_.team.value() + '\n' + completion.engineBody), yield);
         if (const auto *refusal = std::get_if<Error>(&reply)) {
             refuse(*refusal, yield);
             return;
@@ -166,6 +173,50 @@
     }
 }
 
+/// Asks for an engine that takes the request within its request limit.
+/// @param request as PermitRequest::request.
+Result<Assign> AnswerRelay::Private::askWithinLimits(const WorkRequest &work, std::uint64_t request, asio::yield_context yield)
+{
+    auto &permits = context_.parts.permits;
+    const bool isUrgent = work.rank == Rank::Urgent;
+    const auto attempt = permitHash(work.id.value());
+    std::vector<EndpointId> denied; // Engines of which this request got no permit.
+    for (;;) {
+        auto wanted = work;
+        wanted.barred = denied;
+        LineRequest line{.endpoints = {}, .attempt = attempt, .request = request, .isUrgent = isUrgent};
+        line.maxWait = grant_.plan.firstToken / kMaxPermitWaitDivisor;
+        line.patience = grant_.plan.firstToken;
+        const auto engines = dispatcher_.enginesFor(work.model);
+        for (const auto &engine : engines) {
+            const bool isDenied = std::find(denied.begin(), denied.end(), engine.id) != denied.end();
+            if (isDenied || permits.isFull(engine.id, isUrgent)) {
+                line.endpoints.push_back(engine.id);
+            }
+        }
+        std::optional<EndpointId> permitted;
+        if (!engines.empty() && line.endpoints.size() == engines.size()) {
+            const auto reply = permits.waitInLine(line, yield);
+            if (const auto *error = std::get_if<Error>(&reply)) {
+                return *error;
+            }
+            permitted = std::get<EndpointId>(reply);
+            wanted.barred = line.endpoints;
+            std::erase(wanted.barred, *permitted);
+        }
+        const auto askedAt = context_.parts.clock.now();
+        auto reply = askFor(dispatcher_, wanted, yield);
+        const auto *assign = std::get_if<Assign>(&reply);
+        const bool holdsPermit = assign != nullptr && permitted == assign->endpoint && context_.parts.clock.now() - askedAt <= kPermitLifetime;
+        if (assign == nullptr || holdsPermit
+            || !permits.acquire({.endpoint = assign->endpoint, .attempt = attempt, .request = request, .isUrgent = isUrgent}, yield)) {
+            return reply;
+        }
+        dispatcher_.onFinished(request_, 0, FinishReason::MovedAway);
+        denied.push_back(assign->endpoint);
+    }
+}
+
 void AnswerRelay::Private::refuse(const Error &error, asio::yield_context yield)
 {
     const auto state = state_.finish();
@@ -217,7 +268,11 @@
         .attempt = RequestId(request_.value() + "." + std::to_string(attempt_)), .priority = assign.priority, .reader = reader_, .body = completion.engineBody};
     stream_ = std::make_shared<EndpointStream>(connection_.executor(), endpoint_, context_.options);
     registerCancel();
+    const auto sentAt = context_.parts.clock.now();
     auto failure = stream_->start(call, yield);
+    if (stream_->hasResponse()) {
+        context_.parts.permits.onAnswer(endpoint_.id, stream_->requestsPerSecond(), !failure, sentAt);
+    }
     if (stream_->bytesSent()) {
         state_.onRequestBytesSent(attempt_);
     }
--- a/daemon/frontend/frontendfixture_test.h
+++ b/daemon/frontend/frontendfixture_test.h
@@ -102,6 +102,10 @@
     {
         return services;
     }
+    [[nodiscard]] std::vector<EndpointSettings> enginesFor(const ModelId & /*model*/) const override
+    {
+        return engines;
+    }
     [[nodiscard]] std::optional<EndpointSettings> findEndpoint(const EndpointId &endpoint) const override
     {
         for (const auto &engine : engines) {
--- a/daemon/frontend/orderrouter.cpp
+++ b/daemon/frontend/orderrouter.cpp
@@ -1,9 +1,12 @@
 #include "daemon/frontend/orderrouter.h"
 
+#include "daemon/endpoints/permitclient.h"
+#include "daemon/endpoints/requestlimitheader.h"
 #include "daemon/endpoints/serviceclient.h"
 #include "daemon/frontend/httprouter.h"
 #include "daemon/status/decisionlog.h"
 #include "daisystream/base/base64.h"
+#include "daisystream/limits/requestrate.h"
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
@@ -28,6 +31,10 @@
 constexpr std::size_t kMaxKeyBytes = 128;
 constexpr auto kInProgressRetry = std::chrono::seconds(1);
 constexpr auto kPlatformRetry = std::chrono::seconds(5);
+// How long an order waits for a permit of an instance whose request limit is used up, and for how long a permit is kept for a
+// caller that comes back.
+constexpr auto kMaxPermitWait = std::chrono::milliseconds(250);
+constexpr auto kReturnTime = std::chrono::seconds(5);
 // The outcome of an order is written until the platform takes it: 12 attempts with doubling pauses up to 32 s are about
 // four minutes.
 constexpr unsigned kRecordAttempts = 12;
@@ -290,8 +297,35 @@
         first = nextInstance_++;
     }
     Error error{ResultCode::NoEndpoint, "no instance of the service is in service", std::chrono::seconds(1)};
-    for (std::size_t i = 0; i < instances.size(); ++i) {
-        const auto &instance = instances[(first + i) % instances.size()];
+    auto &permits = context_.parts.permits;
+    LineRequest line{.endpoints = {},
+                     .attempt = permitHash(context_.newRequestId().value()),
+                     .request = permitHash(team.value() + '\n' + std::string(request.target()) + '\n' + request.body())};
+    line.maxWait = kMaxPermitWait;
+    line.patience = kReturnTime;
+    // Instances whose request limit is used up come last, by a place in the line.
+    for (std::size_t i = 0; i <= instances.size(); ++i) {
+        std::optional<EndpointSettings> chosen;
+        if (i < instances.size()) {
+            const auto &instance = instances[(first + i) % instances.size()];
+            const PermitRequest permit{.endpoint = instance.id, .attempt = line.attempt, .request = line.request};
+            if (permits.isFull(instance.id, false) || permits.acquire(permit, yield)) {
+                line.endpoints.push_back(instance.id);
+                continue;
+            }
+            chosen = instance;
+        } else if (!line.endpoints.empty()) {
+            const auto reply = permits.waitInLine(line, yield);
+            if (const auto *full = std::get_if<Error>(&reply)) {
+                error = *full;
+                break;
+            }
+            chosen = context_.parts.dispatcher.findEndpoint(std::get<EndpointId>(reply));
+        }
+        if (!chosen) {
+            break;
+        }
+        const auto &instance = *chosen;
         DecisionLine("order")
             .field("request", context_.newRequestId().value())
             .field("team", team.value())
@@ -299,8 +333,10 @@
             .field("choice", instance.id.value())
             .field("reason", i == 0 ? "rotation" : "unreachable_before_a_byte")
             .write();
+        const auto sentAt = context_.parts.clock.now();
         auto result = callService(instance, cleaned(request), context_.options, yield);
         if (result.response) {
+            permits.onAnswer(instance.id, parseRequestRate(std::string((*result.response)[kRequestLimitHeader])), true, sentAt);
             const bool refused = (*result.response)[kOrderStateHeader] == toString(FinalState::NotRun);
             OrderDone done{.status = static_cast<std::uint16_t>(result.response->result_int()),
                            .contentType = std::string((*result.response)[http::field::content_type]),
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -135,14 +135,14 @@
                 .lengthClass = request_.route->name.value(),
                 .mayRepeat = kind_.resumable,
                 .avoids = lastFailedEngine_,
-                .barred = gateway_.unavailable(gateway_.dispatcher.engines(ModelId(request_.service.value())), rankOf(request_) == Rank::Urgent),
+                .barred = gateway_.unavailable(gateway_.dispatcher.enginesFor(ModelId(request_.service.value())), rankOf(request_) == Rank::Urgent),
                 .mayMove = kind_.resumable};
     }
 
     /// Requests an engine and relays the answer from it, and from the engines that the answer is moved to.
     RunEnd runOnce(asio::yield_context yield)
     {
-        if (const auto rest = gateway_.timeUntilAvailable(gateway_.dispatcher.engines(ModelId(request_.service.value())))) {
+        if (const auto rest = gateway_.timeUntilAvailable(gateway_.dispatcher.enginesFor(ModelId(request_.service.value())))) {
             failure_ = {ResultCode::EndpointRefused, "every engine asked this VM to send nothing for a time", *rest};
             refused_ = true;
             return RunEnd::Complete;
@@ -221,7 +221,7 @@
     [[nodiscard]] std::optional<std::vector<EndpointId>> limitedEngines(const std::vector<EndpointId> &barred) const
     {
         std::vector<EndpointId> limited;
-        for (const auto &engine : gateway_.dispatcher.engines(ModelId(request_.service.value()))) {
+        for (const auto &engine : gateway_.dispatcher.enginesFor(ModelId(request_.service.value()))) {
             if (std::find(barred.begin(), barred.end(), engine.id) == barred.end()) {
                 return std::nullopt;
             }
--- a/standins/engine/engineserver.cpp
+++ b/standins/engine/engineserver.cpp
@@ -297,6 +297,9 @@
     http::response<http::empty_body> head(http::status::ok, 11);
     head.set(http::field::content_type, "text/event-stream");
     head.set("X-Generation-Id", nameOf(generation->number));
+    if (fault_.faults.requestsPerSecond > 0) {
+        head.set("X-Requests-Per-Second", std::to_string(fault_.faults.requestsPerSecond));
+    }
     if (!generation->requestId.empty() && request.method() == http::verb::post) {
         head.set("X-Request-Id", generation->requestId);
     }
@@ -419,6 +422,7 @@
                  .silentStreams = wanted.value("silentStreams", false),
                  .refuse = wanted.value("refuse", false),
                  .hangStart = wanted.value("hangStart", false),
+                 .requestsPerSecond = wanted.value("requestsPerSecond", 0.0),
                  .malformedEvery = wanted.value("malformedEvery", 0U),
                  .duplicateEvery = wanted.value("duplicateEvery", 0U),
                  .reorderEvery = wanted.value("reorderEvery", 0U),
--- a/standins/engine/engineserver.h
+++ b/standins/engine/engineserver.h
@@ -37,6 +37,7 @@
     bool silentStreams = false;       ///< Switching it on silences the streams that are open now; new ones work.
     bool refuse = false;              ///< New work gets 503.
     bool hangStart = false;           ///< New work gets no answer, not even a header.
+    double requestsPerSecond = 0;     ///< States this limit for new work of all callers together, without enforcing it.
     std::uint32_t malformedEvery = 0; ///< The event is cut to a half.
     std::uint32_t duplicateEvery = 0; ///< The event is sent twice.
     std::uint32_t reorderEvery = 0;   ///< The event is sent after its successor.
--- a/standins/service/serviceserver.cpp
+++ b/standins/service/serviceserver.cpp
@@ -66,7 +66,8 @@
             setFaults({.hangs = wanted.value("hangs", 0U),
                        .loseReplies = wanted.value("loseReplies", 0U),
                        .refusals = wanted.value("refusals", 0U),
-                       .drops = wanted.value("drops", 0U)});
+                       .drops = wanted.value("drops", 0U),
+                       .requestsPerSecond = wanted.value("requestsPerSecond", 0.0)});
             return sendJson(stream, request, 200, "{}", yield);
         }
         if (request.method() == http::verb::get) {
@@ -103,7 +104,24 @@
             asio::steady_timer timer(yield.get_executor(), kHang);
             timer.async_wait(yield[ignored]);
         }
-        return !hang && !lose && sendJson(stream, request, 201, json{{"order", name}, {"count", count}}.dump(), yield);
+        return !hang && !lose && sendResult(stream, request, json{{"order", name}, {"count", count}}.dump(), yield);
+    }
+
+    bool sendResult(beast::tcp_stream &stream, const StandInRequest &request, const std::string &body, asio::yield_context yield)
+    {
+        http::response<http::string_body> response(http::status::created, request.version(), body);
+        response.set(http::field::content_type, "application/json");
+        {
+            const std::lock_guard lock(mutex_);
+            if (faults_.requestsPerSecond > 0) {
+                response.set("X-Requests-Per-Second", std::to_string(faults_.requestsPerSecond));
+            }
+        }
+        response.keep_alive(request.keep_alive());
+        response.prepare_payload();
+        boost::system::error_code error;
+        http::async_write(stream, response, yield[error]);
+        return !error;
     }
 
     [[nodiscard]] std::map<std::string, unsigned> counts() const
--- a/standins/service/serviceserver.h
+++ b/standins/service/serviceserver.h
@@ -31,6 +31,8 @@
     unsigned loseReplies = 0; ///< Run the order, then close the connection.
     unsigned refusals = 0;    ///< Answer 503 with the proof that the order was not run.
     unsigned drops = 0;       ///< Close the connection before the order runs.
+    /// Not a number of orders: states this limit for the orders of all callers together, without enforcing it.
+    double requestsPerSecond = 0;
 };
 
 /// The service. Thread-safe.
