Do not take the limit in an answer that waited for the endpoint's newest one

A limit that is not lower than the known one is now dated with the sending of its request, the earliest moment at which it can have been stated.

--- a/daisystream/limits/requestlimits.cpp
+++ b/daisystream/limits/requestlimits.cpp
@@ -23,10 +23,11 @@
     const double before = known.perSecond;
     const bool isLimitNow = before > 0;
     const bool isNewer = sentAt >= known.statedAt;
-    if (perSecond && (isNewer || !isLimitNow || *perSecond <= before)) {
+    if (perSecond && (!isLimitNow || *perSecond < before)) {
         known = {.perSecond = *perSecond, .statedAt = now};
-    } else if (!perSecond && isLimitNow && isNewer && !faults_.neverLifted) {
-        known = {.perSecond = 0, .statedAt = now};
+    } else if (isNewer && (perSecond || !faults_.neverLifted)) {
+        // The answer may have waited, for example while this VM was frozen, and is not newer than its request for certain.
+        known = {.perSecond = perSecond.value_or(0), .statedAt = sentAt};
     }
     return known.perSecond != before;
 }
--- a/daisystream/limits/requestlimits.h
+++ b/daisystream/limits/requestlimits.h
@@ -11,8 +11,8 @@
 /// The request limits that endpoints state in their answers, as one VM knows them from its own answers and from other VMs.
 ///
 /// A limit binds the requests of all VMs together. It holds until the endpoint states another one or answers without one. Answers
-/// overtake each other, so that a limit is only raised or lifted by the answer to a request that was sent after the limit was
-/// last stated; a lower one holds at once.
+/// overtake each other, and a VM that was frozen reads old ones, so that a limit is only raised or lifted by the answer to a request
+/// that was sent after the limit was last stated; a lower one holds at once.
 ///
 /// Example:
 /// @code
--- a/schedules/limits.cpp
+++ b/schedules/limits.cpp
@@ -380,7 +380,7 @@
         for (std::size_t index = 0; index < endpoints_.size(); ++index) {
             const auto &endpoint = endpoints_[index];
             const bool isIssuer = rendezvousOwner("permits/" + endpoint.id.value(), names_) == names_[frozen];
-            if (!isIssuer || endpoint.limit < kMinCheckedRate || length < kMinFreeze || !isCalm() || endpoint.statedAt == TimePoint()) {
+            if (!isIssuer || endpoint.limit < kMinCheckedRate || length < kMinFreeze || !isCalm() || !areLimitsKnown()) {
                 continue;
             }
             const auto begin = queue_.now();
