--- a/daemon/endpoints/permitclient.cpp
+++ b/daemon/endpoints/permitclient.cpp
@@ -264,6 +264,11 @@
     return d_->locked([&](TimePoint now) { return d_->permits.isFull(endpoint, isUrgent, now); });
 }
 
+std::vector<EndpointId> PermitClient::fullEndpoints(bool isUrgent) const
+{
+    return d_->locked([&](TimePoint now) { return d_->permits.fullEndpoints(isUrgent, now); });
+}
+
 std::optional<PermitDenied> PermitClient::acquire(const PermitRequest &request, asio::yield_context yield)
 {
     if (!limit(request.endpoint)) {
--- a/daemon/endpoints/permitclient.h
+++ b/daemon/endpoints/permitclient.h
@@ -85,6 +85,9 @@
     /// @return whether a request would get no permit at once, as far as this VM knows without asking.
     [[nodiscard]] bool isFull(const EndpointId &endpoint, bool isUrgent) const;
 
+    /// @return the endpoints for which isFull() is true, sorted by id.
+    [[nodiscard]] std::vector<EndpointId> fullEndpoints(bool isUrgent) const;
+
     /// Obtains a permit. Suspends the calling coroutine if the issuer is another VM.
     /// @return nothing if the request may be sent now; else until when it may not.
     [[nodiscard]] std::optional<PermitDenied> acquire(const PermitRequest &request, boost::asio::yield_context yield);
--- a/daemon/gateway/answermove.cpp
+++ b/daemon/gateway/answermove.cpp
@@ -128,7 +128,7 @@
 std::optional<EndpointSettings> AnswerMove::findTarget(asio::yield_context yield)
 {
     plan_.work.id = gateway_.frontend.newRequestId();
-    plan_.work.barred = gateway_.unavailable(gateway_.dispatcher.enginesFor(plan_.work.model), plan_.work.rank == Rank::Urgent);
+    plan_.work.barred = gateway_.unavailable(plan_.work.rank == Rank::Urgent);
     const auto answer = requester_.ask(plan_.work, plan_.deadline, yield);
     const auto *assign = std::get_if<Assign>(&answer);
     if (assign == nullptr) {
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -245,6 +245,7 @@
         gateway_.startLine("give_up", request_)
             .field("reason", toString(error.code))
             .field("not_run", state_.failureOutcome() == FailureOutcome::NotRun ? "true" : "false")
+            .field("retry_ms", error.retryAfter ? std::to_string(error.retryAfter->count()) : "")
             .field("detail", error.detail)
             .write();
         connection_.write(gatewayReply(gateway_.dialect, error, state_.failureOutcome()), yield);
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -3,6 +3,7 @@
 #include "daemon/endpoints/permitclient.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace daisystream
 {
@@ -188,9 +189,9 @@
     const auto endpoints = dispatcher.serviceEndpoints(service);
     std::vector<ServiceCandidate> candidates;
     candidates.reserve(endpoints.size());
-    const auto excluded = unavailable(endpoints, isUrgent);
+    const auto excluded = unavailable(isUrgent);
     for (const auto &endpoint : endpoints) {
-        if (std::find(excluded.begin(), excluded.end(), endpoint.id) != excluded.end()) {
+        if (std::binary_search(excluded.begin(), excluded.end(), endpoint.id)) {
             continue;
         }
         candidates.push_back({.id = endpoint.id, .slots = endpoint.slots, .isNear = endpoint.zone == zone_, .isCold = endpoint.isCold});
@@ -277,15 +278,13 @@
     return cooldowns_.endpointsInCooldown(at);
 }
 
-std::vector<EndpointId> GatewayContext::unavailable(const std::vector<EndpointSettings> &endpoints, bool isUrgent)
+std::vector<EndpointId> GatewayContext::unavailable(bool isUrgent)
 {
-    auto found = endpointsInCooldown();
-    for (const auto &endpoint : endpoints) {
-        if (frontend.parts.permits.isFull(endpoint.id, isUrgent) && std::find(found.begin(), found.end(), endpoint.id) == found.end()) {
-            found.push_back(endpoint.id);
-        }
-    }
-    return found;
+    const auto inCooldown = endpointsInCooldown();
+    const auto full = frontend.parts.permits.fullEndpoints(isUrgent);
+    std::vector<EndpointId> all;
+    std::set_union(inCooldown.begin(), inCooldown.end(), full.begin(), full.end(), std::back_inserter(all));
+    return all;
 }
 
 std::optional<std::chrono::milliseconds> GatewayContext::timeUntilAvailable(const std::vector<EndpointSettings> &endpoints)
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -148,8 +148,9 @@
     /// @return all endpoints for which `isInCooldown` is true, sorted by id.
     [[nodiscard]] std::vector<EndpointId> endpointsInCooldown();
 
-    /// @return those of the endpoints that take no request of this VM now: they are in cooldown, or their request limit is used up.
-    [[nodiscard]] std::vector<EndpointId> unavailable(const std::vector<EndpointSettings> &endpoints, bool isUrgent);
+    /// @return the endpoints that take no request of this VM now, because they are in cooldown or their request limit is used up;
+    ///     sorted by id.
+    [[nodiscard]] std::vector<EndpointId> unavailable(bool isUrgent);
 
     /// @return the time until the first of `endpoints` accepts requests from this VM again; nothing if one of them does now or
     ///     if `endpoints` is empty.
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -135,7 +135,7 @@
                 .lengthClass = request_.route->name.value(),
                 .mayRepeat = kind_.resumable,
                 .avoids = lastFailedEngine_,
-                .barred = gateway_.unavailable(gateway_.dispatcher.enginesFor(ModelId(request_.service.value())), rankOf(request_) == Rank::Urgent),
+                .barred = gateway_.unavailable(rankOf(request_) == Rank::Urgent),
                 .mayMove = kind_.resumable};
     }
 
@@ -221,6 +221,9 @@
     [[nodiscard]] std::optional<std::vector<EndpointId>> limitedEngines(const std::vector<EndpointId> &barred) const
     {
         std::vector<EndpointId> limited;
+        if (barred.empty()) {
+            return std::nullopt;
+        }
         for (const auto &engine : gateway_.dispatcher.enginesFor(ModelId(request_.service.value()))) {
             if (std::find(barred.begin(), barred.end(), engine.id) == barred.end()) {
                 return std::nullopt;
--- a/daisystream/limits/endpointpermits.cpp
+++ b/daisystream/limits/endpointpermits.cpp
@@ -124,6 +124,17 @@
     return found->second.pausedUntil > now || (!isUrgent && found->second.until > now);
 }
 
+std::vector<EndpointId> EndpointPermits::fullEndpoints(bool isUrgent, TimePoint now) const
+{
+    std::vector<EndpointId> endpoints;
+    for (const auto &[endpoint, full] : full_) {
+        if (isFull(endpoint, isUrgent, now)) {
+            endpoints.push_back(endpoint);
+        }
+    }
+    return endpoints;
+}
+
 std::optional<EndpointId> EndpointPermits::lineFor(std::uint64_t request, const std::vector<EndpointId> &endpoints) const
 {
     // Weighted rendezvous hash: the least of exponentially distributed numbers with the limits as their rates.
--- a/daisystream/limits/endpointpermits.h
+++ b/daisystream/limits/endpointpermits.h
@@ -121,6 +121,9 @@
     /// @return whether a request would get no permit at once, as far as this VM knows without asking.
     [[nodiscard]] bool isFull(const EndpointId &endpoint, bool isUrgent, TimePoint now) const;
 
+    /// @return the endpoints for which isFull() is true, sorted by id.
+    [[nodiscard]] std::vector<EndpointId> fullEndpoints(bool isUrgent, TimePoint now) const;
+
     /// Chooses the endpoint at which a request waits or keeps a place when none can take it at once. All VMs choose the same
     /// one for a request, so that its caller finds the place again at any VM.
     /// @param request as PermitRequest::request.
--- a/schedules/limits.cpp
+++ b/schedules/limits.cpp
@@ -346,7 +346,7 @@
     {
         const auto from = std::max({endpoint.statedAt + kLearning, endpoint.changedAt + kLearning, endpoint.learnedAt + kLearning});
         const auto span = queue_.now() - from;
-        if (!isCalm() || lastDisturbedAt_ + kSettling > from || span < kUsedSpan) {
+        if (calmFrom_ > from || span < kUsedSpan) {
             return;
         }
         if (endpoint.limit == 0) {
