Keep a place in the line for callers that come back in whole seconds

The own interface rounds Retry-After up to whole seconds, but a place in the line was kept for 0.5 s only, so that its callers came too late. It is kept for 1.5 s now. A caller that leaves while an answer waits for its permit is not sent to the engine any more.

--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -123,7 +123,7 @@
             failure_ = failure_.value_or(*error);
             return std::nullopt;
         }
-        const auto endpoint = gateway_.dispatcher.findEndpoint(std::get<EndpointId>(reply));
+        auto endpoint = gateway_.dispatcher.findEndpoint(std::get<EndpointId>(reply));
         if (callerLeft_ || !endpoint || !gateway_.isInService(endpoint->id)) {
             failure_ = failure_.value_or(noEndpointError());
             return std::nullopt;
--- a/daemon/gateway/gatewaydialect.h
+++ b/daemon/gateway/gatewaydialect.h
@@ -68,8 +68,8 @@
     std::string attempt;       ///< Id of the attempt that this is the response to; empty if not stated.
     std::optional<ReportedLoad> load;
     std::optional<std::chrono::milliseconds> retryAfter;
-    bool isLeaving = false;   ///< The endpoint is shutting down and accepts requests only for a short time.
-    bool isThrottled = false; ///< The endpoint asks this VM to send no requests for the time `retryAfter`.
+    bool isLeaving = false;                    ///< The endpoint is shutting down and accepts requests only for a short time.
+    bool isThrottled = false;                  ///< The endpoint asks this VM to send no requests for the time `retryAfter`.
     std::optional<double> requestsPerSecond{}; ///< Limit that the endpoint states for the requests of all VMs together.
 
     friend auto operator<=>(const EndpointHeaders &, const EndpointHeaders &) = default;
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -200,11 +200,15 @@
                 return callerLeft_ ? RunEnd::CallerLeft : RunEnd::Failed;
             }
             const bool holdsPermit = permitted == endpoint->id && gateway_.now() - askedAt <= kPermitLifetime;
-            if (holdsPermit || !gateway_.frontend.parts.permits.acquire(permitFor(endpoint->id), yield)) {
+            const bool isPermitted = holdsPermit || !gateway_.frontend.parts.permits.acquire(permitFor(endpoint->id), yield);
+            if (isPermitted && !callerLeft_) {
                 endpoint_ = *endpoint;
                 return std::nullopt;
             }
             gateway_.dispatcher.onFinished(workId_, 0, FinishReason::MovedAway);
+            if (callerLeft_) {
+                return RunEnd::CallerLeft;
+            }
             denied.push_back(endpoint->id);
         }
     }
--- a/daisystream/limits/permitissuer.cpp
+++ b/daisystream/limits/permitissuer.cpp
@@ -21,9 +21,10 @@
 constexpr double kLineShare = 0.75;
 // Part of the rate that a VM issues while it stands in for the issuer, which may still be issuing at the whole rate to other VMs.
 constexpr double kStandInShare = 0.25;
-// How much earlier or later than at its time a place can be used. Callers' timers and connections take some time.
+// How much earlier or later than at its time a place can be used. Callers' timers and connections take some time, and the own
+// interface rounds the time up to whole seconds.
 constexpr Duration kEarly = 20ms;
-constexpr Duration kGrace = 500ms;
+constexpr Duration kGrace = 1500ms;
 constexpr std::size_t kMaxPlaces = 4096;
 // Requests a second that an issuer handles for one endpoint before it asks VMs to pause, and the same for each permit.
 constexpr double kMinAsksPerSecond = 1000;
--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -441,9 +441,9 @@
             const auto allowed = bounds_.limitRatio * (*highest)->perSecond * seconds + bounds_.limitAllowance;
             if (static_cast<double>(counted.size()) > allowed) {
                 report("limit",
-                       arrival->endpoint + " stated a limit of " + std::to_string((*highest)->perSecond) + " a second and got "
-                           + std::to_string(counted.size()) + " requests within " + std::to_string(bounds_.limitWindow.count())
-                           + " ms from VMs that it had told; allowed " + std::to_string(allowed));
+                       arrival->endpoint + " stated a limit of " + std::to_string((*highest)->perSecond) + " a second and got " + std::to_string(counted.size())
+                           + " requests within " + std::to_string(bounds_.limitWindow.count()) + " ms from VMs that it had told; allowed "
+                           + std::to_string(allowed));
                 return;
             }
         }
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -38,8 +38,8 @@
     std::vector<RunStarted> started;
     std::vector<RunEnded> ended;
     std::vector<LeaveAnnounced> leaves;
-    std::vector<LimitedArrival> limitedArrivals; ///< In the order of their times.
-    std::vector<LimitTold> limitsTold;           ///< In the order of their times.
+    std::vector<LimitedArrival> limitedArrivals;      ///< In the order of their times.
+    std::vector<LimitTold> limitsTold;                ///< In the order of their times.
     std::vector<ConfigurationInForce> configurations; ///< In the order of their versions.
     std::vector<std::string> unexpectedEnds;          ///< Processes that ended by themselves or did not end when told to.
     Timeline timeline;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -40,14 +40,20 @@
 
 PlanSize sizeFromFlags()
 {
-    return {.vms = FLAGS_vms, .engines = FLAGS_engines, .services = FLAGS_services, .steps = FLAGS_steps, .limits = FLAGS_limits, .length = milliseconds(1000 * FLAGS_seconds)};
+    return {.vms = FLAGS_vms,
+            .engines = FLAGS_engines,
+            .services = FLAGS_services,
+            .steps = FLAGS_steps,
+            .limits = FLAGS_limits,
+            .length = milliseconds(1000 * FLAGS_seconds)};
 }
 
 std::string commandOf(std::uint64_t seed)
 {
     std::ostringstream command;
     command << "soak --seed " << seed << " --vms " << FLAGS_vms << " --engines " << FLAGS_engines << " --services " << FLAGS_services << " --steps "
-            << FLAGS_steps << " --limits " << FLAGS_limits << " --seconds " << FLAGS_seconds << " --callers " << FLAGS_callers << " --connections " << FLAGS_connections;
+            << FLAGS_steps << " --limits " << FLAGS_limits << " --seconds " << FLAGS_seconds << " --callers " << FLAGS_callers << " --connections "
+            << FLAGS_connections;
     return command.str();
 }
 
@@ -101,8 +107,9 @@
     const auto stalls
         = std::count_if(record.timeline.spans().begin(), record.timeline.spans().end(), [](const auto &span) { return span.name == kEverything; });
     std::cout << "seed " << seed << ": " << violations.size() << " broken; " << summary.requests << " requests, " << summary.served << " served, "
-              << summary.refused << " refused, " << summary.inTouch << " in touch, " << summary.runs << " runs, " << summary.moved << " moved, " << summary.limited << " at endpoints with a limit; "
-              << summary.servedAfterwards << " served afterwards; " << stalls << " stalls of the machine" << std::endl;
+              << summary.refused << " refused, " << summary.inTouch << " in touch, " << summary.runs << " runs, " << summary.moved << " moved, "
+              << summary.limited << " at endpoints with a limit; " << summary.servedAfterwards << " served afterwards; " << stalls << " stalls of the machine"
+              << std::endl;
     for (const auto &violation : violations) {
         std::cout << "  " << violation.promise << ": " << violation.text << '\n';
     }
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -247,23 +247,23 @@
 
 std::string describe(const Step &step)
 {
-    const auto text = std::visit(Overloaded{
-                                     [](const FreezeProcess &action) { return "freeze " + action.process + lengthText(action.length); },
-                                     [](const KillProcess &action) { return "kill " + action.process + lengthText(action.downFor); },
-                                     [](const StopProcess &action) { return "stop " + action.process + lengthText(action.downFor); },
-                                     [](const ReloadProcess &action) { return "reload " + action.process; },
-                                     [](const DisturbLink &action) {
-                                         return std::string(nameOf(action.fault)) + " the link " + nameOf(action.link) + " of " + action.process
-                                             + lengthText(action.length);
-                                     },
-                                     [](const DisturbStore &action) { return std::string("the store ") + nameOf(action.fault) + lengthText(action.length); },
-                                     [](const DisturbEndpoint &action) { return action.process + " " + nameOf(action.fault) + lengthText(action.length); },
-                                     [](const LimitEndpoint &action) {
-                                         return action.process + " takes " + std::to_string(action.perSecond) + " requests a second" + lengthText(action.length);
-                                     },
-                                     [](const ChangeConfiguration &action) { return "configuration " + std::to_string(action.next.version); },
-                                 },
-                                 step.action);
+    const auto text = std::visit(
+        Overloaded{
+            [](const FreezeProcess &action) { return "freeze " + action.process + lengthText(action.length); },
+            [](const KillProcess &action) { return "kill " + action.process + lengthText(action.downFor); },
+            [](const StopProcess &action) { return "stop " + action.process + lengthText(action.downFor); },
+            [](const ReloadProcess &action) { return "reload " + action.process; },
+            [](const DisturbLink &action) {
+                return std::string(nameOf(action.fault)) + " the link " + nameOf(action.link) + " of " + action.process + lengthText(action.length);
+            },
+            [](const DisturbStore &action) { return std::string("the store ") + nameOf(action.fault) + lengthText(action.length); },
+            [](const DisturbEndpoint &action) { return action.process + " " + nameOf(action.fault) + lengthText(action.length); },
+            [](const LimitEndpoint &action) {
+                return action.process + " takes " + std::to_string(action.perSecond) + " requests a second" + lengthText(action.length);
+            },
+            [](const ChangeConfiguration &action) { return "configuration " + std::to_string(action.next.version); },
+        },
+        step.action);
     return std::to_string(step.at.count()) + " ms: " + text;
 }
 
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -138,7 +138,7 @@
     unsigned engines = 4;
     unsigned services = 3;
     unsigned steps = 14;
-    unsigned limits = 3;       ///< Times that an endpoint states a limit.
+    unsigned limits = 3;        ///< Times that an endpoint states a limit.
     milliseconds length{14000}; ///< Within which steps begin.
 
     friend bool operator==(const PlanSize &, const PlanSize &) = default;
