--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -84,7 +84,7 @@
     {
         const bool isUrgent = rankOf(request_) == Rank::Urgent;
         auto excluded = tried_;
-        while (const auto endpoint = gateway_.startCall(request_.service, excluded, isUrgent)) {
+        while (auto endpoint = gateway_.startCall(request_.service, excluded, isUrgent)) {
             const auto denied = gateway_.frontend.parts.permits.acquire(
                 {.endpoint = endpoint->id, .attempt = attemptHash_, .request = requestHash_, .isUrgent = isUrgent}, yield);
             if (!denied && !callerLeft_) {
