--- a/daisystream/limits/endpointpermits.cpp
+++ b/daisystream/limits/endpointpermits.cpp
@@ -274,9 +274,9 @@
 PermitReply EndpointPermits::onAsk(const PermitAsk &ask, TimePoint now)
 {
     limits_.onStatement(ask.statement, now);
-    auto outcome = issue(ask.request, now);
+    const auto outcome = issue(ask.request, now);
     const auto known = limits_.statement(ask.request.endpoint, now);
-    return {.number = ask.number, .endpoint = ask.request.endpoint, .outcome = std::move(outcome), .statement = known.value_or(ask.statement)};
+    return {.number = ask.number, .endpoint = ask.request.endpoint, .outcome = outcome, .statement = known.value_or(ask.statement)};
 }
 
 } // namespace daisystream
--- a/daisystream/limits/permitissuer.cpp
+++ b/daisystream/limits/permitissuer.cpp
@@ -142,7 +142,7 @@
     }
 
     /// @return whether a place is due. A place never exceeds the rate by more than one permit.
-    [[nodiscard]] bool isDue(Places::iterator place, TimePoint now) const
+    [[nodiscard]] bool isDue(const Places::iterator &place, TimePoint now) const
     {
         return place != places_.end() && place->at <= now + kEarly && next_ <= now + interval() + kEarly;
     }
