Share the constants of permits, and ask for engines that may have permits only

The waiting part and the lifetime of permits stood in three files. An answer of the own interface asked the owner of its cell also for engines whose limit this VM knew to be used up, which cost a message for each. Units of the daemon and the platform folder pass; scenario endpoint_limit: 24 answers and 40 orders in 8.0 s.

--- a/daemon/endpoints/permitclient.h
+++ b/daemon/endpoints/permitclient.h
@@ -30,6 +30,12 @@
 namespace daisystream
 {
 
+/// A request waits for a permit for at most this part of its response-time objective.
+constexpr int kMaxPermitWaitDivisor = 4;
+
+/// A permit that was not used for so long must not add to those of a later time.
+constexpr std::chrono::milliseconds kPermitLifetime{300};
+
 /// A request that is to be sent to one of several endpoints, for waiting in line.
 struct LineRequest
 {
--- a/daemon/frontend/answerrelay.cpp
+++ b/daemon/frontend/answerrelay.cpp
@@ -21,10 +21,6 @@
 // A cancel that got no answer is repeated, so that an engine that was paused does not generate for nobody.
 constexpr unsigned kCancelAttempts = 6;
 constexpr auto kCancelPause = std::chrono::seconds(1);
-// A request waits for a permit for at most this part of the time that its plan promises for the first token.
-constexpr int kMaxPermitWaitDivisor = 4;
-// An unused permit must not add to those of a later time.
-constexpr auto kPermitLifetime = std::chrono::milliseconds(300);
 constexpr std::string_view kKeepAlive = ":\n\n";
 
 void sleepFor(std::chrono::milliseconds duration, asio::yield_context yield)
@@ -182,8 +178,6 @@
     const auto attempt = permitHash(work.id.value());
     std::vector<EndpointId> denied; // Engines of which this request got no permit.
     for (;;) {
-        auto wanted = work;
-        wanted.barred = denied;
         LineRequest line{.endpoints = {}, .attempt = attempt, .request = request, .isUrgent = isUrgent};
         line.maxWait = grant_.plan.firstToken / kMaxPermitWaitDivisor;
         line.patience = grant_.plan.firstToken;
@@ -194,6 +188,8 @@
                 line.endpoints.push_back(engine.id);
             }
         }
+        auto wanted = work;
+        wanted.barred = line.endpoints;
         std::optional<EndpointId> permitted;
         if (!engines.empty() && line.endpoints.size() == engines.size()) {
             const auto reply = permits.waitInLine(line, yield);
@@ -201,7 +197,6 @@
                 return *error;
             }
             permitted = std::get<EndpointId>(reply);
-            wanted.barred = line.endpoints;
             std::erase(wanted.barred, *permitted);
         }
         const auto askedAt = context_.parts.clock.now();
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -27,8 +27,6 @@
 constexpr std::chrono::milliseconds kConnectTimeout{300};
 // Retry time for callers when every endpoint is full: the duration of a few calls.
 constexpr std::chrono::milliseconds kRetryAfterFull{200};
-// A call waits for a permit for at most this part of its response-time objective.
-constexpr int kMaxWaitDivisor = 4;
 
 /// Forwards a single call, with its retries.
 class Call
@@ -106,7 +104,7 @@
                          .attempt = attemptHash_,
                          .request = requestHash_,
                          .isUrgent = isUrgent,
-                         .maxWait = std::min(left, request_.route->goal) / kMaxWaitDivisor,
+                         .maxWait = std::min(left, request_.route->goal) / kMaxPermitWaitDivisor,
                          .patience = state_.sent() > 0 ? std::chrono::milliseconds(0) : left / kReturnDivisor};
         for (const auto &endpoint : gateway_.dispatcher.serviceEndpoints(request_.service)) {
             const bool isTried = std::find(tried_.begin(), tried_.end(), endpoint.id) != tried_.end();
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -43,10 +43,6 @@
 // Minimum time between the starts of two moves of an answer whose leaving engine still generates it.
 constexpr milliseconds kMoveRetryInterval{300};
 constexpr double kMillisecondsPerSecond = 1000;
-// An answer waits for a permit for at most this part of its response-time objective.
-constexpr int kMaxPermitWaitDivisor = 4;
-// An unused permit must not add to those of a later time.
-constexpr milliseconds kPermitLifetime{300};
 // A moved answer has lost its engine already, so that it waits longer for a permit.
 constexpr milliseconds kMovedPermitWait{1500};
 
--- a/schedules/limits.cpp
+++ b/schedules/limits.cpp
@@ -501,7 +501,7 @@
     int servedReturns_ = 0;
 };
 
-Property limitsOf(const std::string &name, WorldSize size)
+Property limitsOf(const std::string &name, const WorldSize &size)
 {
     return {.name = name, .run = [size](std::uint64_t seed, const Faults &faults) { return LimitWorld(seed, faults, size).run(); }, .mutations = {}};
 }
