Let VMs of an older build stay in the fleet: ask only VMs that issue permits

With permits the protocol between VMs went from version 3 to 4, so that in a rolling upgrade old and new VMs refused each other's connections: orders were not forwarded, cells had two owners. The new message is now sent only to VMs that state in their acknowledgements that they issue permits, which an older build leaves out, and the version stays 3. The first check of a connection sends a ping, so that the statement arrives early also where no heartbeats go.

--- a/daemon/control/controlplane.cpp
+++ b/daemon/control/controlplane.cpp
@@ -312,7 +312,10 @@
         d_->dispatcher.onMessage(from, message);
         d_->permits.onMessage(from, message);
     });
-    d_->peers.setAckHandler([this](const VmId &from, TimePoint sentAt, const PeerView &view) { d_->monitor.onAck(from, sentAt, view); });
+    d_->peers.setAckHandler([this](const VmId &from, TimePoint sentAt, const PeerView &view) {
+        d_->monitor.onAck(from, sentAt, view);
+        d_->permits.onIssuing(from, view.issuesPermits);
+    });
     d_->peers.setViewSource([this] { return d_->monitor.view(); });
     d_->dispatcher.setAssignmentCheck([this] { return d_->monitor.assignment(); });
     if (auto error = d_->peers.start(d_->settings.listenPeers, d_->settings.peerTls)) {
--- a/daemon/endpoints/permitclient.cpp
+++ b/daemon/endpoints/permitclient.cpp
@@ -9,8 +9,10 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace daisystream
 {
@@ -55,6 +57,7 @@
         , denied(metrics.counter("daisystream_permits_total", "Permits for endpoints with a request limit.", {{"outcome", "denied"}}))
         , noReply(metrics.counter("daisystream_permit_timeouts_total", "Requests for permits without a reply of the issuer."))
         , permits(self)
+        , live{self}
         , timer(context)
     {
     }
@@ -142,6 +145,14 @@
         });
     }
 
+    /// Passes on the live VMs that issue permits. The caller holds the lock.
+    void applyVms(TimePoint now)
+    {
+        std::vector<VmId> issuers;
+        std::copy_if(live.begin(), live.end(), std::back_inserter(issuers), [&](const VmId &vm) { return vm == self || issuing.contains(vm); });
+        permits.setVms(issuers, now);
+    }
+
     void repeatStatements()
     {
         asio::spawn(
@@ -185,6 +196,8 @@
 
     mutable std::mutex mutex; // Position 5 in the lock order.
     EndpointPermits permits;
+    std::vector<VmId> live;
+    std::set<VmId> issuing;                    ///< Other VMs that have stated that they issue permits, live or not.
     std::map<std::uint64_t, Handler> handlers; ///< Of requests without an outcome, by number.
     bool timerRuns = false;
     asio::steady_timer timer;
@@ -209,7 +222,20 @@
 
 void PermitClient::setVms(const std::vector<VmId> &live)
 {
-    d_->locked([&](TimePoint now) { d_->permits.setVms(live, now); });
+    d_->locked([&](TimePoint now) {
+        d_->live = live;
+        d_->applyVms(now);
+    });
+}
+
+void PermitClient::onIssuing(const VmId &vm, bool issuesPermits)
+{
+    d_->locked([&](TimePoint now) {
+        const bool hasChanged = issuesPermits ? d_->issuing.insert(vm).second : d_->issuing.erase(vm) > 0;
+        if (hasChanged) {
+            d_->applyVms(now);
+        }
+    });
 }
 
 void PermitClient::setEndpoints(const std::vector<EndpointId> &endpoints)
--- a/daemon/endpoints/permitclient.h
+++ b/daemon/endpoints/permitclient.h
@@ -70,7 +70,13 @@
     /// Starts to repeat limits to the other VMs from time to time.
     void start();
 
+    /// Replaces the set of live VMs, which includes this one.
     void setVms(const std::vector<VmId> &live);
+
+    /// Handles another VM's statement whether it issues permits. Only VMs that have stated it are asked; during an upgrade, VMs of
+    /// an older build are none of them.
+    void onIssuing(const VmId &vm, bool issuesPermits);
+
     void setEndpoints(const std::vector<EndpointId> &endpoints);
 
     /// Handles what endpoints stated to other VMs.
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -55,6 +55,7 @@
   sequence @0 :UInt64;
   versions @1 :List(UInt64);      # Of the documents, by kind, at the moment of the answer.
   contactAgeMs @2 :Int64 = -1;    # Since the platform showed the sender what is in force; -1: not known.
+  issuesPermits @3 :Bool;         # The sender handles permitAsk, which is sent to no other VM.
 }
 
 struct CellDigest {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -130,7 +130,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a4fdce10ba90fa65, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a4fdce10ba90fa65, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1100,6 +1100,8 @@
 
   inline  ::int64_t getContactAgeMs() const;
 
+  inline bool getIssuesPermits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1142,6 +1144,9 @@
   inline  ::int64_t getContactAgeMs();
   inline void setContactAgeMs( ::int64_t value);
 
+  inline bool getIssuesPermits();
+  inline void setIssuesPermits(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5473,6 +5478,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline bool Ack::Reader::getIssuesPermits() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Ack::Builder::getIssuesPermits() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Ack::Builder::setIssuesPermits(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CellDigest::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peerlink.cpp
+++ b/daemon/peers/peerlink.cpp
@@ -356,7 +356,8 @@
         const std::lock_guard lock(mutex_);
         connected_ = true;
         probes_.clear();
-        lastProbe_ = shared_->clock.now();
+        // The first check sends a ping, whose acknowledgement says early what the other VM can do.
+        lastProbe_ = shared_->clock.now() - shared_->options.pingEvery;
     }
 
     void disconnect()
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -307,6 +307,7 @@
         out.setSequence(message.sequence);
         writeVersions(out.initVersions(static_cast<unsigned>(message.view.versions.size())), message.view.versions);
         out.setContactAgeMs(writeRetry(message.view.contactAge));
+        out.setIssuesPermits(message.view.issuesPermits);
     }
 
     void operator()(const PingMessage &message)
@@ -708,7 +709,9 @@
         return read(in.getHeartbeat());
     case wire::Message::ACK:
         return AckMessage{.sequence = in.getAck().getSequence(),
-                          .view = {.versions = readVersions(in.getAck().getVersions()), .contactAge = readRetry(in.getAck().getContactAgeMs())}};
+                          .view = {.versions = readVersions(in.getAck().getVersions()),
+                                   .contactAge = readRetry(in.getAck().getContactAgeMs()),
+                                   .issuesPermits = in.getAck().getIssuesPermits()}};
     case wire::Message::PING:
         return PingMessage{in.getPing()};
     case wire::Message::DOCUMENT_REQUEST:
--- a/daemon/peers/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -29,7 +29,7 @@
 {
 
 /// Both ends of a connection must speak the same version.
-constexpr std::uint32_t kPeerProtocolVersion = 4;
+constexpr std::uint32_t kPeerProtocolVersion = 3;
 
 /// A longer message closes the connection. A whole list of 1,300 teams takes less than 1 MiB.
 constexpr std::uint32_t kMaxPeerMessageBytes = 16U << 20U;
@@ -84,6 +84,7 @@
 {
     std::vector<std::uint64_t> versions{};                 ///< Of the documents, by kind.
     std::optional<std::chrono::milliseconds> contactAge{}; ///< Since the platform last showed what is in force.
+    bool issuesPermits = true;                             ///< Handles `PermitAskMessage`; an older daemon does not.
 
     friend auto operator<=>(const PeerView &, const PeerView &) = default;
 };
--- a/daemon/peers/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -50,7 +50,7 @@
                          .cutOff = true,
                          .reports = 11},
         AckMessage{3, {{1, 2, 3, 4, 5, 6, 7}, std::chrono::milliseconds(40)}},
-        AckMessage{4, {{1, 2, 3, 4, 5, 6, 7}, {}}},
+        AckMessage{4, {{1, 2, 3, 4, 5, 6, 7}, {}, false}},
         PingMessage{4},
         DocumentRequestMessage{1},
         DocumentMessage{.kind = 1, .number = 5, .changeId = "c", .text = "{}", .vms = {VmId("vm2")}},
@@ -139,6 +139,21 @@
     CHECK(std::holds_alternative<Error>(decodeMessage("", now)));
 }
 
+// Guards rolling upgrades: a daemon that does not know permits closes connections on which it is asked for one.
+TEST_CASE("an acknowledgement of an older daemon does not state that it issues permits")
+{
+    const TimePoint now = ManualClock().now();
+    capnp::MallocMessageBuilder builder;
+    auto out = builder.initRoot<wire::Message>().initAck();
+    out.setSequence(3);
+    out.initVersions(kDocumentKinds);
+    kj::VectorOutputStream packed;
+    capnp::writePackedMessage(packed, builder);
+    const auto decoded = decodeMessage({reinterpret_cast<const char *>(packed.getArray().begin()), packed.getArray().size()}, now);
+    REQUIRE(std::holds_alternative<PeerMessage>(decoded));
+    CHECK_FALSE(std::get<AckMessage>(std::get<PeerMessage>(decoded)).view.issuesPermits);
+}
+
 // Guards the memory of a VM: packing shrinks zeros without bound, so that 200 bytes became millions of entries.
 TEST_CASE("a few bytes do not become a message of many entries")
 {
