--- a/daemon/endpoints/permitclient.cpp
+++ b/daemon/endpoints/permitclient.cpp
@@ -32,17 +32,6 @@
 
 } // namespace
 
-std::uint64_t permitHash(std::string_view text)
-{
-    // FNV-1a, because std::hash may differ between builds.
-    constexpr std::uint64_t kPrime = 1099511628211ULL;
-    std::uint64_t hash = 14695981039346656037ULL;
-    for (const char byte : text) {
-        hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
-    }
-    return hash;
-}
-
 class PermitClient::Private : public std::enable_shared_from_this<PermitClient::Private>
 {
 public:
--- a/daemon/endpoints/permitclient.h
+++ b/daemon/endpoints/permitclient.h
@@ -13,7 +13,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <string_view>
 #include <vector>
 
 /// @file
@@ -47,9 +46,6 @@
     std::chrono::milliseconds patience{0}; ///< How long its caller can wait before it comes back.
 };
 
-/// @return a hash that is the same on all VMs, for PermitRequest::attempt and PermitRequest::request.
-[[nodiscard]] std::uint64_t permitHash(std::string_view text);
-
 /// Thread-safe. Its lock has position 5 in the lock order. Messages are sent and handlers called after it is released.
 class PermitClient
 {
--- a/daemon/frontend/answerrelay.cpp
+++ b/daemon/frontend/answerrelay.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/endpoints/permitclient.h"
 #include "daemon/status/decisionlog.h"
+#include "daisystream/base/stablehash.h"
 
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/post.hpp>
@@ -152,7 +153,7 @@
     const auto work = workOf(completion);
     context_.countRequest(grant_.team);
     for (;;) {
-        const auto reply = askWithinLimits(work, permitHash(grant_.team.value() + '\n' + completion.engineBody), yield);
+        const auto reply = askWithinLimits(work, stableHash(grant_.team.value() + '\n' + completion.engineBody), yield);
         if (const auto *refusal = std::get_if<Error>(&reply)) {
             refuse(*refusal, yield);
             return;
@@ -175,7 +176,7 @@
 {
     auto &permits = context_.parts.permits;
     const bool isUrgent = work.rank == Rank::Urgent;
-    const auto attempt = permitHash(work.id.value());
+    const auto attempt = stableHash(work.id.value());
     std::vector<EndpointId> denied; // Engines of which this request got no permit.
     for (;;) {
         LineRequest line{.endpoints = {}, .attempt = attempt, .request = request, .isUrgent = isUrgent};
--- a/daemon/frontend/orderrouter.cpp
+++ b/daemon/frontend/orderrouter.cpp
@@ -6,6 +6,7 @@
 #include "daemon/frontend/httprouter.h"
 #include "daemon/status/decisionlog.h"
 #include "daisystream/base/base64.h"
+#include "daisystream/base/stablehash.h"
 #include "daisystream/limits/requestrate.h"
 
 #include <boost/asio/async_result.hpp>
@@ -299,8 +300,8 @@
     Error error{ResultCode::NoEndpoint, "no instance of the service is in service", std::chrono::seconds(1)};
     auto &permits = context_.parts.permits;
     LineRequest line{.endpoints = {},
-                     .attempt = permitHash(context_.newRequestId().value()),
-                     .request = permitHash(team.value() + '\n' + std::string(request.target()) + '\n' + request.body())};
+                     .attempt = stableHash(context_.newRequestId().value()),
+                     .request = stableHash(team.value() + '\n' + std::string(request.target()) + '\n' + request.body())};
     line.maxWait = kMaxPermitWait;
     line.patience = kReturnTime;
     // Instances whose request limit is used up come last, by a place in the line.
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -4,6 +4,7 @@
 #include "daemon/endpoints/permitclient.h"
 #include "daemon/gateway/gatewayreply.h"
 #include "daemon/status/decisionlog.h"
+#include "daisystream/base/stablehash.h"
 #include "daisystream/forwarding/forwardingstate.h"
 
 #include <algorithm>
@@ -37,7 +38,7 @@
         , connection_(connection)
         , request_(request)
         , state_(request.route->kind, request.route->attempts)
-        , attemptHash_(permitHash(request.id.value()))
+        , attemptHash_(stableHash(request.id.value()))
         , requestHash_(permitRequestHash(request))
     {
     }
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -1,6 +1,7 @@
 #include "daemon/gateway/gatewaycontext.h"
 
 #include "daemon/endpoints/permitclient.h"
+#include "daisystream/base/stablehash.h"
 
 #include <algorithm>
 #include <iterator>
@@ -67,7 +68,7 @@
 {
     std::string text = request.team ? request.team->value() : "";
     text.append(1, '\0').append(request.http.target()).append(1, '\0').append(request.http.body());
-    return permitHash(text);
+    return stableHash(text);
 }
 
 std::uint32_t enginePriority(const RoutedRequest &request)
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -6,6 +6,7 @@
 #include "daemon/gateway/answermove.h"
 #include "daemon/gateway/gatewayreply.h"
 #include "daemon/status/decisionlog.h"
+#include "daisystream/base/stablehash.h"
 #include "daisystream/forwarding/forwardingstate.h"
 
 #include <boost/asio/post.hpp>
@@ -212,7 +213,7 @@
     [[nodiscard]] PermitRequest permitFor(const EndpointId &endpoint) const
     {
         return {.endpoint = endpoint,
-                .attempt = permitHash(request_.id.value()),
+                .attempt = stableHash(request_.id.value()),
                 .request = permitRequestHash(request_),
                 .isUrgent = rankOf(request_) == Rank::Urgent};
     }
@@ -239,7 +240,7 @@
     {
         const auto left = gateway_.timeUntil(request_.deadline);
         return gateway_.frontend.parts.permits.waitInLine({.endpoints = engines,
-                                                           .attempt = permitHash(request_.id.value()),
+                                                           .attempt = stableHash(request_.id.value()),
                                                            .request = permitRequestHash(request_),
                                                            .isUrgent = rankOf(request_) == Rank::Urgent,
                                                            .maxWait = std::min(left, request_.route->goal) / kMaxPermitWaitDivisor,
@@ -299,8 +300,8 @@
             return true;
         }
         const LineRequest line{.endpoints = {endpoint},
-                               .attempt = permitHash(workId_.value()),
-                               .request = permitHash(workId_.value()),
+                               .attempt = stableHash(workId_.value()),
+                               .request = stableHash(workId_.value()),
                                .isUrgent = true,
                                .maxWait = kMovedPermitWait};
         const auto reply = permits.waitInLine(line, yield);
--- a/daisystream/base/base_test.cpp
+++ b/daisystream/base/base_test.cpp
@@ -2,6 +2,7 @@
 #include "daisystream/base/clock.h"
 #include "daisystream/base/ids.h"
 #include "daisystream/base/random.h"
+#include "daisystream/base/stablehash.h"
 
 #include <doctest/doctest.h>
 
@@ -48,5 +49,13 @@
     CHECK_FALSE(fromBase64Url("Z"));
 }
 
+// Guards fleets of two builds: VMs that hash names differently disagree on who owns a cell.
+TEST_CASE("the stable hash never changes")
+{
+    CHECK(stableHash("vm1") == 0x482ba68ca86c4489ULL);
+    CHECK(stableHash("e1/assistant/0") == 0x722cf3199b37bf10ULL);
+    CHECK(stableHash("vm1", 1) != stableHash("vm1"));
+}
+
 } // namespace
 } // namespace daisystream
--- a/daisystream/cell/cellmap.cpp
+++ b/daisystream/cell/cellmap.cpp
@@ -1,5 +1,7 @@
 #include "daisystream/cell/cellmap.h"
 
+#include "daisystream/base/stablehash.h"
+
 #include <algorithm>
 #include <map>
 #include <string>
@@ -19,14 +21,7 @@
     std::size_t best = 0;
     std::uint64_t bestScore = 0;
     for (std::size_t i = 0; i < cells.size(); ++i) {
-        // FNV-1a instead of std::hash, because all VMs must compute the same score whatever their standard library. The names
-        // differ mostly in their last bytes, which FNV-1a mixes too little; hence the final mixing steps.
-        std::uint64_t score = 0xcbf29ce484222325ULL;
-        for (const char byte : endpoint.value() + '/' + cells[i].value()) {
-            score = (score ^ static_cast<unsigned char>(byte)) * 0x100000001b3ULL;
-        }
-        score = (score ^ (score >> 33U)) * 0xff51afd7ed558ccdULL;
-        score ^= score >> 33U;
+        const std::uint64_t score = stableHash(endpoint.value() + '/' + cells[i].value());
         if (i == 0 || score > bestScore) {
             best = i;
             bestScore = score;
--- a/daisystream/limits/endpointpermits.cpp
+++ b/daisystream/limits/endpointpermits.cpp
@@ -1,5 +1,6 @@
 #include "daisystream/limits/endpointpermits.h"
 
+#include "daisystream/base/stablehash.h"
 #include "daisystream/membership/rendezvous.h"
 
 #include <algorithm>
@@ -20,20 +21,12 @@
 constexpr double kMinPerSecond = 0.001;
 constexpr double kMaxPerSecond = 100'000;
 
-/// @return a number in (0, 1] that is the same on all VMs (FNV-1a with a final mix).
-double hashOf(std::uint64_t request, const EndpointId &endpoint)
+/// @return a number in (0, 1] that is the same on all VMs.
+double uniformHash(std::uint64_t request, const EndpointId &endpoint)
 {
-    constexpr std::uint64_t kPrime = 1099511628211ULL;
-    std::uint64_t hash = 14695981039346656037ULL ^ request;
-    for (const char byte : endpoint.value()) {
-        hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
-    }
-    hash ^= hash >> 33U;
-    hash *= 0xff51afd7ed558ccdULL;
-    hash ^= hash >> 33U;
     constexpr unsigned kUnusedBits = 11; // A double holds 53 bits.
     constexpr double kRange = 9007199254740992.0;
-    return (static_cast<double>(hash >> kUnusedBits) + 1) / kRange;
+    return (static_cast<double>(stableHash(endpoint.value(), request) >> kUnusedBits) + 1) / kRange;
 }
 
 } // namespace
@@ -142,7 +135,7 @@
     double least = 0;
     for (const auto &endpoint : endpoints) {
         if (const auto limit = limits_.limit(endpoint)) {
-            const double score = -std::log(hashOf(request, endpoint)) / *limit;
+            const double score = -std::log(uniformHash(request, endpoint)) / *limit;
             if (!best || score < least) {
                 best = endpoint;
                 least = score;
--- a/daisystream/membership/fleetring.cpp
+++ b/daisystream/membership/fleetring.cpp
@@ -1,5 +1,7 @@
 #include "daisystream/membership/fleetring.h"
 
+#include "daisystream/base/stablehash.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -10,16 +12,6 @@
 namespace
 {
 
-/// FNV-1a with final mixing steps. Not std::hash, because all VMs must compute the same value whatever their standard library.
-std::uint64_t hashOf(std::string_view text, std::uint64_t hash = 0xcbf29ce484222325ULL)
-{
-    for (const char byte : text) {
-        hash = (hash ^ static_cast<unsigned char>(byte)) * 0x100000001b3ULL;
-    }
-    hash = (hash ^ (hash >> 33U)) * 0xff51afd7ed558ccdULL;
-    return hash ^ (hash >> 33U);
-}
-
 /// Incarnation and sequence number of a heartbeat, by which the heartbeats of one VM are ordered.
 using HeartbeatStamp = std::pair<std::uint64_t, std::uint64_t>;
 
@@ -164,7 +156,7 @@
     names.insert(d_->self);
     d_->ring.assign(names.begin(), names.end());
     std::sort(d_->ring.begin(), d_->ring.end(), [](const VmId &one, const VmId &other) {
-        return std::pair(hashOf(one.value()), one) < std::pair(hashOf(other.value()), other);
+        return std::pair(stableHash(one.value()), one) < std::pair(stableHash(other.value()), other);
     });
     std::erase_if(d_->others, [&](const auto &entry) { return !names.contains(entry.first); });
     for (const VmId &vm : names) {
@@ -316,7 +308,7 @@
         return std::nullopt;
     }
     // Each VM starts at a different index, so that the VMs together soon reach all dead ones.
-    return all[(hashOf(d_->self.value()) + d_->nextDeadCalls++) % all.size()];
+    return all[(stableHash(d_->self.value()) + d_->nextDeadCalls++) % all.size()];
 }
 
 bool FleetRing::hearsHalfOfWatched(TimePoint now) const
@@ -339,7 +331,8 @@
         }
         // A sum does not depend on the order. The stamps are left out, because watchers know different last heartbeats of a silent
         // VM.
-        digest += hashOf(report.vm.value() + '/' + report.reporter.value() + '/' + std::to_string(static_cast<int>(report.kind)) + (report.cutOff ? "c" : ""));
+        digest
+            += stableHash(report.vm.value() + '/' + report.reporter.value() + '/' + std::to_string(static_cast<int>(report.kind)) + (report.cutOff ? "c" : ""));
     }
     return digest;
 }
