--- a/daemon/gateway/gatewayreply.cpp
+++ b/daemon/gateway/gatewayreply.cpp
@@ -41,6 +41,24 @@
     return response;
 }
 
+void sendFailure(GatewayContext &gateway,
+                 HttpConnection &connection,
+                 const RoutedRequest &request,
+                 const Error &error,
+                 FailureOutcome failureOutcome,
+                 boost::asio::yield_context yield)
+{
+    const bool hasNotRun = failureOutcome == FailureOutcome::NotRun;
+    gateway.onEnded(request, hasNotRun ? RequestOutcome::NotRun : RequestOutcome::OutcomeUnknown);
+    gateway.startLine("give_up", request)
+        .field("reason", toString(error.code))
+        .field("not_run", hasNotRun ? "true" : "false")
+        .field("retry_ms", error.retryAfter ? std::to_string(error.retryAfter->count()) : "")
+        .field("detail", error.detail)
+        .write();
+    connection.write(gatewayReply(gateway.dialect, error, failureOutcome), yield);
+}
+
 Error shuttingDownError()
 {
     return {ResultCode::Stopping, "this VM is shutting down", std::chrono::milliseconds(0)};
--- a/daemon/gateway/gatewayreply.h
+++ b/daemon/gateway/gatewayreply.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/gateway/gatewaycontext.h"
 #include "daemon/gateway/gatewaydialect.h"
 #include "daisystream/forwarding/forwardingstate.h"
 
@@ -22,6 +23,16 @@
 ///     if `failureOutcome` is `NotRun`; else it is 502 or 504.
 [[nodiscard]] HttpResponse gatewayReply(const GatewayDialect &dialect, const Error &error, FailureOutcome failureOutcome);
 
+/// Ends a request to which nothing was sent yet: counts it, writes its log line, and sends the caller the error response.
+/// @param error as for `gatewayReply`.
+/// @param failureOutcome as for `gatewayReply`.
+void sendFailure(GatewayContext &gateway,
+                 HttpConnection &connection,
+                 const RoutedRequest &request,
+                 const Error &error,
+                 FailureOutcome failureOutcome,
+                 boost::asio::yield_context yield);
+
 /// @return the error for a request that cannot be completed before this process is killed. Its retry time is 0, because
 ///     another VM can serve the request at once.
 [[nodiscard]] Error shuttingDownError();
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -620,14 +620,7 @@
         if (!refused_ && gateway_.now() >= request_.deadline) {
             error = {ResultCode::TimeLimitPassed, "the time limit was exceeded; " + failure_.detail, {}};
         }
-        gateway_.onEnded(request_, state_.failureOutcome() == FailureOutcome::NotRun ? RequestOutcome::NotRun : RequestOutcome::OutcomeUnknown);
-        gateway_.startLine("give_up", request_)
-            .field("reason", toString(error.code))
-            .field("not_run", state_.failureOutcome() == FailureOutcome::NotRun ? "true" : "false")
-            .field("retry_ms", error.retryAfter ? std::to_string(error.retryAfter->count()) : "")
-            .field("detail", error.detail)
-            .write();
-        connection_.write(gatewayReply(gateway_.dialect, error, state_.failureOutcome()), yield);
+        sendFailure(gateway_, connection_, request_, error, state_.failureOutcome(), yield);
     }
 
     GatewayContext &gateway_;
