Count refusals of the soak's endpoints as answers that tell a limit

An endpoint of the soak that is full states its limit in the refusal too, but did not write that down, so that the check held VMs that learned of it there to nothing.

--- a/deploy/standins/fleetendpoint.cpp
+++ b/deploy/standins/fleetendpoint.cpp
@@ -242,13 +242,18 @@
         }
     }
 
+    void noteTold(const std::string &attempt) const
+    {
+        soak::write(soak::LimitTold{.endpoint = options_.name, .period = limitPeriod(), .attempt = attempt, .at = soak::now()});
+    }
+
     /// @return the header line that states the limit; empty if there is none.
     [[nodiscard]] std::string limitLine(const std::string &attempt) const
     {
         if (limitPerSecond_ == 0) {
             return "";
         }
-        soak::write(soak::LimitTold{.endpoint = options_.name, .period = limitPeriod(), .attempt = attempt, .at = soak::now()});
+        noteTold(attempt);
         return std::string(names::kLimit) + ": " + limitText() + "\r\n";
     }
 
@@ -267,6 +272,7 @@
         response.set(names::kAttempt, request[names::kAttempt]);
         response.set(names::kLoad, loadText());
         if (limitPerSecond_ > 0 && status != kMisdirected) {
+            noteTold(std::string(request[names::kAttempt]));
             response.set(names::kLimit, limitText());
         }
         response.keep_alive(request.keep_alive());
