Let the asking code number its requests for permits

EndpointPermits::ask returned the number through a parameter, so that the handler could be registered only after the request was on its way. The caller chooses it now. The share that a VM issues is computed in a function of its own and at once where no VM is lost.

--- a/daemon/endpoints/permitclient.cpp
+++ b/daemon/endpoints/permitclient.cpp
@@ -99,10 +99,9 @@
     void ask(const PermitRequest &request, Handler handler)
     {
         auto actions = locked([&](TimePoint now) {
-            std::uint64_t number = 0;
-            auto decided = permits.ask(request, number, now);
+            const auto number = ++lastNumber;
             handlers.emplace(number, std::move(handler));
-            return decided;
+            return permits.ask(number, request, now);
         });
         perform(std::move(actions));
         scheduleExpiry();
@@ -188,6 +187,7 @@
     std::vector<VmId> live;
     std::set<VmId> issuing;                    ///< Other VMs that have stated that they issue permits, live or not.
     std::map<std::uint64_t, Handler> handlers; ///< Of requests without an outcome, by number.
+    std::uint64_t lastNumber = 0;
     bool timerRuns = false;
     asio::steady_timer timer;
 };
@@ -246,7 +246,7 @@
 {
     if (const auto *ask = std::get_if<PermitAskMessage>(&message)) {
         auto reply = d_->locked([&](TimePoint now) { return d_->permits.onAsk(ask->ask, now); });
-        d_->sender(from, PermitReplyMessage{std::move(reply)});
+        (void)d_->sender(from, PermitReplyMessage{std::move(reply)}); // The other VM does without a reply that is lost.
     } else if (const auto *reply = std::get_if<PermitReplyMessage>(&message)) {
         d_->perform(d_->locked([&](TimePoint now) { return d_->permits.onReply(from, reply->reply, now); }));
     }
--- a/daemon/endpoints/permitclient.h
+++ b/daemon/endpoints/permitclient.h
@@ -73,6 +73,7 @@
     /// an older build are none of them.
     void onIssuing(const VmId &vm, bool issuesPermits);
 
+    /// Forgets the limits of all other endpoints.
     void setEndpoints(const std::vector<EndpointId> &endpoints);
 
     /// Handles what endpoints stated to other VMs.
--- a/daisystream/limits/endpointpermits.cpp
+++ b/daisystream/limits/endpointpermits.cpp
@@ -145,20 +145,24 @@
     return best;
 }
 
+double EndpointPermits::followingShare(TimePoint now) const
+{
+    if (lostUntil_.empty() || options_.faults.ignoresLostVms) {
+        return 1;
+    }
+    const auto isLost = [&](const VmId &vm) {
+        const auto lost = lostUntil_.find(vm);
+        return lost != lostUntil_.end() && lost->second > now;
+    };
+    const auto followers = static_cast<double>(std::count_if(live_.begin(), live_.end(), [&](const VmId &vm) { return !isLost(vm); }));
+    const auto others = static_cast<double>(std::count_if(lostUntil_.begin(), lostUntil_.end(), [&](const auto &entry) { return entry.second > now; }));
+    return std::max(followers, 1.0) / std::max(followers + others, 1.0);
+}
+
 PermitTerms EndpointPermits::termsFor(const EndpointId &endpoint, TimePoint now)
 {
     const double limit = std::clamp(limits_.limit(endpoint).value_or(kMaxPerSecond), kMinPerSecond, kMaxPerSecond);
-    double followers = 0;
-    double others = 0;
-    for (const auto &vm : live_) {
-        const auto lost = lostUntil_.find(vm);
-        ++(lost != lostUntil_.end() && lost->second > now ? others : followers);
-    }
-    for (const auto &[vm, until] : lostUntil_) {
-        others += until > now && std::find(live_.begin(), live_.end(), vm) == live_.end() ? 1 : 0;
-    }
-    const double share = options_.faults.ignoresLostVms ? 1 : std::max(followers, 1.0) / std::max(followers + others, 1.0);
-    return {.perSecond = limit * share, .isStandIn = ownersOf(endpoint).front() != self_};
+    return {.perSecond = limit * followingShare(now), .isStandIn = ownersOf(endpoint).front() != self_};
 }
 
 PermitOutcome EndpointPermits::issue(const PermitRequest &request, TimePoint now)
@@ -169,9 +173,8 @@
     return issuer_.request(request, termsFor(request.endpoint, now), now);
 }
 
-std::vector<PermitAction> EndpointPermits::ask(PermitRequest request, std::uint64_t &number, TimePoint now)
+std::vector<PermitAction> EndpointPermits::ask(std::uint64_t number, PermitRequest request, TimePoint now)
 {
-    number = ++lastNumber_;
     request.vm = self_;
     const auto endpoint = request.endpoint;
     const auto statement = limits_.statement(endpoint, now);
--- a/daisystream/limits/endpointpermits.h
+++ b/daisystream/limits/endpointpermits.h
@@ -23,7 +23,7 @@
 /// @code
 ///   EndpointPermits permits(self);
 ///   permits.setVms(live, now);
-///   perform(permits.ask(request, now));         // `AskForPermit`: send it; `PermitDecided`: the request's outcome
+///   perform(permits.ask(7, request, now));       // `AskForPermit`: send it; `PermitDecided`: the request's outcome
 ///   perform(permits.onReply(from, reply, now)); // a reply of the issuer
 ///   perform(permits.expire(now));               // at nextWake()
 /// @endcode
@@ -79,7 +79,7 @@
 /// The outcome for a request of this VM.
 struct PermitDecided
 {
-    std::uint64_t number = 0; ///< As EndpointPermits::ask() returned it.
+    std::uint64_t number = 0; ///< As in the call of EndpointPermits::ask().
     PermitOutcome outcome{};
 
     friend auto operator<=>(const PermitDecided &, const PermitDecided &) = default;
@@ -132,9 +132,9 @@
     [[nodiscard]] std::optional<EndpointId> lineFor(std::uint64_t request, const std::vector<EndpointId> &endpoints) const;
 
     /// Asks for a permit.
+    /// @param number chosen by the caller, different for each call; `PermitDecided` carries it.
     /// @param request the vm in it is set to this VM.
-    /// @param number receives the number of the request.
-    [[nodiscard]] std::vector<PermitAction> ask(PermitRequest request, std::uint64_t &number, TimePoint now);
+    [[nodiscard]] std::vector<PermitAction> ask(std::uint64_t number, PermitRequest request, TimePoint now);
 
     /// Handles a reply. It is ignored if the request has been decided.
     [[nodiscard]] std::vector<PermitAction> onReply(const VmId &from, const PermitReply &reply, TimePoint now);
@@ -167,6 +167,8 @@
     };
 
     [[nodiscard]] const std::vector<VmId> &ownersOf(const EndpointId &endpoint);
+    /// @return the part of the live and lately lost VMs that follows this VM's view of who issues permits.
+    [[nodiscard]] double followingShare(TimePoint now) const;
     [[nodiscard]] PermitTerms termsFor(const EndpointId &endpoint, TimePoint now);
     [[nodiscard]] PermitOutcome issue(const PermitRequest &request, TimePoint now);
     [[nodiscard]] std::vector<PermitAction> send(PermitAsk ask, const VmId &to, bool isLast, TimePoint now);
@@ -183,7 +185,6 @@
     std::map<VmId, TimePoint> avoidUntil_;           ///< VMs that did not reply.
     std::map<EndpointId, Full> full_;
     std::map<std::uint64_t, Pending> pending_;
-    std::uint64_t lastNumber_ = 0;
 };
 
 } // namespace daisystream
--- a/daisystream/limits/endpointpermits_test.cpp
+++ b/daisystream/limits/endpointpermits_test.cpp
@@ -134,10 +134,10 @@
     const auto vms = names(5);
     std::optional<EndpointPermits> permits;
     std::vector<PermitAction> actions;
-    std::uint64_t number = 0;
+    constexpr std::uint64_t kNumber = 5;
     for (const auto &vm : vms) { // Until one is neither issuer nor stand-in.
         permits.emplace(permitsOf(vm, vms, clock.now()));
-        actions = permits->ask(requestOf(1), number, clock.now());
+        actions = permits->ask(kNumber, requestOf(1), clock.now());
         if (std::holds_alternative<AskForPermit>(actions.front()) && permits->ownStatements(clock.now()).empty()) {
             break;
         }
@@ -148,10 +148,10 @@
     actions = permits->expire(clock.now());
     REQUIRE(std::holds_alternative<AskForPermit>(actions.front()));
     CHECK(std::get<AskForPermit>(actions.front()).to != issuer);
-    actions = permits->onSendFailed(number, clock.now());
+    actions = permits->onSendFailed(kNumber, clock.now());
     REQUIRE(std::holds_alternative<PermitDecided>(actions.front()));
     CHECK_FALSE(isGranted(std::get<PermitDecided>(actions.front()).outcome));
-    CHECK(permits->onReply(issuer, {.number = number, .endpoint = kEndpoint, .outcome = PermitGranted{}, .statement = {.endpoint = kEndpoint}}, clock.now())
+    CHECK(permits->onReply(issuer, {.number = kNumber, .endpoint = kEndpoint, .outcome = PermitGranted{}, .statement = {.endpoint = kEndpoint}}, clock.now())
               .empty());
 }
 
@@ -164,8 +164,7 @@
         const auto begin = clock.now();
         int granted = 0;
         for (std::uint64_t number = 1; clock.now() - begin < 8s; ++number) {
-            std::uint64_t unused = 0;
-            const auto actions = permits.ask(requestOf(number), unused, clock.now());
+            const auto actions = permits.ask(number, requestOf(number), clock.now());
             granted += isGranted(std::get<PermitDecided>(actions.front()).outcome) ? 1 : 0;
             clock.advance(20ms);
         }
--- a/schedules/limits.cpp
+++ b/schedules/limits.cpp
@@ -239,8 +239,7 @@
         }
         const PermitRequest asked{
             .endpoint = endpoints_[index].id, .attempt = ++lastAttempt_, .request = request, .patience = linesUp && comesBack ? kPatience : Duration(0)};
-        std::uint64_t number = 0;
-        auto actions = permits.ask(asked, number, queue_.now());
+        const auto number = asked.attempt;
         vms_[vm]->waiting[number] = [=, this](const PermitOutcome &outcome) {
             if (std::holds_alternative<PermitGranted>(outcome)) {
                 servedReturns_ += expectsPlace ? 1 : 0;
@@ -255,7 +254,7 @@
                 queue_.after(denied.retryAfter + queue_.between(1ms, 60ms), [this, request] { arrive(request, false, true); });
             }
         };
-        perform(vm, actions);
+        perform(vm, permits.ask(number, asked, queue_.now()));
     }
 
     void send(std::size_t vm, std::size_t index)
