--- a/daemon/gateway/gatewaydialect.h
+++ b/daemon/gateway/gatewaydialect.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// @file
 /// Interface to the HTTP conventions of a deployment: which header fields carry the information that the gateway exchanges with
@@ -34,6 +35,7 @@
     std::uint32_t promptTokens = 0;
     std::uint32_t maxOutputTokens = 0; ///< 0 if the caller does not state it.
     std::uint64_t prefixHash = 0;      ///< Hash of the first part of the prompt; 0 if the caller does not state it.
+    std::vector<std::uint64_t> sharedParts{}; ///< Ids of the prompt's parts that other requests may have in common with it.
 
     friend auto operator<=>(const CallerHeaders &, const CallerHeaders &) = default;
 };
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <sstream>
 
 namespace daisystream
 {
@@ -580,6 +581,19 @@
         return RunEnd::Failed;
     }
 
+    /// @return the ids of the first shared parts of the prompt, for the log.
+    [[nodiscard]] std::string partsText() const
+    {
+        constexpr std::size_t kMaxLoggedParts = 8;
+        std::ostringstream text;
+        text << std::hex;
+        const auto &parts = request_.head.sharedParts;
+        for (std::size_t i = 0; i < std::min(parts.size(), kMaxLoggedParts); ++i) {
+            text << (i == 0 ? "" : ",") << parts[i];
+        }
+        return text.str();
+    }
+
     void log(RunEnd end) const
     {
         static constexpr std::array<const char *, 4> kNames{"complete", "moved", "failed", "caller_left"};
@@ -590,6 +604,7 @@
             .field("outcome", kNames[static_cast<std::size_t>(end)])
             .field("priority", std::to_string(request_.priority))
             .field("events", std::to_string(events_))
+            .field("parts", end == RunEnd::Failed && events_ == 0 ? partsText() : "")
             .field("prompt_tokens", std::to_string(request_.head.promptTokens))
             .field("most_tokens", std::to_string(request_.head.maxOutputTokens))
             .field("first_event_ms", firstEventAt_ ? std::to_string(std::chrono::duration_cast<milliseconds>(*firstEventAt_ - request_.arrival).count()) : "")
