Show in the fault soak that a part of prompts crashes one engine after the other

New promises: crashes (three requests with a part reach engines from calm VMs, from 3 s after the fifth crash) and sound (half of the other answers are served meanwhile); a refusal as not run must not have reached an engine. Each is seen to fail in checks_test.

--- a/deploy/standins/fleetcallers.cpp
+++ b/deploy/standins/fleetcallers.cpp
@@ -88,6 +88,11 @@
         const auto &route = plan.routes[random.below(plan.routes.size())];
         Exchange seen;
         seen.attempt = plan.name + "-" + std::to_string(++attempts);
+        const bool asksForAnswer = route.kind == Kind::Stream || route.kind == Kind::ResumableStream;
+        if (plan.deadlyShare > 0 && asksForAnswer && random.uniform() < plan.deadlyShare) {
+            seen.crashesEngines = true;
+            seen.attempt += '-' + std::string(kDeadlyPart) + std::to_string(random.below(plan.deadlyParts));
+        }
         seen.vm = vm;
         seen.route = route.name;
         seen.kind = route.kind;
@@ -159,7 +164,8 @@
             const unsigned events = route.kind == Kind::Stream ? kEventsOfLongAnswer : kEventsOfShortAnswer;
             request.set(names::kModel, "m");
             request.set(names::kTokens, "1000," + std::to_string(kTokensPerEvent * events));
-            request.set(names::kPromptParts, "a1:80,b" + std::to_string(attempts % 50) + ":920");
+            const std::string part = seen.crashesEngines ? seen.attempt.substr(seen.attempt.rfind('-') + 1) + ":40," : "";
+            request.set(names::kPromptParts, "a1:80," + part + "c" + std::to_string(attempts % 10) + ":40,b" + std::to_string(attempts % 50) + ":920");
         }
         request.body() = requestBody(seen.attempt, std::string_view(request.target()), random.below(kMostFiller));
         request.chunked(random.uniform() < kChunkedShare);
--- a/deploy/standins/fleetcontent.cpp
+++ b/deploy/standins/fleetcontent.cpp
@@ -56,6 +56,11 @@
 
 } // namespace
 
+bool hasDeadlyPart(std::string_view parts)
+{
+    return parts.starts_with(kDeadlyPart) || parts.find(',' + std::string(kDeadlyPart)) != std::string_view::npos;
+}
+
 std::string requestBody(std::string_view attempt, std::string_view target, std::size_t filler)
 {
     std::string body;
--- a/deploy/standins/fleetcontent.h
+++ b/deploy/standins/fleetcontent.h
@@ -20,6 +20,12 @@
 namespace daisystream::standins
 {
 
+/// Parts of prompts whose ids begin so crash each engine that begins an answer on them.
+constexpr std::string_view kDeadlyPart = "dead";
+
+/// @param parts the parts of a prompt, as a request names them.
+[[nodiscard]] bool hasDeadlyPart(std::string_view parts);
+
 /// @return a body that names its request and has about `filler` bytes more.
 [[nodiscard]] std::string requestBody(std::string_view attempt, std::string_view target, std::size_t filler);
 
--- a/deploy/standins/fleetendpoint.cpp
+++ b/deploy/standins/fleetendpoint.cpp
@@ -4,6 +4,7 @@
 #include "deploy/standins/fleetconfiguration.h"
 #include "deploy/standins/fleetcontent.h"
 #include "platform/names.h"
+#include "soak/configuration.h"
 #include "soak/observation.h"
 #include "standins/http/standinserver.h"
 
@@ -60,7 +61,8 @@
     std::string attempt;
     unsigned made = 0;
     unsigned last = 0;
-    bool isCopied = false; ///< A copy is under way.
+    bool crashesEngine = false; ///< Its prompt has a part that crashes engines.
+    bool isCopied = false;      ///< A copy is under way.
     bool mustStop = false;
     bool hasStopped = false;
 };
@@ -308,6 +310,7 @@
         const auto lastEvent = request[names::kLastEvent];
         std::from_chars(lastEvent.data(), lastEvent.data() + lastEvent.size(), run->made);
         run->last = std::string_view(request.target()).starts_with("/long/") ? kEventsOfLongAnswer : kEventsOfShortAnswer;
+        run->crashesEngine = options_.isEngine && hasDeadlyPart(std::string_view(request[names::kPromptParts]));
         soak::RunStarted started;
         started.segment = run->segment;
         started.run = run->name;
@@ -365,6 +368,9 @@
             return Ending::Moved;
         }
         text += std::string(names::kAttempt) + ": " + run.attempt + "\r\n" + names::kProof + ": seal\r\n" + limitLine(run.attempt) + "\r\n";
+        if (run.crashesEngine) {
+            crash(stream, run, text, yield);
+        }
         if (!writeText(stream, text, yield)) {
             return Ending::Closed;
         }
@@ -385,6 +391,16 @@
         return writeText(stream, "0\r\n\r\n", yield) ? Ending::Done : Ending::Closed;
     }
 
+    /// Ends the process, before the answer, after its header or within its first event.
+    [[noreturn]] void crash(Stream &stream, const Run &run, const std::string &header, asio::yield_context yield)
+    {
+        const std::string event = chunk(eventText(run.name, 1, run.last));
+        const std::array<std::string, 3> written{"", header, header + event.substr(0, event.size() / 2)};
+        writeText(stream, written.at(segments_ % written.size()), yield);
+        soak::write(soak::EngineCrashed{.endpoint = options_.name, .attempt = run.attempt, .at = soak::now()});
+        std::_Exit(soak::kCrashExitCode);
+    }
+
     static std::string chunk(const std::string &text)
     {
         std::array<char, 16> size{};
--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -74,6 +74,7 @@
         checkLeft();
         checkRetries();
         checkLimits();
+        checkCrashes();
         checkRecovery();
         for (const auto &name : record_.unexpectedEnds) {
             report("end", name);
@@ -449,6 +450,74 @@
         }
     }
 
+    // Parts of prompts that crash engines.
+
+    void checkCrashes()
+    {
+        std::map<std::string, std::vector<const EngineCrashed *>> crashesOf;
+        for (const auto &crash : record_.crashes) {
+            crashesOf[deadlyPartOf(crash.attempt)].push_back(&crash);
+        }
+        Moment lastCounted{};
+        for (const auto &[part, crashes] : crashesOf) {
+            const auto last = std::min<std::size_t>(crashes.size(), bounds_.freeCrashes) - 1;
+            lastCounted = std::max(lastCounted, crashes[last]->at);
+            if (crashes.size() >= bounds_.freeCrashes) {
+                checkRequestsWith(part, crashes[last]->at);
+            }
+        }
+        if (!crashesOf.empty()) {
+            checkSound(lastCounted + 2 * bounds_.stable);
+        }
+        for (const auto &exchange : record_.exchanges) {
+            if (exchange.crashesEngines && promisesNotRun(exchange.status) && !runsOf(exchange.attempt).empty()) {
+                report("refused", exchange.attempt + " was answered " + std::to_string(exchange.status) + " and reached an engine, which crashed");
+            }
+        }
+    }
+
+    /// @return the part that crashes engines, which the attempt ends with.
+    static std::string deadlyPartOf(const std::string &attempt)
+    {
+        return attempt.substr(attempt.rfind('-') + 1);
+    }
+
+    void checkRequestsWith(const std::string &part, Moment fifthCrash)
+    {
+        unsigned reached = 0;
+        std::string example;
+        for (const auto &run : record_.started) {
+            const auto exchange = exchangeOf_.find(run.attempt);
+            const bool counts = exchange != exchangeOf_.end() && exchange->second->crashesEngines && deadlyPartOf(run.attempt) == part;
+            if (counts && run.at > fifthCrash + bounds_.stable && isInTouch(exchange->second->vm, run.at, run.at)) {
+                ++reached;
+                example = run.attempt;
+            }
+        }
+        if (reached > bounds_.deadlyRequests) {
+            report("crashes", std::to_string(reached) + " requests with the part " + part + " reached engines after the fifth crash, such as " + example);
+        }
+    }
+
+    /// Answers without such a part are served while others crash engines.
+    void checkSound(Moment from)
+    {
+        unsigned asked = 0;
+        unsigned served = 0;
+        for (const auto &exchange : record_.exchanges) {
+            const bool isSound = !exchange.crashesEngines && (exchange.kind == Kind::Stream || exchange.kind == Kind::ResumableStream);
+            const auto &steady = record_.configurations.front().configuration;
+            const bool isOwed = steady.hasRoute(exchange.route) && !steady.teamOf(exchange.key).empty() && !exchange.leftAt;
+            if (isSound && isOwed && exchange.sentAt > from && isInTouch(exchange.vm, exchange.sentAt, exchange.endedAt) && !endpointFailed(exchange)) {
+                ++asked;
+                served += isServed(exchange) ? 1 : 0;
+            }
+        }
+        if (asked >= bounds_.fewestSound && served < bounds_.soundShare * asked) {
+            report("sound", "only " + std::to_string(served) + " of " + std::to_string(asked) + " answers without a part that crashes engines were served");
+        }
+    }
+
     void checkRecovery()
     {
         const auto summary = summarize(record_, bounds_);
@@ -480,16 +549,26 @@
     for (const auto &exchange : record.exchanges) {
         ++summary.requests;
         summary.served += isServed(exchange) ? 1 : 0;
+        summary.deadly += exchange.crashesEngines ? 1 : 0;
         summary.refused += promisesNotRun(exchange.status) ? 1 : 0;
         summary.inTouch += isInTouch(record.timeline, exchange.vm, exchange.sentAt, exchange.endedAt, bounds) ? 1 : 0;
         const auto &steady = record.configurations.front().configuration;
-        const bool isOwed = steady.hasRoute(exchange.route) && !steady.teamOf(exchange.key).empty() && !exchange.leftAt;
+        const bool isOwed = steady.hasRoute(exchange.route) && !steady.teamOf(exchange.key).empty() && !exchange.leftAt && !exchange.crashesEngines;
         if (isOwed && exchange.sentAt > record.calmSince + bounds.recovery) {
             ++late;
             lateServed += isServed(exchange) ? 1 : 0;
         }
     }
     summary.limited = record.limitedArrivals.size();
+    summary.crashes = record.crashes.size();
+    std::set<std::string> deadly;
+    for (const auto &exchange : record.exchanges) {
+        if (exchange.crashesEngines) {
+            deadly.insert(exchange.attempt);
+        }
+    }
+    summary.deadlyRuns = static_cast<std::size_t>(
+        std::count_if(record.started.begin(), record.started.end(), [&](const RunStarted &run) { return deadly.contains(run.attempt); }));
     summary.runs = record.started.size();
     summary.moved
         = static_cast<std::size_t>(std::count_if(record.started.begin(), record.started.end(), [](const RunStarted &run) { return run.continuesMemory; }));
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -40,6 +40,7 @@
     std::vector<LeaveAnnounced> leaves;
     std::vector<LimitedArrival> limitedArrivals;      ///< In the order of their times.
     std::vector<LimitTold> limitsTold;                ///< In the order of their times.
+    std::vector<EngineCrashed> crashes;               ///< In the order of their times.
     std::vector<ConfigurationInForce> configurations; ///< In the order of their versions.
     std::vector<std::string> unexpectedEnds;          ///< Processes that ended by themselves or did not end when told to.
     Timeline timeline;
@@ -68,6 +69,10 @@
     std::chrono::milliseconds limitDelay{500};   ///< From when a VM passed a limit on until its requests count.
     double limitRatio = 1.5;                     ///< Of what the limit allows in the window.
     unsigned limitAllowance = 5;                 ///< Requests beside that.
+    unsigned freeCrashes = 5;                    ///< Crashes under one part before its requests are counted.
+    unsigned deadlyRequests = 3;                 ///< Requests with the part that may reach engines afterwards.
+    double soundShare = 0.5;                     ///< Of the other answers that must be served while such requests come.
+    unsigned fewestSound = 20;                   ///< With fewer of them the share says nothing.
 
     friend bool operator==(const Bounds &, const Bounds &) = default;
 };
@@ -91,8 +96,11 @@
     std::size_t refused = 0;
     std::size_t inTouch = 0; ///< At VMs that were held to bounds of time throughout.
     std::size_t runs = 0;
-    std::size_t moved = 0;       ///< Runs that went on at another endpoint.
-    std::size_t limited = 0;     ///< Requests that reached an endpoint with a limit.
+    std::size_t moved = 0;      ///< Runs that went on at another endpoint.
+    std::size_t limited = 0;    ///< Requests that reached an endpoint with a limit.
+    std::size_t deadly = 0;     ///< Requests with a part that crashes engines.
+    std::size_t deadlyRuns = 0; ///< Those of them that reached an engine.
+    std::size_t crashes = 0;
     double servedAfterwards = 0; ///< Share of the requests after the recovery time.
 
     friend bool operator==(const Summary &, const Summary &) = default;
--- a/soak/checks_test.cpp
+++ b/soak/checks_test.cpp
@@ -332,5 +332,67 @@
     CHECK(disturbed.broken().empty());
 }
 
+/// Lets requests with a part that crashes engines reach them, the first of which crash one each.
+/// @param crashes that happen, one each 100 ms.
+/// @param later requests that reach engines 5 s after the last crash.
+Scene crashingScene(int crashes, int later)
+{
+    Scene scene;
+    const auto arrive = [&](int number, int time) {
+        const std::string attempt = "c" + std::to_string(number) + "-dead0";
+        scene.serve(attempt, "short", Kind::ResumableStream, time);
+        auto &exchange = scene.exchange(attempt);
+        exchange.crashesEngines = true;
+        exchange.status = 502;
+        exchange.run.clear();
+        scene.record.ended.back().how = Ending::Broken;
+        return attempt;
+    };
+    for (int i = 0; i < crashes; ++i) {
+        const int time = 1000 + 100 * i;
+        scene.record.crashes.push_back({.endpoint = "engine1", .attempt = arrive(i, time), .at = at(time + 20)});
+    }
+    for (int i = 0; i < later; ++i) {
+        arrive(100 + i, 1000 + 100 * crashes + 5000 + 50 * i);
+    }
+    return scene;
+}
+
+// Guards the check itself: a part of a prompt may cost all VMs together five crashes and three requests.
+TEST_CASE("crashes: requests with a part that crashes engines are kept from them after the fifth crash")
+{
+    CHECK(crashingScene(5, 3).broken().empty());
+    CHECK(crashingScene(5, 4).broken() == std::vector<std::string>{"crashes"});
+    CHECK(crashingScene(4, 10).broken().empty());
+    auto disturbed = crashingScene(5, 4);
+    disturbed.record.timeline.end(disturbed.record.timeline.begin("vm1", Disturbance::Unplanned, at(5000)), at(5900));
+    CHECK(disturbed.broken().empty());
+}
+
+// Guards the check itself: a request that is refused as not run must not have reached an engine.
+TEST_CASE("refused: a request that crashed an engine is not answered with a refusal")
+{
+    auto scene = crashingScene(1, 0);
+    scene.exchange("c0-dead0").status = 503;
+    CHECK(scene.broken() == std::vector<std::string>{"refused"});
+}
+
+// Guards the check itself: sound requests must not be refused for what others do.
+TEST_CASE("sound: answers without a part that crashes engines are served")
+{
+    auto scene = crashingScene(5, 0);
+    for (int i = 0; i < 30; ++i) {
+        scene.serve("s" + std::to_string(i), "short", Kind::ResumableStream, 9000 + 100 * i);
+    }
+    CHECK(scene.broken().empty());
+    for (int i = 0; i < 20; ++i) {
+        const std::string attempt = "s" + std::to_string(i);
+        scene.exchange(attempt).status = 503;
+        scene.exchange(attempt).run.clear();
+        std::erase_if(scene.record.started, [&](const RunStarted &run) { return run.attempt == attempt; });
+    }
+    CHECK(scene.broken() == std::vector<std::string>{"sound"});
+}
+
 } // namespace
 } // namespace daisystream::soak
--- a/soak/configuration.cpp
+++ b/soak/configuration.cpp
@@ -45,7 +45,14 @@
     for (const auto &route : plan.routes) {
         routes.push_back({{"name", route.name}, {"prefix", route.prefix}, {"kind", route.kind}, {"limit", route.limit.count()}});
     }
-    return json{{"name", plan.name}, {"seed", plan.seed}, {"connections", plan.connections}, {"targets", targets}, {"routes", routes}, {"keys", plan.keys}}
+    return json{{"name", plan.name},
+                {"seed", plan.seed},
+                {"connections", plan.connections},
+                {"targets", targets},
+                {"routes", routes},
+                {"keys", plan.keys},
+                {"deadly_share", plan.deadlyShare},
+                {"deadly_parts", plan.deadlyParts}}
         .dump();
 }
 
@@ -67,6 +74,8 @@
                                .limit = std::chrono::milliseconds(route.at("limit").get<std::int64_t>())});
     }
     document.at("keys").get_to(plan.keys);
+    document.at("deadly_share").get_to(plan.deadlyShare);
+    document.at("deadly_parts").get_to(plan.deadlyParts);
     return plan;
 }
 
--- a/soak/configuration.h
+++ b/soak/configuration.h
@@ -63,6 +63,9 @@
 /// @return the configuration that a soak starts with: a route of each kind, two teams.
 [[nodiscard]] Configuration firstConfiguration();
 
+/// Exit code of an engine that crashes because of a prompt.
+constexpr int kCrashExitCode = 70;
+
 struct CallerTarget
 {
     std::string vm;
@@ -80,6 +83,8 @@
     std::vector<CallerTarget> targets;
     std::vector<SoakRoute> routes; ///< Also those that are not in force all the time.
     std::vector<std::string> keys; ///< Likewise.
+    double deadlyShare = 0;        ///< Of the answers, whose prompts have a part that crashes engines.
+    unsigned deadlyParts = 1;      ///< Different parts that do so.
 
     friend bool operator==(const CallerPlan &, const CallerPlan &) = default;
 };
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -46,6 +46,8 @@
 constexpr milliseconds kSlowStore{400};
 constexpr milliseconds kClockJump{3600000};
 constexpr unsigned kLostReplies = 20;
+// From the crash of an engine until it is started again.
+constexpr milliseconds kDownAfterCrash{2000};
 
 /// One process and how it is started.
 struct Managed
@@ -254,7 +256,10 @@
             constexpr int kTerminated = 128 + SIGTERM;
             // A program that has written nothing was told to end before it could ask to be told.
             const bool hadNotBegun = code == kTerminated && std::filesystem::is_empty(managed.logs.back());
-            if (code != 0 && !(isStopping && (code == kKilled || hadNotBegun))) {
+            const bool hasCrashed = code == kCrashExitCode && options.size.deadlyShare > 0;
+            if (hasCrashed) {
+                managed.downFor = kDownAfterCrash;
+            } else if (code != 0 && !(isStopping && (code == kKilled || hadNotBegun))) {
                 unexpectedEnds.push_back(name + " ended with code " + std::to_string(code) + "; its log is " + managed.logs.back());
             } else if (!isStopping) {
                 unexpectedEnds.push_back(name + " ended by itself");
@@ -461,7 +466,9 @@
                                  .connections = options.connections,
                                  .targets = callerTargets,
                                  .routes = plan.allRoutes(),
-                                 .keys = plan.allKeys()};
+                                 .keys = plan.allKeys(),
+                                 .deadlyShare = options.size.deadlyShare,
+                                 .deadlyParts = options.size.deadlyParts};
         const std::string path = options.scratch + "/" + name + ".json";
         std::ofstream(path) << encodeCallerPlan(callers);
         processes[name] = {.program = "deploy/standin_fleet", .arguments = {"--role", "callers", "--plan", path}};
@@ -635,6 +642,7 @@
                                       [&](const RunStarted &seen) { record.started.push_back(seen); },
                                       [&](const RunEnded &seen) { record.ended.push_back(seen); },
                                       [&](const LeaveAnnounced &seen) { record.leaves.push_back(seen); },
+                                      [&](const EngineCrashed &seen) { record.crashes.push_back(seen); },
                                       [&](const LimitedArrival &seen) { record.limitedArrivals.push_back(seen); },
                                       [&](const LimitTold &seen) {
                                           record.limitsTold.push_back(seen);
@@ -645,6 +653,7 @@
     }
     std::stable_sort(record.limitedArrivals.begin(), record.limitedArrivals.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
     std::stable_sort(record.limitsTold.begin(), record.limitsTold.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
+    std::stable_sort(record.crashes.begin(), record.crashes.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
     std::stable_sort(record.started.begin(), record.started.end(), [](const RunStarted &a, const RunStarted &b) { return a.at < b.at; });
     return record;
 }
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -20,6 +20,8 @@
 DEFINE_uint32(services, 3, "endpoints of the plain service");
 DEFINE_uint32(steps, 14, "disturbances of a plan");
 DEFINE_uint32(limits, 3, "times that endpoints state limits of requests a second");
+DEFINE_double(deadly, 0, "share of the answers whose prompts have a part that crashes engines");
+DEFINE_uint32(deadlyparts, 1, "different parts that crash engines");
 DEFINE_uint32(seconds, 14, "time within which disturbances begin");
 DEFINE_uint32(callers, 2, "processes of callers");
 DEFINE_uint32(connections, 10, "connections of each process of callers");
@@ -45,15 +47,17 @@
             .services = FLAGS_services,
             .steps = FLAGS_steps,
             .limits = FLAGS_limits,
-            .length = milliseconds(1000 * FLAGS_seconds)};
+            .length = milliseconds(1000 * FLAGS_seconds),
+            .deadlyShare = FLAGS_deadly,
+            .deadlyParts = FLAGS_deadlyparts};
 }
 
 std::string commandOf(std::uint64_t seed)
 {
     std::ostringstream command;
     command << "soak --seed " << seed << " --vms " << FLAGS_vms << " --engines " << FLAGS_engines << " --services " << FLAGS_services << " --steps "
-            << FLAGS_steps << " --limits " << FLAGS_limits << " --seconds " << FLAGS_seconds << " --callers " << FLAGS_callers << " --connections "
-            << FLAGS_connections;
+            << FLAGS_steps << " --limits " << FLAGS_limits << " --deadly " << FLAGS_deadly << " --deadlyparts " << FLAGS_deadlyparts << " --seconds "
+            << FLAGS_seconds << " --callers " << FLAGS_callers << " --connections " << FLAGS_connections;
     return command.str();
 }
 
@@ -108,7 +112,8 @@
         = std::count_if(record.timeline.spans().begin(), record.timeline.spans().end(), [](const auto &span) { return span.name == kEverything; });
     std::cout << "seed " << seed << ": " << violations.size() << " broken; " << summary.requests << " requests, " << summary.served << " served, "
               << summary.refused << " refused, " << summary.inTouch << " in touch, " << summary.runs << " runs, " << summary.moved << " moved, "
-              << summary.limited << " at endpoints with a limit; " << summary.servedAfterwards << " served afterwards; " << stalls << " stalls of the machine"
+              << summary.limited << " at endpoints with a limit, " << summary.deadly << " requests with deadly parts, " << summary.deadlyRuns
+              << " of them run, " << summary.crashes << " crashes; " << summary.servedAfterwards << " served afterwards; " << stalls << " stalls of the machine"
               << std::endl;
     for (const auto &violation : violations) {
         std::cout << "  " << violation.promise << ": " << violation.text << '\n';
--- a/soak/observation.cpp
+++ b/soak/observation.cpp
@@ -27,7 +27,8 @@
             {"run", exchange.run},
             {"fault", exchange.fault},
             {"left", exchange.leftAt ? json(exchange.leftAt->count()) : json()},
-            {"first", exchange.isFirstOnConnection}};
+            {"first", exchange.isFirstOnConnection},
+            {"crashes", exchange.crashesEngines}};
 }
 
 json toJson(const RunStarted &run)
@@ -71,6 +72,11 @@
     return {{"what", "limit_told"}, {"endpoint", told.endpoint}, {"period", told.period}, {"attempt", told.attempt}, {"at", told.at.count()}};
 }
 
+json toJson(const EngineCrashed &crash)
+{
+    return {{"what", "crash"}, {"endpoint", crash.endpoint}, {"attempt", crash.attempt}, {"at", crash.at.count()}};
+}
+
 Moment momentOf(const json &value)
 {
     return Moment(value.get<std::int64_t>());
@@ -95,6 +101,7 @@
         exchange.leftAt = momentOf(line.at("left"));
     }
     line.at("first").get_to(exchange.isFirstOnConnection);
+    line.at("crashes").get_to(exchange.crashesEngines);
     return exchange;
 }
 
@@ -165,6 +172,10 @@
                              .attempt = line.at("attempt").get<std::string>(),
                              .at = momentOf(line.at("at"))};
         }
+        if (what == "crash") {
+            return EngineCrashed{
+                .endpoint = line.at("endpoint").get<std::string>(), .attempt = line.at("attempt").get<std::string>(), .at = momentOf(line.at("at"))};
+        }
         return std::nullopt;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/soak/observation.h
+++ b/soak/observation.h
@@ -52,6 +52,7 @@
     std::string fault;                ///< What was wrong with the answer's content, empty if nothing.
     std::optional<Moment> leftAt;     ///< When the caller closed the connection without waiting for the answer.
     bool isFirstOnConnection = false; ///< Else the connection had served a request before.
+    bool crashesEngines = false;      ///< Its prompt has a part that crashes engines.
 
     friend bool operator==(const Exchange &, const Exchange &) = default;
 };
@@ -124,7 +125,17 @@
     friend bool operator==(const LimitTold &, const LimitTold &) = default;
 };
 
-using Observation = std::variant<Exchange, RunStarted, RunEnded, LeaveAnnounced, LimitedArrival, LimitTold>;
+/// An engine ends at the beginning of an answer because of its prompt.
+struct EngineCrashed
+{
+    std::string endpoint;
+    std::string attempt;
+    Moment at{};
+
+    friend bool operator==(const EngineCrashed &, const EngineCrashed &) = default;
+};
+
+using Observation = std::variant<Exchange, RunStarted, RunEnded, LeaveAnnounced, LimitedArrival, LimitTold, EngineCrashed>;
 
 /// @return one line without its end.
 [[nodiscard]] std::string encode(const Observation &observation);
--- a/soak/observation_test.cpp
+++ b/soak/observation_test.cpp
@@ -16,6 +16,7 @@
     exchange.sentAt = Moment(5);
     exchange.leftAt = Moment(9);
     exchange.fault = "event 3 came where 2 was due";
+    exchange.crashesEngines = true;
     RunStarted run;
     run.segment = "engine1@5-1";
     run.behindEvent = 17;
@@ -25,7 +26,8 @@
                                            Observation(RunEnded{.segment = "engine1@5-1", .at = Moment(7), .how = Ending::Moved}),
                                            Observation(LeaveAnnounced{.endpoint = "engine1", .start = "engine1@5", .at = Moment(3)}),
                                            Observation(LimitedArrival{.endpoint = "engine1", .period = "p", .attempt = "a", .at = Moment(4), .perSecond = 2.5}),
-                                           Observation(LimitTold{.endpoint = "engine1", .period = "p", .attempt = "a", .at = Moment(5)})}) {
+                                           Observation(LimitTold{.endpoint = "engine1", .period = "p", .attempt = "a", .at = Moment(5)}),
+                                           Observation(EngineCrashed{.endpoint = "engine1", .attempt = "a", .at = Moment(6)})}) {
         CHECK(decode(encode(observation)) == observation);
     }
 }
@@ -46,7 +48,9 @@
                           .connections = 4,
                           .targets = {{"vm1", 1234}},
                           .routes = {{.name = "order", .prefix = "/order/", .kind = Kind::Unsafe, .service = {}}},
-                          .keys = {"k"}};
+                          .keys = {"k"},
+                          .deadlyShare = 0.25,
+                          .deadlyParts = 2};
     CHECK(decodeCallerPlan(encodeCallerPlan(plan)) == plan);
 }
 
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -140,6 +140,8 @@
     unsigned steps = 14;
     unsigned limits = 3;        ///< Times that an endpoint states a limit.
     milliseconds length{14000}; ///< Within which steps begin.
+    double deadlyShare = 0;     ///< As `CallerPlan::deadlyShare`.
+    unsigned deadlyParts = 1;   ///< As `CallerPlan::deadlyParts`.
 
     friend bool operator==(const PlanSize &, const PlanSize &) = default;
 };
