--- a/daemon/cells/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -337,7 +337,7 @@
         const auto now = parts.clock.now();
         // The message is forwarded before its changes are processed here, which takes time.
         const bool hasChanges = message.endpoints && message.endpoints->upTo > ownVersions[static_cast<std::size_t>(DocumentKind::Endpoints)];
-        bool hasNews = hasChanges || !message.cells.empty() || !message.limits.empty();
+        bool hasNews = hasChanges || !message.cells.empty() || !message.limits.empty() || !message.quarantine.empty();
         bool viewChanged = false;
         std::vector<EndpointId> leaving;
         {
@@ -373,6 +373,9 @@
         if (!message.limits.empty() && handlers.onLimits) {
             handlers.onLimits(message.limits);
         }
+        if (!message.quarantine.empty() && handlers.onQuarantine) {
+            handlers.onQuarantine(message.quarantine);
+        }
         for (const auto &cell : message.cells) {
             parts.dispatcher.onDigest(message.origin, cell);
         }
--- a/daemon/cells/vmmonitor.h
+++ b/daemon/cells/vmmonitor.h
@@ -49,6 +49,8 @@
     std::function<void(const EndpointId &)> onLeaving{};
     /// Handles the request limits that endpoints stated to other VMs.
     std::function<void(const std::vector<LimitStatement> &)> onLimits{};
+    /// Handles what other VMs saw of prompt parts that may crash engines.
+    std::function<void(const QuarantineNews &)> onQuarantine{};
 };
 
 /// Objects that the monitor uses. All of them must outlive the monitor.
--- a/daemon/control/controlplane.cpp
+++ b/daemon/control/controlplane.cpp
@@ -100,8 +100,14 @@
                   {.lists = lists, .platform = platform, .peers = peers, .dispatcher = dispatcher, .metrics = metrics, .clock = clock},
                   monitorOptions(options.monitor, daemonSettings))
         , permits(io, daemonSettings.vm, clock, metrics, [this](const VmId &to, const PeerMessage &message) { return peers.send(to, message); })
+        , promptGuard(io, daemonSettings.vm, clock, metrics, options.adapter.load.target, options.seed)
         , load(io, dispatcher, clock, metrics, loadOptions(options))
     {
+        promptGuard.setAnnouncer([this](const QuarantineNews &quarantine) {
+            NewsMessage news;
+            news.quarantine = quarantine;
+            monitor.broadcast(std::move(news), "parts");
+        });
         permits.setAnnouncer([this](const std::vector<LimitStatement> &statements) {
             NewsMessage news;
             news.limits = statements;
@@ -258,6 +264,7 @@
     CellDispatcher dispatcher;
     VmMonitor monitor;
     PermitClient permits;
+    PromptGuard promptGuard;
     LoadPoller load;
     std::optional<StoreWatch> watch;
     std::function<void(const std::vector<EndpointId> &)> endpointHandler;
@@ -321,10 +328,16 @@
     if (auto error = d_->peers.start(d_->settings.listenPeers, d_->settings.peerTls)) {
         return error;
     }
-    d_->monitor.setLiveHandler([this](const std::vector<VmId> &live) { d_->permits.setVms(live); });
+    d_->monitor.setLiveHandler([this](const std::vector<VmId> &live) {
+        d_->permits.setVms(live);
+        d_->promptGuard.setVms(live);
+    });
     NewsHandlers news{.onLimits = [this](const std::vector<LimitStatement> &statements) {
         d_->permits.onStatements(statements);
     }};
+    news.onQuarantine = [this](const QuarantineNews &quarantine) {
+        d_->promptGuard.onNews(quarantine);
+    };
     if (d_->watch) {
         news.onChanges = [this](const EndpointChanges &changes, std::function<void()> onGap) {
             d_->watch->onChanges(changes, std::move(onGap));
@@ -336,6 +349,7 @@
     d_->monitor.setNewsHandlers(std::move(news));
     d_->monitor.start();
     d_->permits.start();
+    d_->promptGuard.start();
     if (d_->watch) {
         // The route table determines which endpoints are engines.
         d_->lists.onChange([this](DocumentKind kind) {
@@ -399,6 +413,11 @@
     return d_->permits;
 }
 
+PromptGuard &ControlPlane::promptGuard()
+{
+    return d_->promptGuard;
+}
+
 Metrics &ControlPlane::metrics()
 {
     return d_->metrics;
--- a/daemon/control/controlplane.h
+++ b/daemon/control/controlplane.h
@@ -6,6 +6,7 @@
 #include "daemon/control/settings.h"
 #include "daemon/endpoints/loadpoller.h"
 #include "daemon/endpoints/permitclient.h"
+#include "daemon/endpoints/promptguard.h"
 #include "daemon/peers/peerlink.h"
 #include "daemon/status/metrics.h"
 #include "daemon/store/listtable.h"
@@ -84,6 +85,7 @@
     [[nodiscard]] PlatformClient &platform();
     [[nodiscard]] VmMonitor &monitor();
     [[nodiscard]] PermitClient &permits();
+    [[nodiscard]] PromptGuard &promptGuard();
     [[nodiscard]] Metrics &metrics();
 
     /// @return the state of this VM as JSON, which the command `daisystream status` shows.
--- a/daemon/frontend/answerrelay.cpp
+++ b/daemon/frontend/answerrelay.cpp
@@ -1,6 +1,7 @@
 #include "daemon/frontend/answerrelay.h"
 
 #include "daemon/endpoints/permitclient.h"
+#include "daemon/endpoints/promptguard.h"
 #include "daemon/status/decisionlog.h"
 #include "daisystream/base/stablehash.h"
 
@@ -23,6 +24,8 @@
 constexpr unsigned kCancelAttempts = 6;
 constexpr auto kCancelPause = std::chrono::seconds(1);
 constexpr std::string_view kKeepAlive = ":\n\n";
+// Tokens after which a request counts as begun: an engine may crash right after the first one.
+constexpr std::uint64_t kTokensToBegin = 2;
 
 void sleepFor(std::chrono::milliseconds duration, asio::yield_context yield)
 {
@@ -79,6 +82,7 @@
     [[nodiscard]] std::optional<Error> take(EngineEvent &event);
     [[nodiscard]] std::optional<Error> takeToken(EngineEvent &event);
     void deliver(const Deliver &token);
+    void markBegun();
     void flush(asio::yield_context yield);
     void checkCaller();
     [[nodiscard]] bool callerExpired() const;
@@ -97,6 +101,9 @@
 
     RequestId request_;
     std::uint32_t promptTokens_ = 0;
+    std::vector<PartId> parts_; ///< Of the prompt.
+    bool hasBegun_ = false;     ///< The engine has survived the beginning of the answer.
+    TimePoint sentAt_{};
     bool streamed_ = true;
     bool accounts_ = true; ///< This VM started the generation.
     std::optional<CompletionEncoder> encoder_;
@@ -150,6 +157,14 @@
     streamed_ = completion.stream;
     promptTokens_ = completion.promptTokens;
     startEncoder(completion.chat, completion.model);
+    parts_ = completion.parts;
+    auto &guard = context_.parts.promptGuard;
+    const auto verdict = guard.admit(parts_);
+    if (const auto *refusal = std::get_if<Error>(&verdict)) {
+        refuse(*refusal, yield);
+        return;
+    }
+    const bool isTrial = std::get<PartsAdmitted>(verdict).isTrial;
     const auto work = workOf(completion);
     context_.countRequest(grant_.team);
     for (;;) {
@@ -158,10 +173,19 @@
             refuse(*refusal, yield);
             return;
         }
+        if (const auto blocked = isTrial ? std::nullopt : guard.check(parts_)) {
+            dispatcher_.onFinished(request_, 0, FinishReason::MovedAway);
+            refuse(*blocked, yield);
+            return;
+        }
         const auto failure = attemptAt(std::get<Assign>(reply), completion, yield);
         if (!failure) {
             return;
         }
+        if (!recall_->taken && !guard.mayRepeat(parts_, endpoint_.id)) {
+            refuse({failure->code, failure->detail + "; other engines crashed under requests with a part of this prompt", {}}, yield);
+            return;
+        }
         // What the scheduler takes back is no retry: it has freed the capacity for other work on purpose.
         if (!recall_->taken && !context_.takeRetry(grant_.team)) {
             refuse({ResultCode::RetryBudgetSpent, "too many attempts failed recently; the last one: " + failure->detail, std::chrono::seconds(1)}, yield);
@@ -264,10 +288,10 @@
         .attempt = RequestId(request_.value() + "." + std::to_string(attempt_)), .priority = assign.priority, .reader = reader_, .body = completion.engineBody};
     stream_ = std::make_shared<EndpointStream>(connection_.executor(), endpoint_, context_.options);
     registerCancel();
-    const auto sentAt = context_.parts.clock.now();
+    sentAt_ = context_.parts.clock.now();
     auto failure = stream_->start(call, yield);
     if (stream_->hasResponse()) {
-        context_.parts.permits.onAnswer(endpoint_.id, stream_->requestsPerSecond(), !failure, sentAt);
+        context_.parts.permits.onAnswer(endpoint_.id, stream_->requestsPerSecond(), !failure, sentAt_);
     }
     if (stream_->bytesSent()) {
         state_.onRequestBytesSent(attempt_);
@@ -280,6 +304,9 @@
     }
     context_.clearCancel(request_);
     if (failure) {
+        if (stream_->bytesSent() && !stream_->provenNotRun() && !recall_->taken) {
+            context_.parts.promptGuard.onFailed(endpoint_, parts_, sentAt_);
+        }
         if (stream_->bytesSent() && !stream_->provenNotRun()) {
             cancelLater(call.attempt.value(), {});
         }
@@ -328,6 +355,7 @@
         }
         flush(yield);
         if (ended_) {
+            markBegun();
             conclude(FinishReason::Complete, yield);
             return std::nullopt;
         }
@@ -339,6 +367,9 @@
         if (fault && state_.mayMove()) {
             return fault;
         }
+        if (fault && accounts_ && !hasBegun_) {
+            context_.parts.promptGuard.onFailed(endpoint_, parts_, sentAt_);
+        }
         if (fault && !reconnect(*fault, yield)) {
             cancelLater(state_.generation().value(), reader_);
             conclude(FinishReason::Failed, yield);
@@ -396,6 +427,9 @@
         recall_->firstToken = true;
         dispatcher_.onFirstToken(request_);
     }
+    if (state_.nextSequence() >= kTokensToBegin) {
+        markBegun();
+    }
     if (!streamed_) {
         whole_ += token.text;
     } else if (!callerGone_) {
@@ -409,6 +443,14 @@
     }
 }
 
+/// Records that the engine has survived the beginning of the answer.
+void AnswerRelay::Private::markBegun()
+{
+    if (accounts_ && !std::exchange(hasBegun_, true)) {
+        context_.parts.promptGuard.onBegun(parts_);
+    }
+}
+
 void AnswerRelay::Private::flush(asio::yield_context yield)
 {
     if (out_.empty() || callerGone_) {
--- a/daemon/frontend/completionrequest.cpp
+++ b/daemon/frontend/completionrequest.cpp
@@ -1,5 +1,7 @@
 #include "daemon/frontend/completionrequest.h"
 
+#include "daisystream/base/stablehash.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -41,6 +43,31 @@
     return prompt->get<std::string>();
 }
 
+/// @return the ids of the paragraphs of a text, which empty lines separate.
+std::vector<std::uint64_t> paragraphIds(std::string_view text)
+{
+    constexpr std::string_view kSeparator = "\n\n";
+    std::vector<std::uint64_t> ids;
+    while (!text.empty()) {
+        const auto end = std::min(text.find(kSeparator), text.size());
+        if (end > 0) {
+            ids.push_back(stableHash(text.substr(0, end)));
+        }
+        text.remove_prefix(std::min(end + kSeparator.size(), text.size()));
+    }
+    return ids;
+}
+
+/// @param messages checked by `promptOfMessages`.
+std::vector<std::uint64_t> messageIds(const json &messages)
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto &message : messages) {
+        ids.push_back(stableHash(message.at("role").get_ref<const std::string &>() + '\n' + message.at("content").get_ref<const std::string &>()));
+    }
+    return ids;
+}
+
 Result<std::string> promptOfMessages(const json &document)
 {
     const auto messages = document.find("messages");
@@ -118,6 +145,7 @@
     request.maxOutputTokens = std::get<std::uint32_t>(maxTokens);
     request.promptTokens = static_cast<std::uint32_t>(text.size() / kBytesPerToken + 1);
     request.prefixHash = prefixHashOf(text);
+    request.parts = chat ? messageIds(document.at("messages")) : paragraphIds(text);
     document.erase("messages");
     document.erase("max_completion_tokens");
     document["prompt"] = text;
--- a/daemon/frontend/completionrequest.h
+++ b/daemon/frontend/completionrequest.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// @file
 /// The body of a completion request, checked, and what is sent to the engine for it.
@@ -25,6 +26,7 @@
     bool stream = false;
     std::uint32_t promptTokens = 0;    ///< Estimated.
     std::uint32_t maxOutputTokens = 0; ///< The smaller of the caller's and the plan's limit; 0: no limit.
+    std::vector<std::uint64_t> parts{}; ///< Ids of the prompt's messages, or of its paragraphs if it is one text.
     std::uint64_t prefixHash = 0;      ///< Of the first block of the prompt; 0 if the prompt is shorter than a block.
     std::string engineBody;            ///< JSON for the engine.
 };
--- a/daemon/frontend/frontendfixture_test.h
+++ b/daemon/frontend/frontendfixture_test.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/endpoints/permitclient.h"
+#include "daemon/endpoints/promptguard.h"
 #include "daemon/endpoints/ssereader.h"
 #include "daemon/frontend/httpfrontend.h"
 #include "daisystream/lists/planlist.h"
@@ -275,10 +276,18 @@
         : dispatcher(io)
         , peers(net, VmId(name), seed)
         , permits(io, VmId(name), clock, metrics, [](const VmId &, const PeerMessage &) { return false; })
+        , promptGuard(io, VmId(name), clock, metrics, "/v1/load", seed)
     {
         offerLists(lists);
-        const FrontendParts parts{
-            .lists = lists, .dispatcher = dispatcher, .peers = peers, .records = records, .permits = permits, .metrics = metrics, .clock = clock, .seed = seed};
+        const FrontendParts parts{.lists = lists,
+                                  .dispatcher = dispatcher,
+                                  .peers = peers,
+                                  .records = records,
+                                  .permits = permits,
+                                  .promptGuard = promptGuard,
+                                  .metrics = metrics,
+                                  .clock = clock,
+                                  .seed = seed};
         frontend = std::make_unique<HttpFrontend>(io, SocketAddress{.ip = "127.0.0.1", .port = 0}, options, parts);
         REQUIRE(!frontend->start());
     }
@@ -294,6 +303,7 @@
     Metrics metrics;
     SteadyClock clock;
     PermitClient permits;
+    PromptGuard promptGuard;
     std::unique_ptr<HttpFrontend> frontend;
 };
 
--- a/daemon/frontend/httpfrontend.h
+++ b/daemon/frontend/httpfrontend.h
@@ -33,6 +33,7 @@
 class GatewayContext;
 class GatewayDialect;
 class PermitClient;
+class PromptGuard;
 
 /// What the front end needs beside its other parts where callers are forwarded by routes.
 struct GatewayParts
@@ -51,6 +52,7 @@
     OrderForwarding &peers;                ///< Forwards orders with a ticket to its issuer. The front end sets its order handler.
     OrderRecords &records;                 ///< Records of orders with a caller's own key.
     PermitClient &permits;                 ///< Keeps requests within the limits that endpoints state.
+    PromptGuard &promptGuard;              ///< Keeps prompts that crash engines from them.
     Metrics &metrics;                      ///< Shown at `/metrics`.
     const Clock &clock;                    ///< Time of deadlines.
     std::uint64_t seed = 1;                ///< Of request ids and jitter; must differ between two runs.
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/endpoints/endpointexchange.h"
 #include "daemon/endpoints/permitclient.h"
+#include "daemon/endpoints/promptguard.h"
 #include "daemon/gateway/gatewayreply.h"
 #include "daemon/status/decisionlog.h"
 #include "daisystream/base/stablehash.h"
@@ -52,7 +53,11 @@
             }
         });
         gateway_.countRequest(request_.service);
-        while (mayAttempt()) {
+        const auto verdict = guard().admit(request_.head.sharedParts);
+        if (const auto *refusal = std::get_if<Error>(&verdict)) {
+            failure_ = *refusal;
+        }
+        while (std::holds_alternative<PartsAdmitted>(verdict) && mayAttempt()) {
             const auto endpoint = chooseEndpoint(yield);
             if (!endpoint) {
                 break;
@@ -65,11 +70,19 @@
     }
 
 private:
+    [[nodiscard]] PromptGuard &guard() const
+    {
+        return gateway_.frontend.parts.promptGuard;
+    }
+
     [[nodiscard]] bool mayAttempt()
     {
         if (callerLeft_ || answered_ || gateway_.now() >= request_.deadline || !state_.mayRetry() || unreachableCount_ >= kMaxUnreachable) {
             return false;
         }
+        if (state_.sent() > 0 && !guard().mayRepeat(request_.head.sharedParts, tried_.back())) {
+            return false;
+        }
         if (state_.sent() > 0 && !gateway_.tryConsumeRetry(request_.service)) {
             budgetExhausted_ = true;
             return false;
@@ -194,6 +207,10 @@
         }
         if (callerLeft_) {
             result = CallResult::CallerLeft;
+        } else if (fault && end == AttemptEnd::MayHaveRun) {
+            guard().onFailed(endpoint, request_.head.sharedParts, sentAt_);
+        } else if (end == AttemptEnd::Answered) {
+            guard().onBegun(request_.head.sharedParts);
         }
         if (!fault && end == AttemptEnd::MayHaveRun) {
             failure_
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/endpoints/endpointexchange.h"
 #include "daemon/endpoints/permitclient.h"
+#include "daemon/endpoints/promptguard.h"
 #include "daemon/endpoints/ssereader.h"
 #include "daemon/gateway/answermove.h"
 #include "daemon/gateway/gatewayreply.h"
@@ -45,6 +46,8 @@
 // Minimum time between the starts of two moves of an answer whose leaving engine still generates it.
 constexpr milliseconds kMoveRetryInterval{300};
 constexpr double kMillisecondsPerSecond = 1000;
+// Events after which a request counts as begun: an engine may crash right after the first one.
+constexpr std::uint64_t kEventsToBegin = 2;
 // A moved answer has lost its engine already, so that it waits longer for a permit.
 constexpr milliseconds kMovedPermitWait{1500};
 
@@ -76,6 +79,14 @@
         connection_.watchPeer([self = shared_from_this()] { self->onCallerLeft(); });
         gateway_.countRequest(request_.service);
         auto end = RunEnd::Failed;
+        const auto verdict = guard().admit(request_.head.sharedParts);
+        if (const auto *refusal = std::get_if<Error>(&verdict)) {
+            failure_ = *refusal;
+            refused_ = true;
+            end = RunEnd::Complete;
+        } else {
+            isTrial_ = std::get<PartsAdmitted>(verdict).isTrial;
+        }
         while (end == RunEnd::Failed && mayRunAgain()) {
             end = runOnce(yield);
         }
@@ -89,6 +100,11 @@
     }
 
 private:
+    [[nodiscard]] PromptGuard &guard() const
+    {
+        return gateway_.frontend.parts.promptGuard;
+    }
+
     void onCallerLeft()
     {
         callerLeft_ = true;
@@ -103,6 +119,10 @@
         if (callerLeft_ || gateway_.now() >= request_.deadline || (!state_.mayRetry() && !state_.mayContinue())) {
             return false;
         }
+        if (state_.sent() > 0 && !recalled_ && lastFailedEngine_ && !guard().mayRepeat(request_.head.sharedParts, *lastFailedEngine_)) {
+            failure_.detail += "; other engines crashed under requests with a part of this prompt";
+            return false;
+        }
         if (state_.sent() > 0 && !recalled_ && !gateway_.tryConsumeRetry(request_.service)) {
             failure_.detail += "; the retry budget is exhausted";
             return false;
@@ -146,6 +166,7 @@
             return RunEnd::Complete;
         }
         const auto shutdownWatch = watchShutdown();
+        const auto blockWatch = watchBlocks();
         if (const auto ended = assignEngine(yield)) {
             return *ended;
         }
@@ -197,6 +218,12 @@
                             kRetryAfterFailure};
                 return callerLeft_ ? RunEnd::CallerLeft : RunEnd::Failed;
             }
+            if (auto refusal = blockOfParts()) {
+                gateway_.dispatcher.onFinished(workId_, 0, FinishReason::MovedAway);
+                failure_ = std::move(*refusal);
+                refused_ = true;
+                return RunEnd::Complete;
+            }
             const bool holdsPermit = permitted == endpoint->id && gateway_.now() - askedAt <= kPermitLifetime;
             const bool isPermitted = holdsPermit || !gateway_.frontend.parts.permits.acquire(permitFor(endpoint->id), yield);
             if (isPermitted && !callerLeft_) {
@@ -264,6 +291,29 @@
         });
     }
 
+    /// @return the error if a part of the prompt was blocked since the request was admitted.
+    [[nodiscard]] std::optional<Error> blockOfParts() const
+    {
+        return isTrial_ ? std::nullopt : guard().check(request_.head.sharedParts);
+    }
+
+    /// Cancels the wait for an engine when a part of the prompt is blocked.
+    /// @return keeps the callback registered.
+    [[nodiscard]] std::shared_ptr<void> watchBlocks()
+    {
+        if (request_.head.sharedParts.empty()) {
+            return nullptr;
+        }
+        return guard().watchBlocks([weak = weak_from_this(), executor = strandOf(connection_.executor())] {
+            asio::post(executor, [weak] {
+                const auto self = weak.lock();
+                if (const auto refusal = self ? self->blockOfParts() : std::nullopt) {
+                    self->requester_.cancelRequest(*refusal);
+                }
+            });
+        });
+    }
+
     /// Waits for the end of the move and resumes the answer at its target engine, or at the source if the target fails before
     /// its first event.
     RunEnd continueMoved(asio::yield_context yield)
@@ -320,6 +370,8 @@
         exchange_ = std::make_shared<EndpointExchange>(connection_.executor(), endpoint_.address);
         recalled_ = false;
         deliveredInRun_ = false;
+        begunInRun_ = memory.has_value();
+        eventsOfRun_ = 0;
         provenNotRun_ = false;
         reader_ = SseReader();
         registerCancel();
@@ -447,10 +499,22 @@
         lastEventAt_ = now;
         lastEventOfRunAt_ = count > 0 ? now : lastEventOfRunAt_;
         events_ += count;
+        eventsOfRun_ += count;
+        if (eventsOfRun_ >= kEventsToBegin) {
+            markBegun();
+        }
         reportProgress();
         return true;
     }
 
+    /// Records that the engine has survived the beginning of the answer.
+    void markBegun()
+    {
+        if (!std::exchange(begunInRun_, true)) {
+            guard().onBegun(request_.head.sharedParts);
+        }
+    }
+
     bool markCallerLeft()
     {
         callerLeft_ = true;
@@ -532,6 +596,7 @@
             return onRunFailed({.kind = ExchangeFault::Kind::Broken, .detail = "the stream ended inside an event or before the first event"});
         }
         ended_ = true;
+        markBegun();
         connection_.endEvents(yield);
         return RunEnd::Complete;
     }
@@ -552,6 +617,9 @@
         }
         state_.onAttemptEnded(exchange_->bytesSent() ? AttemptEnd::MayHaveRun : AttemptEnd::NotSent);
         lastFailedEngine_ = endpoint_.id;
+        if (exchange_->bytesSent() && !begunInRun_ && !recalled_) {
+            guard().onFailed(endpoint_, request_.head.sharedParts, sentAt_);
+        }
         const auto code = fault.kind == ExchangeFault::Kind::Silent ? ResultCode::EndpointSilent : ResultCode::EndpointUnreachable;
         failure_ = {code, "endpoint " + endpoint_.id.value() + ": " + toString(fault.kind) + ", " + fault.detail, kRetryAfterFailure};
         return RunEnd::Failed;
@@ -655,6 +723,7 @@
     std::optional<EndpointId> lastFailedEngine_; ///< The engine that failed last; the dispatcher avoids it.
     std::string lastEvent_;                      ///< Id of the last event that was delivered; empty before the first one.
     std::uint64_t events_ = 0;                   ///< Events with an id that were delivered, over all runs.
+    std::uint64_t eventsOfRun_ = 0;              ///< The same of the current run.
     Error failure_{};
     TimePoint progressReportedAt_{}; ///< When progress was last reported to the dispatcher.
     TimePoint lastEventAt_{};
@@ -665,8 +734,10 @@
     TimePoint moveStartedAt_{};    ///< When the last move was started.
     bool awaitsFirstEvent_ = true; ///< No event arrived since the answer began or was moved.
     bool deliveredInRun_ = false;  ///< An event of the current run was sent to the caller.
+    bool begunInRun_ = false;      ///< The engine has survived the beginning of the current run.
     bool started_ = false;         ///< The response header was sent to the caller.
     bool ended_ = false;           ///< The complete answer or the engine's error response was sent to the caller.
+    bool isTrial_ = false;         ///< The request shows whether a blocked part still crashes engines.
     bool refused_ = false;         ///< No engine was assigned.
     bool recalled_ = false;        ///< The scheduler cancelled the current run to assign the request again.
     bool provenNotRun_ = false;    ///< The engine proved that it did not run the request.
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -133,6 +133,7 @@
                      .peers = control_.peers(),
                      .records = records_,
                      .permits = control_.permits(),
+                     .promptGuard = control_.promptGuard(),
                      .metrics = control_.metrics(),
                      .clock = clock_,
                      .seed = randomSeed(),
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -179,6 +179,22 @@
   leaving @5 :List(Text);         # Endpoints that said in an answer that they leave.
   cells @6 :List(CellDigest);     # Owned by the origin.
   limits @7 :List(LimitStatement);
+  crashes @8 :List(EngineCrash);
+  begun @9 :List(PartSighting);   # Requests with these parts began.
+  trials @10 :List(PartSighting); # Requests with these blocked parts were let through.
+}
+
+# A request that was at an engine and had not begun when the engine crashed.
+struct EngineCrash {
+  engine @0 :Text;
+  parts @1 :List(UInt64);         # Of its prompt, sorted.
+  sentAge @2 :Int64;              # Since it was sent to the engine.
+  crashAge @3 :Int64;             # Since the connection broke.
+}
+
+struct PartSighting {
+  part @0 :UInt64;
+  age @1 :Int64;
 }
 
 # A limit of requests a second that an endpoint stated for all VMs together.
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -35,6 +35,8 @@
 CAPNP_DECLARE_SCHEMA(ddea611008b880e6);
 CAPNP_DECLARE_SCHEMA(9de7118613a134d0);
 CAPNP_DECLARE_SCHEMA(b81435d6e66e9c9a);
+CAPNP_DECLARE_SCHEMA(ed9703a442969244);
+CAPNP_DECLARE_SCHEMA(a78a5b9e5127eabb);
 CAPNP_DECLARE_SCHEMA(d34958f5f6c2d3f7);
 CAPNP_DECLARE_SCHEMA(9361cac015d2008d);
 CAPNP_DECLARE_SCHEMA(a1aad34f185e3a0e);
@@ -355,7 +357,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b81435d6e66e9c9a, 1, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(b81435d6e66e9c9a, 1, 10)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EngineCrash {
+  EngineCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ed9703a442969244, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PartSighting {
+  PartSighting() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a78a5b9e5127eabb, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2747,6 +2779,15 @@
   inline bool hasLimits() const;
   inline  ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>::Reader getLimits() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasBegun() const;
+  inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Reader getBegun() const;
+
+  inline bool hasTrials() const;
+  inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Reader getTrials() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2828,6 +2869,27 @@
   inline void adoptLimits(::capnp::Orphan< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::LimitStatement,  ::capnp::Kind::STRUCT>> disownLimits();
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasBegun();
+  inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Builder getBegun();
+  inline void setBegun( ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Builder initBegun(unsigned int size);
+  inline void adoptBegun(::capnp::Orphan< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>> disownBegun();
+
+  inline bool hasTrials();
+  inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Builder getTrials();
+  inline void setTrials( ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Builder initTrials(unsigned int size);
+  inline void adoptTrials(::capnp::Orphan< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>> disownTrials();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2855,6 +2917,189 @@
 };
 #endif  // !CAPNP_LITE
 
+class EngineCrash::Reader {
+public:
+  typedef EngineCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
+  inline  ::int64_t getSentAge() const;
+
+  inline  ::int64_t getCrashAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EngineCrash::Builder {
+public:
+  typedef EngineCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+  inline  ::int64_t getSentAge();
+  inline void setSentAge( ::int64_t value);
+
+  inline  ::int64_t getCrashAge();
+  inline void setCrashAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EngineCrash::Pipeline {
+public:
+  typedef EngineCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PartSighting::Reader {
+public:
+  typedef PartSighting Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::int64_t getAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PartSighting::Builder {
+public:
+  typedef PartSighting Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PartSighting::Pipeline {
+public:
+  typedef PartSighting Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LimitStatement::Reader {
 public:
   typedef LimitStatement Reads;
@@ -7494,6 +7739,236 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool News::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool News::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>::Reader News::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>::Builder News::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void News::Builder::setCrashes( ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>::Builder News::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void News::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>> News::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::EngineCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool News::Reader::hasBegun() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool News::Builder::hasBegun() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Reader News::Reader::getBegun() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Builder News::Builder::getBegun() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void News::Builder::setBegun( ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Builder News::Builder::initBegun(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void News::Builder::adoptBegun(
+    ::capnp::Orphan< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>> News::Builder::disownBegun() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool News::Reader::hasTrials() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool News::Builder::hasTrials() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Reader News::Reader::getTrials() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Builder News::Builder::getTrials() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void News::Builder::setTrials( ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Builder News::Builder::initTrials(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void News::Builder::adoptTrials(
+    ::capnp::Orphan< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>> News::Builder::disownTrials() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool EngineCrash::Reader::hasEngine() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EngineCrash::Builder::hasEngine() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EngineCrash::Reader::getEngine() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EngineCrash::Builder::getEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EngineCrash::Builder::setEngine( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EngineCrash::Builder::initEngine(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EngineCrash::Builder::adoptEngine(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EngineCrash::Builder::disownEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EngineCrash::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EngineCrash::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader EngineCrash::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder EngineCrash::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EngineCrash::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void EngineCrash::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder EngineCrash::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void EngineCrash::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> EngineCrash::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t EngineCrash::Reader::getSentAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t EngineCrash::Builder::getSentAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EngineCrash::Builder::setSentAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t EngineCrash::Reader::getCrashAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t EngineCrash::Builder::getCrashAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EngineCrash::Builder::setCrashAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PartSighting::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PartSighting::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PartSighting::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PartSighting::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PartSighting::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PartSighting::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LimitStatement::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -83,6 +83,31 @@
     out.setAge(toMicroseconds(statement.age).count());
 }
 
+void write(capnp::List<wire::PartSighting>::Builder out, const std::vector<PartSighting> &sightings)
+{
+    for (unsigned i = 0; i < sightings.size(); ++i) {
+        out[i].setPart(sightings[i].part);
+        out[i].setAge(toMicroseconds(sightings[i].age).count());
+    }
+}
+
+void write(wire::News::Builder out, const QuarantineNews &news)
+{
+    auto crashes = out.initCrashes(static_cast<unsigned>(news.crashes.size()));
+    for (unsigned i = 0; i < news.crashes.size(); ++i) {
+        const CrashReport &report = news.crashes[i];
+        crashes[i].setEngine(text(report.engine.value()));
+        auto parts = crashes[i].initParts(static_cast<unsigned>(report.parts.size()));
+        for (unsigned j = 0; j < report.parts.size(); ++j) {
+            parts.set(j, report.parts[j]);
+        }
+        crashes[i].setSentAge(toMicroseconds(report.sentAge).count());
+        crashes[i].setCrashAge(toMicroseconds(report.crashAge).count());
+    }
+    write(out.initBegun(static_cast<unsigned>(news.begun.size())), news.begun);
+    write(out.initTrials(static_cast<unsigned>(news.trials.size())), news.trials);
+}
+
 void write(wire::Work::Builder out, const CellId &cell, const WorkRequest &work, TimePoint now)
 {
     out.setCell(text(cell.value()));
@@ -480,6 +505,7 @@
         for (unsigned i = 0; i < message.limits.size(); ++i) {
             write(limits[i], message.limits[i]);
         }
+        write(out, message.quarantine);
     }
 
     void operator()(const PermitAskMessage &message)
@@ -626,6 +652,31 @@
     return {.endpoint = EndpointId(string(in.getEndpoint())), .perSecond = in.getPerSecond(), .age = readDuration(in.getAge())};
 }
 
+std::vector<PartSighting> read(capnp::List<wire::PartSighting>::Reader in)
+{
+    std::vector<PartSighting> sightings;
+    for (const auto sighting : in) {
+        sightings.push_back({.part = sighting.getPart(), .age = readDuration(sighting.getAge())});
+    }
+    return sightings;
+}
+
+QuarantineNews readQuarantine(wire::News::Reader in)
+{
+    QuarantineNews news{.crashes = {}, .begun = read(in.getBegun()), .trials = read(in.getTrials())};
+    for (const auto crash : in.getCrashes()) {
+        CrashReport report{.engine = EndpointId(string(crash.getEngine())),
+                           .parts = {},
+                           .sentAge = readDuration(crash.getSentAge()),
+                           .crashAge = readDuration(crash.getCrashAge())};
+        for (const auto part : crash.getParts()) {
+            report.parts.push_back(part);
+        }
+        news.crashes.push_back(std::move(report));
+    }
+    return news;
+}
+
 NewsMessage read(wire::News::Reader in)
 {
     NewsMessage message{.origin = VmId(string(in.getOrigin())), .relay = in.getRelay()};
@@ -650,6 +701,7 @@
     for (const auto statement : in.getLimits()) {
         message.limits.push_back(read(statement));
     }
+    message.quarantine = readQuarantine(in);
     return message;
 }
 
--- a/daemon/peers/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -5,6 +5,7 @@
 #include "daisystream/endpoint/endpointdirectory.h"
 #include "daisystream/limits/endpointpermits.h"
 #include "daisystream/membership/fleetring.h"
+#include "daisystream/quarantine/partquarantine.h"
 #include "daisystream/scheduler/scheduler.h"
 
 #include <array>
@@ -283,6 +284,7 @@
     std::vector<EndpointId> leaving{}; ///< Endpoints that said in an answer that they leave.
     std::vector<CellDigest> cells{};   ///< Owned by the origin.
     std::vector<LimitStatement> limits{};
+    QuarantineNews quarantine{}; ///< Of prompt parts that may crash engines.
 
     friend auto operator<=>(const NewsMessage &, const NewsMessage &) = default;
 };
--- a/daemon/peers/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -103,6 +103,13 @@
                                                     .pause = std::chrono::milliseconds(10)},
                             .statement = {.endpoint = EndpointId("e4"), .perSecond = 0, .age = {}}}},
         NewsMessage{.origin = VmId("vm1")},
+        NewsMessage{.origin = VmId("vm1"),
+                    .quarantine = {.crashes = {{.engine = EndpointId("e4"),
+                                                .parts = {7, 0xffffffffffffffffU},
+                                                .sentAge = std::chrono::milliseconds(250),
+                                                .crashAge = std::chrono::milliseconds(20)}},
+                                   .begun = {{.part = 8, .age = std::chrono::milliseconds(30)}},
+                                   .trials = {{.part = 9, .age = std::chrono::milliseconds(40)}}}},
     };
 }
 
--- a/daisystream/base/result.h
+++ b/daisystream/base/result.h
@@ -47,6 +47,7 @@
     NoEndpoint = 205,
     RetryBudgetSpent = 206,
     TimeLimitPassed = 207,
+    PromptQuarantined = 208,
     // 3xx: states in which the VM accepts no requests.
     Stopping = 301,
     NoLists = 302,
