Schedules of prompts that crash engines, and tell the cause from what was only present

Now crashes are kept with the parts of their requests and counted anew from all that is known, so that VMs that hear of them in another order agree; a block grows with failed trials only; a request that lacks a blocked cause which crashed more engines is a bystander; a more specific cause takes the blame; trials are requests without another suspect; four VMs repeat a block; a VM that was frozen dates beginnings back.

--- a/daemon/endpoints/promptguard.cpp
+++ b/daemon/endpoints/promptguard.cpp
@@ -234,13 +234,17 @@
         [weak = std::weak_ptr(d_), &io = d_->io](asio::yield_context yield) {
             asio::steady_timer pause(io);
             boost::system::error_code error;
-            for (;;) {
-                pause.expires_after(kRepeatInterval);
+            for (unsigned ticks = 1;; ++ticks) {
+                pause.expires_after(kTickInterval);
                 pause.async_wait(yield[error]);
                 const auto self = weak.lock();
                 if (error || !self) {
                     return;
                 }
+                self->locked([](PartQuarantine &quarantine, TimePoint now) { quarantine.tick(now); });
+                if (ticks % (kRepeatInterval / kTickInterval) != 0) {
+                    continue;
+                }
                 const auto news = self->locked([](PartQuarantine &quarantine, TimePoint now) { return quarantine.repeatedNews(now); });
                 if (!news.empty() && self->announcer) {
                     self->announcer(news);
@@ -302,10 +306,10 @@
     }
 }
 
-void PromptGuard::onBegun(const std::vector<PartId> &parts)
+void PromptGuard::onBegun(const std::vector<PartId> &parts, TimePoint sentAt)
 {
     if (!parts.empty()) {
-        d_->locked([&](PartQuarantine &quarantine, TimePoint now) { quarantine.onBegun(parts, now); });
+        d_->locked([&](PartQuarantine &quarantine, TimePoint now) { quarantine.onBegun(parts, sentAt, now); });
         d_->publish();
     }
 }
--- a/daemon/endpoints/promptguard.h
+++ b/daemon/endpoints/promptguard.h
@@ -72,7 +72,8 @@
     void onFailed(const EndpointSettings &engine, const std::vector<PartId> &parts, TimePoint sentAt);
 
     /// Handles the beginning of an answer.
-    void onBegun(const std::vector<PartId> &parts);
+    /// @param sentAt when the request was sent to the engine.
+    void onBegun(const std::vector<PartId> &parts, TimePoint sentAt);
 
     /// Registers a callback for waiting requests.
     /// @param onBlocked called on any thread, without locks, when a part was blocked.
--- a/daemon/frontend/answerrelay.cpp
+++ b/daemon/frontend/answerrelay.cpp
@@ -447,7 +447,7 @@
 void AnswerRelay::Private::markBegun()
 {
     if (accounts_ && !std::exchange(hasBegun_, true)) {
-        context_.parts.promptGuard.onBegun(parts_);
+        context_.parts.promptGuard.onBegun(parts_, sentAt_);
     }
 }
 
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -210,7 +210,7 @@
         } else if (fault && end == AttemptEnd::MayHaveRun) {
             guard().onFailed(endpoint, request_.head.sharedParts, sentAt_);
         } else if (end == AttemptEnd::Answered) {
-            guard().onBegun(request_.head.sharedParts);
+            guard().onBegun(request_.head.sharedParts, sentAt_);
         }
         if (!fault && end == AttemptEnd::MayHaveRun) {
             failure_
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -511,7 +511,7 @@
     void markBegun()
     {
         if (!std::exchange(begunInRun_, true)) {
-            guard().onBegun(request_.head.sharedParts);
+            guard().onBegun(request_.head.sharedParts, sentAt_);
         }
     }
 
--- a/daisystream/quarantine/partquarantine.cpp
+++ b/daisystream/quarantine/partquarantine.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace daisystream
 {
@@ -14,8 +16,8 @@
 
 using std::chrono::milliseconds;
 
-// VMs that repeat the state of a part, so that one of them can be lost.
-constexpr std::size_t kRepeaters = 2;
+// VMs that repeat the state of a part, so that some of them can restart at the same time.
+constexpr std::size_t kRepeaters = 4;
 // A cleared part is repeated for so long after it was blocked, for VMs that missed it.
 constexpr std::chrono::seconds kRepeatsCleared{10};
 // Spread of announcements that many VMs may make at the same time, for each VM of the fleet, and its limit.
@@ -24,10 +26,14 @@
 // Spread of the first trials after a block, for each VM of the fleet, and its limit.
 constexpr milliseconds kTrialSpread{50};
 constexpr milliseconds kMaxTrialSpread{20000};
-// More crashes than this do not prolong a block.
-constexpr std::size_t kMaxCrashes = 8;
+// Crashes that are remembered for each suspect.
+constexpr std::size_t kMaxCrashes = 16;
+// Reports of crashes of one engine within this time are of the same crash, since an engine takes long to start.
+constexpr std::chrono::seconds kRestartTime{10};
+// A VM whose ticks are further apart than this was frozen, and handles events that happened meanwhile.
+constexpr milliseconds kTickTolerance{750};
 // Parts of one request that are looked at.
-constexpr std::size_t kMaxParts = 256;
+constexpr std::size_t kMaxParts = 64;
 
 std::vector<PartId> sortedParts(const std::vector<PartId> &parts)
 {
@@ -63,18 +69,35 @@
         return PartsAdmitted{};
     }
     const auto sorted = sortedParts(parts);
-    PartsAdmitted admitted;
+    std::optional<PartBlocked> blocked;
+    bool isFairTrial = true;
     for (const auto part : sorted) {
         const auto found = suspects_.find(part);
         if (found == suspects_.end() || !isBlocked(found->second) || !concerns(found->second, sorted)) {
             continue;
         }
-        if (const auto wait = waitFor(found->second, now)) {
-            return PartBlocked{.part = part, .retryAfter = *wait};
+        isFairTrial = isFairTrial && !hasOtherSuspect(found->second, sorted);
+        const auto wait = waitFor(found->second, now);
+        if (!blocked || wait > blocked->retryAfter) {
+            blocked = PartBlocked{.part = part, .retryAfter = wait};
         }
-        admitted.isTrial = true;
     }
-    return admitted;
+    if (!blocked) {
+        return PartsAdmitted{};
+    }
+    // A trial that crashes an engine because of another part would prolong this block: requests without such a part are tried first.
+    blocked->retryAfter += isFairTrial ? Duration::zero() : 2 * options_.trialTime;
+    return blocked->retryAfter > Duration::zero() ? PartVerdict(*blocked) : PartVerdict(PartsAdmitted{.isTrial = true});
+}
+
+/// @return whether a request has a suspected part that did not occur in each of a suspect's crashes and was not served shortly before.
+bool PartQuarantine::hasOtherSuspect(const Suspect &suspect, const std::vector<PartId> &sorted) const
+{
+    return std::any_of(sorted.begin(), sorted.end(), [&](PartId part) {
+        const auto found = suspects_.find(part);
+        return found != suspects_.end() && !found->second.crashes.empty() && !isKnown(found->second)
+            && !std::binary_search(suspect.companions.begin(), suspect.companions.end(), part);
+    });
 }
 
 PartVerdict PartQuarantine::admit(const std::vector<PartId> &parts, TimePoint now)
@@ -105,7 +128,7 @@
             return false;
         }
         const auto &crashes = found->second.crashes;
-        const auto others = std::count_if(crashes.begin(), crashes.end(), [&](const Crash &crash) { return crash.engine != failed; });
+        const auto others = std::count_if(crashes.begin(), crashes.end(), [&](const Crash &crash) { return crash.counts && crash.engine != failed; });
         return static_cast<std::size_t>(others) + 1 >= threshold(found->second);
     });
 }
@@ -121,15 +144,26 @@
     urgentNews_.crashes.push_back({.engine = engine, .parts = std::move(parts), .sentAge = *urgentSince_ - sentAt, .crashAge = *urgentSince_ - crashedAt});
 }
 
-void PartQuarantine::onBegun(const std::vector<PartId> &parts, TimePoint now)
+void PartQuarantine::tick(TimePoint now)
+{
+    if (now - lastTick_ > kTickTolerance) {
+        wokeAt_ = now;
+    }
+    lastTick_ = now;
+}
+
+void PartQuarantine::onBegun(const std::vector<PartId> &parts, TimePoint sentAt, TimePoint now)
 {
+    const bool isAwake = now - lastTick_ <= kTickTolerance && now - wokeAt_ > kTickTolerance;
+    const auto begunAt = isAwake ? now : sentAt;
     for (const auto part : sortedParts(parts)) {
-        noteKnown(part, now, now);
+        noteKnown(part, begunAt, now);
         const auto found = suspects_.find(part);
-        if (found != suspects_.end() && !found->second.crashes.empty() && !options_.faults.ignoresBegun) {
-            announceBegun(part, now, now);
+        const bool isSuspected = found != suspects_.end() && !found->second.crashes.empty();
+        if (isSuspected && found->second.crashes.front().crashedAt <= begunAt && !options_.faults.ignoresBegun) {
+            announceBegun(part, begunAt, now);
         }
-        recordBegun(part, now);
+        recordBegun(part, begunAt);
     }
 }
 
@@ -249,26 +283,32 @@
     if (now - crashedAt > options_.longestBlock) {
         return;
     }
-    std::vector<PartId> suspected; // Without the parts with which a request began since the crash.
+    Crash crash{.engine = engine, .sentAt = sentAt, .crashedAt = crashedAt, .parts = {}, .counts = false};
     for (const auto part : parts) {
-        const auto &suspect = suspectFor(part);
+        auto &suspect = suspectFor(part);
+        suspect.lastReportAt = std::max(suspect.lastReportAt, crashedAt);
         if (!suspect.begunAt || *suspect.begunAt < crashedAt) {
-            suspected.push_back(part);
+            crash.parts.push_back(part);
         } else if (suspect.crashes.empty() && lastBegun(part) == suspect.begunAt) {
             announceBegun(part, *suspect.begunAt, now);
         }
     }
-    for (const auto part : suspected) {
+    // The most specific causes come first, so that the others are not incriminated if these are blocked now.
+    std::vector<PartId> ordered = crash.parts;
+    std::stable_sort(ordered.begin(), ordered.end(), [&](PartId a, PartId b) {
+        const auto specificity = [&](PartId part) {
+            const auto &suspect = suspectFor(part);
+            return suspect.crashes.empty() ? crash.parts.size() : suspect.companions.size();
+        };
+        return specificity(a) > specificity(b);
+    });
+    for (const auto part : ordered) {
         auto &suspect = suspectFor(part);
-        const bool wasBlocked = isBlocked(suspect);
-        if (suspect.crashes.empty()) {
-            suspect.companions = suspected;
-        } else {
-            std::vector<PartId> common;
-            std::set_intersection(suspect.companions.begin(), suspect.companions.end(), suspected.begin(), suspected.end(), std::back_inserter(common));
-            suspect.companions = std::move(common);
+        if (isBlamedOnOther(suspect, crash) || isBystander(part, suspect, crash)) {
+            continue;
         }
-        addCrash(suspect.crashes, {.engine = engine, .sentAt = sentAt, .crashedAt = crashedAt}, options_.faults.countsOverlapping);
+        const bool wasBlocked = isBlocked(suspect);
+        addCrash(suspect, crash);
         suspect.lastCrashAt = std::max(suspect.lastCrashAt, crashedAt);
         if (suspect.trialAt && *suspect.trialAt <= crashedAt) {
             suspect.trialAt.reset();
@@ -279,32 +319,145 @@
         if (isBlocked(suspect) && !wasBlocked) {
             suspect.wasBlocked = true;
             repeatsNow_ = true;
-            changes_.push_back({.part = part, .isBlocked = true, .crashes = suspect.crashes.size(), .blockedFor = blockTime(suspect)});
+            changes_.push_back({.part = part, .isBlocked = true, .crashes = suspect.count, .blockedFor = blockTime(suspect)});
+            clearBystanders();
+        }
+    }
+}
+
+/// @return whether an engine crashed because of a blocked part that the request of the crash does not have, so that the suspect was only
+///     present. Only a part that crashed more engines than the suspect tells that.
+bool PartQuarantine::isBystander(PartId part, const Suspect &suspect, const Crash &crash) const
+{
+    return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto &entry) {
+        const auto &[cause, other] = entry;
+        const bool isStronger = cause != part && isBlocked(other) && crashedEngines(other).size() > crashedEngines(suspect).size();
+        const bool hasCause = std::binary_search(crash.parts.begin(), crash.parts.end(), cause) && concerns(other, crash.parts);
+        return isStronger && !hasCause && crashedEngines(other).contains(crash.engine);
+    });
+}
+
+std::set<EndpointId> PartQuarantine::crashedEngines(const Suspect &suspect)
+{
+    std::set<EndpointId> engines;
+    for (const auto &crash : suspect.crashes) {
+        engines.insert(crash.engine);
+    }
+    return engines;
+}
+
+/// @return whether the request of a crash has a blocked part that is a more specific cause than the suspect, which this crash then does not
+///     incriminate further.
+bool PartQuarantine::isBlamedOnOther(const Suspect &suspect, const Crash &crash) const
+{
+    const auto &companions = suspect.companions;
+    return !suspect.crashes.empty() && std::any_of(crash.parts.begin(), crash.parts.end(), [&](PartId part) {
+        const auto found = suspects_.find(part);
+        return found != suspects_.end() && isBlocked(found->second) && concerns(found->second, crash.parts)
+            && found->second.companions.size() > companions.size()
+            && std::includes(found->second.companions.begin(), found->second.companions.end(), companions.begin(), companions.end());
+    });
+}
+
+/// Drops the crashes at which suspects were only present, after another part was blocked.
+void PartQuarantine::clearBystanders()
+{
+    for (auto &[part, suspect] : suspects_) {
+        if (suspect.crashes.empty()) {
+            continue;
         }
+        const bool wasBlocked = isBlocked(suspect);
+        std::vector<Crash> kept;
+        std::copy_if(suspect.crashes.begin(), suspect.crashes.end(), std::back_inserter(kept), [&, part = part](const Crash &crash) {
+            return !isBystander(part, suspects_.at(part), crash);
+        });
+        if (kept.size() < suspect.crashes.size()) {
+            suspect.crashes = std::move(kept);
+            countCrashes(suspect);
+            noteIfCleared(part, suspect, wasBlocked);
+        }
+    }
+}
+
+void PartQuarantine::noteIfCleared(PartId part, const Suspect &suspect, bool wasBlocked)
+{
+    if (wasBlocked && !isBlocked(suspect)) {
+        changes_.push_back({.part = part, .isBlocked = false, .crashes = suspect.count, .blockedFor = {}});
     }
 }
 
-void PartQuarantine::addCrash(std::vector<Crash> &crashes, const Crash &crash, bool countsOverlapping)
+/// @return whether two reports are of one crash of an engine.
+bool PartQuarantine::isSameCrash(const Crash &a, const Crash &b)
 {
-    const auto overlaps = [&](const Crash &other) {
-        return crash.sentAt < other.crashedAt && other.sentAt < crash.crashedAt;
-    };
+    return a.engine == b.engine && std::chrono::abs(a.crashedAt - b.crashedAt) < kRestartTime;
+}
+
+void PartQuarantine::addCrash(Suspect &suspect, const Crash &crash) const
+{
+    auto &crashes = suspect.crashes;
     const auto same = std::find_if(crashes.begin(), crashes.end(), [&](const Crash &other) {
-        constexpr milliseconds kClockError{500}; // Between the ages that two VMs state for one crash.
-        return other.engine == crash.engine && std::chrono::abs(other.crashedAt - crash.crashedAt) < kClockError;
+        return isSameCrash(other, crash) && std::includes(other.parts.begin(), other.parts.end(), crash.parts.begin(), crash.parts.end());
     });
-    const auto overlapping = std::count_if(crashes.begin(), crashes.end(), overlaps);
-    if (same != crashes.end() || (overlapping > 0 && !countsOverlapping)) {
-        // A request that was sent later makes it easier for others to be sent after this crash, and before it.
-        const auto other = same != crashes.end() ? same : std::find_if(crashes.begin(), crashes.end(), overlaps);
-        if (overlapping == 1 && overlaps(*other) && other->sentAt < crash.sentAt && crash.crashedAt < other->crashedAt) {
-            *other = crash;
+    if (same != crashes.end()) {
+        if (same->crashedAt <= crash.crashedAt) {
+            return;
         }
-        return;
+        crashes.erase(same); // Ages that were delayed on the way make a crash look later than it was.
     }
     crashes.insert(std::upper_bound(crashes.begin(), crashes.end(), crash, [](const Crash &a, const Crash &b) { return a.crashedAt < b.crashedAt; }), crash);
+    countCrashes(suspect);
     if (crashes.size() > kMaxCrashes) {
-        crashes.erase(crashes.begin());
+        const auto spare = std::find_if(crashes.begin(), crashes.end(), [](const Crash &other) { return !other.counts; });
+        crashes.erase(spare == crashes.end() ? crashes.begin() : spare);
+        countCrashes(suspect);
+    }
+}
+
+/// Determines the longest sequence of crashes in which each request was sent after the crash before. While the part is blocked, only a
+/// crash under a trial is one more, since VMs that do not know of the block send other requests.
+void PartQuarantine::countCrashes(Suspect &suspect) const
+{
+    suspect.count = 0;
+    TimePoint last{}; // The last crash that counts.
+    TimePoint latest{};
+    for (auto &crash : suspect.crashes) {
+        const bool isDuringBlock = suspect.count >= threshold(suspect) && crash.sentAt < latest + blockTime(suspect);
+        const bool isNew = crash.sentAt >= last || options_.faults.countsOverlapping;
+        const bool isCounted = std::any_of(
+            suspect.crashes.begin(), suspect.crashes.end(), [&](const Crash &other) { return &other < &crash && other.counts && isSameCrash(other, crash); });
+        crash.counts = isNew && !isDuringBlock && !isCounted;
+        if (crash.counts) {
+            ++suspect.count;
+            last = crash.crashedAt;
+        }
+        latest = crash.crashedAt;
+    }
+    findCompanions(suspect);
+}
+
+/// Determines the parts that occurred in each crash. Of several requests at one engine, the one that leaves most parts counts, so that no
+/// more requests are refused than the crashes give reason for.
+void PartQuarantine::findCompanions(Suspect &suspect)
+{
+    suspect.companions.clear();
+    std::set<EndpointId> seen;
+    for (const auto &first : suspect.crashes) {
+        if (!seen.insert(first.engine).second) {
+            continue;
+        }
+        std::vector<PartId> most;
+        for (const auto &crash : suspect.crashes) {
+            if (crash.engine != first.engine) {
+                continue;
+            }
+            std::vector<PartId> common = crash.parts;
+            if (seen.size() > 1) {
+                common.clear();
+                std::set_intersection(suspect.companions.begin(), suspect.companions.end(), crash.parts.begin(), crash.parts.end(), std::back_inserter(common));
+            }
+            most = common.size() > most.size() ? std::move(common) : std::move(most);
+        }
+        suspect.companions = std::move(most);
     }
 }
 
@@ -320,16 +473,23 @@
     const bool hadCrashes = !suspect.crashes.empty();
     suspect.begunAt = std::max(suspect.begunAt.value_or(begunAt), begunAt);
     std::erase_if(suspect.crashes, [&](const Crash &crash) { return crash.crashedAt <= begunAt; });
-    if (hadCrashes && suspect.crashes.empty()) {
-        suspect.companions.clear();
+    countCrashes(suspect);
+    if (!hadCrashes) {
+        return;
+    }
+    if (suspect.crashes.empty()) {
         suspect.trialAt.reset();
-        for (auto &[other, record] : suspects_) {
-            std::erase(record.companions, part);
-        }
     }
-    if (wasBlocked && !isBlocked(suspect)) {
-        changes_.push_back({.part = part, .isBlocked = false, .crashes = suspect.crashes.size(), .blockedFor = {}});
+    for (auto &[other, record] : suspects_) {
+        // The part is not what crashed these engines.
+        for (auto &crash : record.crashes) {
+            if (crash.crashedAt <= begunAt) {
+                std::erase(crash.parts, part);
+            }
+        }
+        findCompanions(record);
     }
+    noteIfCleared(part, suspect, wasBlocked);
 }
 
 PartQuarantine::Suspect &PartQuarantine::suspectFor(PartId part)
@@ -369,7 +529,7 @@
     std::erase_if(suspects_, [&](const auto &entry) {
         const Suspect &suspect = entry.second;
         if (suspect.crashes.empty()) {
-            return !suspect.begunAt || now - *suspect.begunAt > 2 * options_.knownMemory;
+            return now - suspect.lastReportAt > 2 * options_.knownMemory;
         }
         return now - suspect.lastCrashAt > options_.suspicion + (isBlocked(suspect) ? blockTime(suspect) : Duration::zero());
     });
@@ -421,13 +581,13 @@
 
 bool PartQuarantine::isBlocked(const Suspect &suspect) const
 {
-    return suspect.crashes.size() >= threshold(suspect);
+    return suspect.count >= threshold(suspect);
 }
 
 Duration PartQuarantine::blockTime(const Suspect &suspect) const
 {
     auto time = options_.firstBlock;
-    for (std::size_t i = threshold(suspect); i < suspect.crashes.size() && time < options_.longestBlock; ++i) {
+    for (std::size_t i = threshold(suspect); i < suspect.count && time < options_.longestBlock; ++i) {
         time *= options_.blockGrowth;
     }
     return options_.faults.neverEnds ? Duration::max() / 4 : std::min(time, options_.longestBlock);
@@ -437,24 +597,17 @@
 /// @return whether the request has all the parts that may be the cause of the suspect's crashes.
 bool PartQuarantine::concerns(const Suspect &suspect, const std::vector<PartId> &sorted) const
 {
-    return options_.faults.ignoresCompanions || std::all_of(suspect.companions.begin(), suspect.companions.end(), [&](PartId companion) {
-               if (std::binary_search(sorted.begin(), sorted.end(), companion)) {
-                   return true;
-               }
-               // A part with which requests were served shortly before is not what the suspect needs to crash an engine.
-               const auto found = suspects_.find(companion);
-               return found != suspects_.end() && isKnown(found->second);
-           });
+    return options_.faults.ignoresCompanions || std::includes(sorted.begin(), sorted.end(), suspect.companions.begin(), suspect.companions.end());
 }
 
-/// @return how long no request with the part may be sent; nothing if a trial is due.
-std::optional<Duration> PartQuarantine::waitFor(const Suspect &suspect, TimePoint now) const
+/// @return how long no request with the part may be sent; zero or less if a trial is due.
+Duration PartQuarantine::waitFor(const Suspect &suspect, TimePoint now) const
 {
     auto end = suspect.lastCrashAt + blockTime(suspect) + suspect.trialDelay;
     if (suspect.trialAt) {
         end = std::max(end, *suspect.trialAt + options_.trialTime);
     }
-    return now < end ? std::optional(end - now) : std::nullopt;
+    return end - now;
 }
 
 bool PartQuarantine::isRepeater(PartId part, Suspect &suspect) const
@@ -471,7 +624,10 @@
 {
     std::vector<CrashReport> reports;
     for (const auto &crash : suspect.crashes) {
-        reports.push_back({.engine = crash.engine, .parts = suspect.companions, .sentAge = now - crash.sentAt, .crashAge = now - crash.crashedAt});
+        if (!crash.counts && crash.crashedAt != suspect.lastCrashAt) {
+            continue; // It changes nothing.
+        }
+        reports.push_back({.engine = crash.engine, .parts = crash.parts, .sentAge = now - crash.sentAt, .crashAge = now - crash.crashedAt});
     }
     return reports;
 }
--- a/daisystream/quarantine/partquarantine.h
+++ b/daisystream/quarantine/partquarantine.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -38,6 +39,9 @@
 namespace daisystream
 {
 
+/// Interval of `PartQuarantine::tick`.
+constexpr std::chrono::milliseconds kTickInterval{250};
+
 /// Identifies a part of a prompt that several requests may have in common.
 using PartId = std::uint64_t;
 
@@ -129,7 +133,7 @@
 {
     std::size_t crashesToBlock = 2; ///< Successive crashes after which a part is blocked.
     /// The same for a part with which requests have begun shortly before the first crash.
-    std::size_t crashesToBlockKnown = 4;
+    std::size_t crashesToBlockKnown = 3;
     Duration firstBlock = std::chrono::seconds(5);   ///< After the crash that caused the block.
     Duration longestBlock = std::chrono::hours(24);  ///< Limit of the growing times.
     int blockGrowth = 12;                            ///< Factor by which each further crash prolongs the block.
@@ -166,8 +170,13 @@
     /// @param crashedAt when the connection to the engine broke.
     void onCrash(const EndpointId &engine, std::vector<PartId> parts, TimePoint sentAt, TimePoint crashedAt, TimePoint now);
 
-    /// Handles the beginning of an answer.
-    void onBegun(const std::vector<PartId> &parts, TimePoint now);
+    /// Must be called every `kTickInterval`, by which the object notices that its VM was frozen.
+    void tick(TimePoint now);
+
+    /// Handles the beginning of an answer. A VM that was frozen notices it later than it was, so that it clears the parts of crashes
+    /// before the request was sent only.
+    /// @param sentAt when the request was sent to the engine.
+    void onBegun(const std::vector<PartId> &parts, TimePoint sentAt, TimePoint now);
 
     /// Handles what another VM saw.
     void onNews(const QuarantineNews &news, TimePoint now);
@@ -179,7 +188,7 @@
     /// @return when `takeNews` has something next; nothing if there is nothing to tell.
     [[nodiscard]] std::optional<TimePoint> nextNews() const;
 
-    /// @return what this VM repeats from time to time for VMs that have missed it or have just started. Two VMs repeat it for each part.
+    /// @return what this VM repeats from time to time for VMs that have missed it or have just started. Some VMs repeat it for each part.
     [[nodiscard]] QuarantineNews repeatedNews(TimePoint now);
 
     /// @return the parts that were blocked or cleared since the last call.
@@ -188,7 +197,13 @@
     /// @return the parts that are blocked now, including those that wait for a trial.
     [[nodiscard]] std::size_t blockedParts() const;
 
-    /// @return the parts that this VM keeps a record of, for tests of its memory.
+    /// @return the parts of which crashes or their clearing are remembered.
+    [[nodiscard]] std::size_t suspectedParts() const
+    {
+        return suspects_.size();
+    }
+
+    /// @return all parts that this VM keeps a record of, for tests of its memory.
     [[nodiscard]] std::size_t recordedParts() const
     {
         return suspects_.size() + known_.size() + knownBefore_.size();
@@ -200,12 +215,16 @@
         EndpointId engine;
         TimePoint sentAt;
         TimePoint crashedAt;
+        std::vector<PartId> parts; ///< Of the request, without those with which a request has begun since; sorted.
+        bool counts = false;       ///< It is one of the successive crashes.
     };
     struct Suspect
     {
-        std::vector<Crash> crashes;     ///< Since a request with the part last began; each sent after the one before had crashed.
-        std::vector<PartId> companions; ///< Parts of all requests that met these crashes; sorted, includes the part itself.
+        std::vector<Crash> crashes;     ///< Since a request with the part last began, by the time of the crash.
+        std::size_t count = 0;          ///< Successive crashes, see `countCrashes`.
+        std::vector<PartId> companions; ///< Parts that occurred in each of these crashes; sorted, includes the part itself.
         TimePoint lastCrashAt{};
+        TimePoint lastReportAt{};         ///< As `lastCrashAt`, of all crashes at which the part was present.
         std::optional<TimePoint> begunAt; ///< When a request with the part last began, as far as this VM knows.
         std::optional<TimePoint> trialAt;
         Duration trialDelay{}; ///< So much later than the end of the block this VM may try.
@@ -214,7 +233,15 @@
     };
 
     void recordCrash(const EndpointId &engine, const std::vector<PartId> &parts, TimePoint sentAt, TimePoint crashedAt, TimePoint now);
-    static void addCrash(std::vector<Crash> &crashes, const Crash &crash, bool countsOverlapping);
+    [[nodiscard]] static bool isSameCrash(const Crash &a, const Crash &b);
+    void addCrash(Suspect &suspect, const Crash &crash) const;
+    void countCrashes(Suspect &suspect) const;
+    [[nodiscard]] bool isBystander(PartId part, const Suspect &suspect, const Crash &crash) const;
+    [[nodiscard]] static std::set<EndpointId> crashedEngines(const Suspect &suspect);
+    [[nodiscard]] bool isBlamedOnOther(const Suspect &suspect, const Crash &crash) const;
+    void clearBystanders();
+    void noteIfCleared(PartId part, const Suspect &suspect, bool wasBlocked);
+    static void findCompanions(Suspect &suspect);
     void recordBegun(PartId part, TimePoint begunAt);
     Suspect &suspectFor(PartId part);
     void makeRoom();
@@ -227,7 +254,8 @@
     [[nodiscard]] bool isBlocked(const Suspect &suspect) const;
     [[nodiscard]] Duration blockTime(const Suspect &suspect) const;
     [[nodiscard]] bool concerns(const Suspect &suspect, const std::vector<PartId> &sorted) const;
-    [[nodiscard]] std::optional<Duration> waitFor(const Suspect &suspect, TimePoint now) const;
+    [[nodiscard]] bool hasOtherSuspect(const Suspect &suspect, const std::vector<PartId> &sorted) const;
+    [[nodiscard]] Duration waitFor(const Suspect &suspect, TimePoint now) const;
     [[nodiscard]] bool isRepeater(PartId part, Suspect &suspect) const;
     static std::vector<CrashReport> reportsOf(const Suspect &suspect, TimePoint now);
 
@@ -240,6 +268,8 @@
     std::unordered_map<PartId, TimePoint> known_;
     std::unordered_map<PartId, TimePoint> knownBefore_;
     TimePoint knownSince_{};
+    TimePoint lastTick_{};
+    TimePoint wokeAt_{};
     struct PendingBegun
     {
         TimePoint begunAt;
--- a/daisystream/quarantine/partquarantine_test.cpp
+++ b/daisystream/quarantine/partquarantine_test.cpp
@@ -61,7 +61,7 @@
     fixture.crash(kEngineB, {kSystem, kSubject, kDeadly});
     CHECK(fixture.isRefused({kSystem, kSubject, kDeadly}));
     CHECK_FALSE(fixture.isRefused({kSystem, kSubject}));
-    fixture.quarantine.onBegun({kSystem, kSubject}, fixture.clock.now());
+    fixture.quarantine.onBegun({kSystem, kSubject}, fixture.clock.now(), fixture.clock.now());
     CHECK(fixture.isRefused({kDeadly}));
     CHECK_FALSE(fixture.isRefused({kSystem, kSubject}));
 }
@@ -72,7 +72,7 @@
     Fixture fixture;
     for (int i = 0; i < 20; ++i) {
         fixture.crash(EndpointId("e" + std::to_string(i)), {kSystem});
-        fixture.quarantine.onBegun({kSystem}, fixture.clock.now());
+        fixture.quarantine.onBegun({kSystem}, fixture.clock.now(), fixture.clock.now());
     }
     CHECK_FALSE(fixture.isRefused({kSystem}));
 }
@@ -81,9 +81,9 @@
 TEST_CASE("a part with which requests were served shortly before is blocked after more crashes only")
 {
     Fixture fixture;
-    fixture.quarantine.onBegun({kSystem}, fixture.clock.now());
+    fixture.quarantine.onBegun({kSystem}, fixture.clock.now(), fixture.clock.now());
     fixture.clock.advance(1s);
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < 2; ++i) {
         fixture.crash(EndpointId("e" + std::to_string(i)), {kSystem});
     }
     CHECK_FALSE(fixture.isRefused({kSystem}));
@@ -131,7 +131,7 @@
     CHECK(std::get<PartsAdmitted>(fixture.quarantine.admit({kDeadly}, fixture.clock.now())).isTrial);
     CHECK(fixture.isRefused({kDeadly}));
     CHECK(fixture.quarantine.takeNews(fixture.clock.now()).trials.size() == 1);
-    fixture.quarantine.onBegun({kDeadly}, fixture.clock.now());
+    fixture.quarantine.onBegun({kDeadly}, fixture.clock.now(), fixture.clock.now());
     CHECK_FALSE(fixture.isRefused({kDeadly}));
 }
 
@@ -200,7 +200,7 @@
     fixture.quarantine.setVms(std::vector<VmId>(420, VmId("vm")));
     fixture.crash(kEngineA, {kSystem});
     (void)fixture.quarantine.takeNews(fixture.clock.now());
-    fixture.quarantine.onBegun({kSystem}, fixture.clock.now());
+    fixture.quarantine.onBegun({kSystem}, fixture.clock.now(), fixture.clock.now());
     fixture.quarantine.onNews({.crashes = {}, .begun = {{.part = kSystem, .age = 0ms}}, .trials = {}}, fixture.clock.now());
     fixture.clock.advance(2s);
     CHECK(fixture.quarantine.takeNews(fixture.clock.now()).empty());
@@ -212,7 +212,7 @@
     Fixture fixture;
     const PartQuarantineOptions options;
     for (PartId part = 0; part < 100000; ++part) {
-        fixture.quarantine.onBegun({part}, fixture.clock.now());
+        fixture.quarantine.onBegun({part}, fixture.clock.now(), fixture.clock.now());
         if (part % 10 == 0) {
             fixture.crash(kEngineC, {part + 1000000, part + 2000000});
         }
@@ -220,7 +220,7 @@
     CHECK(fixture.quarantine.recordedParts() <= options.maxSuspects + 2 * options.maxKnown);
     fixture.clock.advance(1h);
     (void)fixture.quarantine.repeatedNews(fixture.clock.now());
-    fixture.quarantine.onBegun({1}, fixture.clock.now());
+    fixture.quarantine.onBegun({1}, fixture.clock.now(), fixture.clock.now());
     CHECK(fixture.quarantine.recordedParts() <= 1);
 }
 
--- a/schedules/main.cpp
+++ b/schedules/main.cpp
@@ -25,6 +25,9 @@
     for (Property &property : limitProperties()) {
         properties.push_back(std::move(property));
     }
+    for (Property &property : partProperties()) {
+        properties.push_back(std::move(property));
+    }
     return properties;
 }
 
--- a/schedules/properties.h
+++ b/schedules/properties.h
@@ -11,6 +11,7 @@
 #include "daisystream/membership/fleetring.h"
 #include "daisystream/membership/vmtable.h"
 #include "daisystream/orders/orderrecord.h"
+#include "daisystream/quarantine/partquarantine.h"
 
 #include <cstdint>
 #include <functional>
@@ -46,6 +47,7 @@
     internal::EndpointCooldownFaults rests;
     internal::FleetRingFaults ring;
     internal::EndpointPermitFaults permits;
+    internal::PartQuarantineFaults parts;
 };
 
 struct Mutation
@@ -72,6 +74,9 @@
 /// Requests to endpoints that state limits for all VMs together, at several sizes of the fleet.
 [[nodiscard]] std::vector<Property> limitProperties();
 
+/// Parts of prompts that crash engines, at several sizes of the fleet.
+[[nodiscard]] std::vector<Property> partProperties();
+
 /// Who is live in large fleets, and how fast they learn of changes.
 [[nodiscard]] std::vector<Property> fleetProperties();
 
