--- a/daemon/frontend/answerrelay.cpp
+++ b/daemon/frontend/answerrelay.cpp
@@ -175,13 +175,14 @@
         }
         if (const auto blocked = isTrial ? std::nullopt : guard.check(parts_)) {
             dispatcher_.onFinished(request_, 0, FinishReason::MovedAway);
-            refuse(*blocked, yield);
+            refuse(lastError_.value_or(*blocked), yield); // A request that has failed at an engine may have run there.
             return;
         }
         const auto failure = attemptAt(std::get<Assign>(reply), completion, yield);
         if (!failure) {
             return;
         }
+        lastError_ = recall_->taken ? lastError_ : failure;
         if (!recall_->taken && !guard.mayRepeat(parts_, endpoint_.id)) {
             refuse({failure->code, failure->detail + "; other engines crashed under requests with a part of this prompt", {}}, yield);
             return;
--- a/standins/engine/engineserver.cpp
+++ b/standins/engine/engineserver.cpp
@@ -103,6 +103,9 @@
     [[nodiscard]] std::string nameOf(GenerationNumber number) const;
     [[nodiscard]] std::shared_ptr<Generation> find(const std::string &name) const;
     void applyFaults(const EngineFaults &faults);
+    void crash(asio::yield_context yield);
+    void die();
+    void restart();
 
     EngineServerOptions options_;
     EngineModel model_;
@@ -114,6 +117,7 @@
     std::uint64_t fencing_ = 0;
     std::string order_ = "{}";
     std::atomic<std::size_t> started_{0};
+    std::atomic<std::size_t> crashes_{0};
     std::atomic<std::size_t> cancelled_{0};
     StandInServer server_; // Last: its handlers use the members above.
 };
@@ -190,8 +194,9 @@
     const auto path = target.substr(0, target.find('?'));
     const bool get = request.method() == http::verb::get;
     if (path == "/faults") {
-        return get ? sendJson(stream, request, 200, json{{"started", started_.load()}, {"cancelled", cancelled_.load()}}.dump(), yield)
-                   : switchFaults(stream, request, yield);
+        return get
+            ? sendJson(stream, request, 200, json{{"started", started_.load()}, {"cancelled", cancelled_.load()}, {"crashes", crashes_.load()}}.dump(), yield)
+            : switchFaults(stream, request, yield);
     }
     while (fault_.faults.frozen) {
         error_code ignored;
@@ -233,6 +238,10 @@
         return sendJson(stream, request, 400, "{}", yield);
     }
     const auto prompt = body.value("prompt", std::string());
+    if (!options_.crashText.empty() && prompt.find(options_.crashText) != std::string::npos) {
+        crash(yield);
+        return false;
+    }
     const auto prefix = prefixHashOf(prompt);
     const auto promptTokens = static_cast<std::uint32_t>(prompt.size() / kBytesPerToken + 1);
     const auto priority = std::strtoul(std::string(request["X-Priority"]).c_str(), nullptr, 10);
@@ -449,6 +458,38 @@
 {
 }
 
+/// Dies shortly after, and starts again.
+void EngineServer::Private::crash(asio::yield_context yield)
+{
+    constexpr auto kUntilCrash = std::chrono::milliseconds(50);
+    static constexpr auto kDownTime = std::chrono::seconds(1);
+    error_code ignored;
+    asio::steady_timer timer(yield.get_executor(), kUntilCrash);
+    timer.async_wait(yield[ignored]);
+    ++crashes_;
+    server_.spawn([this](asio::yield_context down) {
+        die();
+        error_code cancelled;
+        asio::steady_timer pause(down.get_executor(), kDownTime);
+        pause.async_wait(down[cancelled]);
+        restart();
+    });
+}
+
+void EngineServer::Private::die()
+{
+    model_.crash(now());
+    generations_.clear();
+    byRequest_.clear();
+    server_.closeAll(true);
+}
+
+void EngineServer::Private::restart()
+{
+    model_.restart(now());
+    server_.listen();
+}
+
 EngineServer::~EngineServer() = default;
 
 std::uint16_t EngineServer::port() const
@@ -463,20 +504,12 @@
 
 void EngineServer::die()
 {
-    d_->server_.post([d = d_.get()] {
-        d->model_.crash(Private::now());
-        d->generations_.clear();
-        d->byRequest_.clear();
-        d->server_.closeAll(true);
-    });
+    d_->server_.post([d = d_.get()] { d->die(); });
 }
 
 void EngineServer::restart()
 {
-    d_->server_.post([d = d_.get()] {
-        d->model_.restart(Private::now());
-        d->server_.listen();
-    });
+    d_->server_.post([d = d_.get()] { d->restart(); });
 }
 
 std::size_t EngineServer::started() const
--- a/standins/engine/engineserver.h
+++ b/standins/engine/engineserver.h
@@ -55,6 +55,7 @@
     std::uint32_t defaultTokens = 20; ///< Length of an answer without "standin_tokens".
     bool fencing = true;              ///< Orders with an outdated fencing number are refused.
     Duration reportLag{};             ///< Age of load and cache reports.
+    std::string crashText{};          ///< The engine dies when it begins an answer on a prompt with this text; empty: never.
 };
 
 /// The engine. Thread-safe.
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -14,6 +14,7 @@
 DEFINE_bool(fencing, true, "refuse orders with an outdated fencing number");
 DEFINE_uint32(report_lag_ms, 0, "age of load reports");
 DEFINE_uint64(first_generation, 1, "number of the first generation; must not repeat after a restart");
+DEFINE_string(crash_text, "", "the engine dies when it begins an answer on a prompt with this text");
 DEFINE_double(slow_factor, 1, "each step takes this many times as long");
 DEFINE_uint32(malformed_every, 0, "every so many events one is cut to a half");
 DEFINE_uint32(duplicate_every, 0, "every so many events one is sent twice");
@@ -31,6 +32,7 @@
     options.defaultTokens = FLAGS_tokens;
     options.fencing = FLAGS_fencing;
     options.reportLag = std::chrono::milliseconds(FLAGS_report_lag_ms);
+    options.crashText = FLAGS_crash_text;
     options.model.stepBaseMilliseconds = FLAGS_step_ms;
     options.model.stepMillisecondsPerAnswer = FLAGS_step_ms_per_answer;
     options.model.memoryTokens = FLAGS_memory_tokens;
