--- a/soak/checks_test.cpp
+++ b/soak/checks_test.cpp
@@ -339,7 +339,7 @@
 {
     Scene scene;
     const auto arrive = [&](int number, int time) {
-        const std::string attempt = "c" + std::to_string(number) + "-dead0";
+        std::string attempt = "c" + std::to_string(number) + "-dead0";
         scene.serve(attempt, "short", Kind::ResumableStream, time);
         auto &exchange = scene.exchange(attempt);
         exchange.crashesEngines = true;
