--- a/review/lib/bed.hpp
+++ b/review/lib/bed.hpp
@@ -633,6 +633,7 @@
         }
         return id_ <= 0;
     }
+    [[nodiscard]] pid_t id() const { return id_; }
     void kill()
     {
         if (id_ > 0) {
