--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,5 +1,5 @@
 // A machine gets SIGTERM and, while it still takes requests, one that its engine needs four seconds for.
-#include "../lib/bed.hpp"
+#include "../bed.hpp"
 
 using namespace bed;
 
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,5 +1,5 @@
 // The body of a request holds the text of another one. Its framing names a transfer coding after "chunked".
-#include "../lib/bed.hpp"
+#include "../bed.hpp"
 
 using namespace bed;
 
