Read each HTTP message to an end that cannot be mistaken

Cause: Beast's parser ignores a transfer coding that it does not know, and nothing else looked at the header. The same holds for responses, where chunks or coded bytes could pass for a complete body, and for each of eight copies of the reading code.

Change: checkFraming decides by the header whether the end of a message is clear; HttpConnection uses it for the requests of callers and operators, ResponseReader for the responses of endpoints, engines, the store and the command-line tool. Unclear requests get 400 or 501 and their connection is closed; unclear responses are malformed. With it, on the same paths: HEAD and 204 have no body, 1xx is skipped, trailers do not become fields of the header, Connection removes no field that is meant for the other end, TRACE with a body and CONNECT are refused, connections with extra bytes are not used again, and an answer to HTTP/1.0 that breaks off is reset.

--- a/cli/httpcall.cpp
+++ b/cli/httpcall.cpp
@@ -1,5 +1,7 @@
 #include "cli/httpcall.h"
 
+#include "daemon/http/responsereader.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -18,38 +20,26 @@
 constexpr auto kConnectTimeout = std::chrono::seconds(2);
 constexpr auto kHeaderTimeout = std::chrono::seconds(35); // Longer than the 30 s for which an order may run.
 constexpr auto kBodyReadTimeout = std::chrono::seconds(5);
-constexpr std::size_t kChunkBytes = 16384;
 
-/// Reads the body of the response chunk by chunk into `result`, or passes it to `HttpCall::onBodyChunk`.
-void readResponseBody(beast::tcp_stream &stream,
-                      beast::flat_buffer &buffer,
-                      http::response_parser<http::buffer_body> &parser,
-                      const HttpCall &call,
-                      HttpResult &result,
-                      asio::yield_context yield)
+/// Reads the body of the response part by part into `result`, or passes it to `HttpCall::onBodyChunk`.
+void readResponseBody(beast::tcp_stream &stream, ResponseReader &reader, const HttpCall &call, HttpResult &result, asio::yield_context yield)
 {
-    std::array<char, kChunkBytes> chunk{};
     error_code error;
-    while (!parser.is_done()) {
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
-        stream.expires_after(kBodyReadTimeout);
-        http::async_read_some(stream, buffer, parser, yield[error]);
-        if (error == http::error::need_buffer) {
-            error = {};
-        }
-        const std::string_view bytes(chunk.data(), chunk.size() - parser.get().body().size);
+    for (;;) {
+        const auto part = reader.takeBody();
         if (call.onBodyChunk && result.status == 200) {
-            call.onBodyChunk(bytes);
+            call.onBodyChunk(part);
         } else {
-            result.body += bytes;
+            result.body += part;
         }
-        if (error) {
-            result.reason = error.message();
-            return;
+        if (error || reader.isDone()) {
+            break;
         }
+        stream.expires_after(kBodyReadTimeout);
+        error = reader.readSome(stream, yield);
     }
-    result.complete = true;
+    result.complete = reader.isDone();
+    result.reason = result.complete ? "" : error.message();
 }
 
 } // namespace
@@ -75,18 +65,16 @@
     result.sent = true;
     stream.expires_after(kHeaderTimeout);
     http::async_write(stream, request, yield[error]);
-    beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
+    ResponseReader reader(request.method());
     if (!error) {
-        http::async_read_header(stream, buffer, parser, yield[error]);
+        error = reader.readHeader(stream, yield);
     }
     if (error) {
         result.reason = error.message();
         return result;
     }
-    result.status = parser.get().result_int();
-    readResponseBody(stream, buffer, parser, call, result, yield);
+    result.status = reader.response().result_int();
+    readResponseBody(stream, reader, call, result, yield);
     return result;
 }
 
--- a/daemon/endpoints/endpointclient.cpp
+++ b/daemon/endpoints/endpointclient.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-// Body bytes of a refusal that are read before the connection is given up.
+// Body bytes of a refusal, or of the response to a cancel request, that are read before the connection is given up.
 constexpr std::uint64_t kRefusalLimitBytes = 65'536;
 
 asio::ip::tcp::endpoint toTcp(const SocketAddress &address)
@@ -103,9 +103,8 @@
     : endpoint_(std::move(endpoint))
     , options_(options)
     , stream_(executor)
+    , response_(http::verb::post)
 {
-    parser_.body_limit(boost::none);
-    parser_.eager(true);
 }
 
 Error EndpointStream::failure(const error_code &error, const char *problem) const
@@ -126,8 +125,8 @@
     if (auto error = open(std::move(request), yield)) {
         return error;
     }
-    const auto echoed = parser_.get().find("X-Request-Id");
-    if (echoed != parser_.get().end() && echoed->value() != call.attempt.value()) {
+    const auto echoed = response_.response().find("X-Request-Id");
+    if (echoed != response_.response().end() && echoed->value() != call.attempt.value()) {
         return Error{ResultCode::EndpointProtocol, "endpoint " + endpoint_.id.value() + " returned the X-Request-Id of another request", {}};
     }
     return std::nullopt;
@@ -141,7 +140,7 @@
         request.set("X-Reader", reader);
     }
     auto error = open(std::move(request), yield);
-    const auto status = parser_.is_header_done() ? parser_.get().result() : http::status::ok;
+    const auto status = response_.hasHeader() ? response_.response().result() : http::status::ok;
     if (error && (status == http::status::not_found || status == http::status::gone)) {
         error->code = ResultCode::GenerationLost;
     }
@@ -166,33 +165,34 @@
         return failure(error, "failed while the request was being sent");
     }
     stream_.expires_after(options_.endpointSilenceTimeout);
-    http::async_read_header(stream_, buffer_, parser_, yield[error]);
+    error = response_.readHeader(stream_, yield);
     if (error) {
         return failure(error, "sent no response header");
     }
-    if (parser_.get().result() != http::status::ok) {
+    if (response_.response().result() != http::status::ok) {
         return refusal(yield);
     }
-    generation_ = GenerationId(std::string(parser_.get()["X-Generation-Id"]));
+    generation_ = GenerationId(std::string(response_.response()["X-Generation-Id"]));
     return std::nullopt;
 }
 
 std::optional<Error> EndpointStream::refusal(asio::yield_context yield)
 {
-    provenNotRun_ = provesNotRun(parser_.get().result());
+    provenNotRun_ = provesNotRun(response_.response().result());
     error_code error;
     stream_.expires_after(options_.endpointSilenceTimeout);
-    while (!error && !parser_.is_done() && parser_.get().body().size() < kRefusalLimitBytes) {
-        http::async_read_some(stream_, buffer_, parser_, yield[error]);
+    while (!error && !response_.isDone() && response_.response().body().size() < kRefusalLimitBytes) {
+        error = response_.readSome(stream_, yield);
     }
-    const auto retryAfter = retryAfterOf(std::string(parser_.get()[http::field::retry_after]));
-    return Error{
-        ResultCode::EndpointRefused, "endpoint " + endpoint_.id.value() + " answered with status " + std::to_string(parser_.get().result_int()), retryAfter};
+    const auto retryAfter = retryAfterOf(std::string(response_.response()[http::field::retry_after]));
+    return Error{ResultCode::EndpointRefused,
+                 "endpoint " + endpoint_.id.value() + " answered with status " + std::to_string(response_.response().result_int()),
+                 retryAfter};
 }
 
 std::optional<double> EndpointStream::requestsPerSecond() const
 {
-    return hasResponse() ? parseRequestRate(std::string(parser_.get()[kRequestLimitHeader])) : std::nullopt;
+    return hasResponse() ? parseRequestRate(std::string(response_.response()[kRequestLimitHeader])) : std::nullopt;
 }
 
 Result<std::vector<EngineEvent>> EndpointStream::read(asio::yield_context yield)
@@ -200,15 +200,12 @@
     if (pendingError_) {
         return *pendingError_;
     }
-    if (parser_.is_done()) {
+    if (response_.isDone()) {
         return Error{ResultCode::EndpointUnreachable, "endpoint " + endpoint_.id.value() + " ended the stream before the last event", {}};
     }
-    error_code error;
     stream_.expires_after(options_.endpointSilenceTimeout);
-    http::async_read_some(stream_, buffer_, parser_, yield[error]);
-    auto &body = parser_.get().body();
-    reader_.feed(body);
-    body.clear();
+    const auto error = response_.readSome(stream_, yield);
+    reader_.feed(response_.takeBody());
     if (error) {
         pendingError_ = failure(error, "failed while events were being read");
     }
@@ -260,13 +257,11 @@
     if (error) {
         return CancelOutcome::Unknown;
     }
-    beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    http::async_read(stream, buffer, response, yield[error]);
-    if (error) {
+    ResponseReader reader(request.method(), {.bodyBytes = kRefusalLimitBytes});
+    if (reader.readAll(stream, yield)) {
         return CancelOutcome::Unknown;
     }
-    return response.result() == http::status::conflict ? CancelOutcome::TakenOver : CancelOutcome::Cancelled;
+    return reader.response().result() == http::status::conflict ? CancelOutcome::TakenOver : CancelOutcome::Cancelled;
 }
 
 } // namespace daisystream
--- a/daemon/endpoints/endpointclient.h
+++ b/daemon/endpoints/endpointclient.h
@@ -3,13 +3,13 @@
 #include "daemon/control/settings.h"
 #include "daemon/endpoints/ssereader.h"
 #include "daemon/frontend/frontendoptions.h"
+#include "daemon/http/responsereader.h"
 #include "daisystream/answer/sequencer.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/spawn.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <optional>
@@ -95,7 +95,7 @@
     /// @return true if the engine's response header was received, so that `requestsPerSecond` is what the engine states now.
     [[nodiscard]] bool hasResponse() const
     {
-        return parser_.is_header_done();
+        return response_.hasHeader();
     }
 
     /// @return the limit in the `X-Requests-Per-Second` header of the response, for the requests of all VMs together; nothing if
@@ -118,8 +118,7 @@
     EndpointSettings endpoint_;
     FrontendOptions options_;
     boost::beast::tcp_stream stream_;
-    boost::beast::flat_buffer buffer_;
-    boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
+    ResponseReader response_;
     SseReader reader_;
     std::optional<Error> pendingError_;
     GenerationId generation_;
--- a/daemon/endpoints/endpointexchange.cpp
+++ b/daemon/endpoints/endpointexchange.cpp
@@ -1,7 +1,8 @@
 #include "daemon/endpoints/endpointexchange.h"
 
+#include "daemon/http/responsereader.h"
+
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -25,11 +26,6 @@
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
 constexpr int kUserTimeoutMilliseconds = 3000;
-// Largest header of a response.
-constexpr std::uint32_t kHeaderLimitBytes = 65536;
-// Limit of received bytes that are not parsed yet. It is larger than the longest header. Other protocol elements that exceed it, such as
-// the extension of a chunk, are treated as malformed.
-constexpr std::size_t kBufferLimitBytes = 2UL * kHeaderLimitBytes;
 
 void enableDeadPeerDetection(asio::ip::tcp::socket &socket)
 {
@@ -70,9 +66,7 @@
         : address(std::move(target))
         , stream(executor)
     {
-        parser.body_limit(boost::none);
-        parser.header_limit(kHeaderLimitBytes);
-        parser.eager(true);
+        reader.emplace(http::verb::get);
     }
 
     /// Maps an error to a fault.
@@ -103,9 +97,8 @@
     const SocketAddress address;
     beast::tcp_stream stream;
     Request request;
-    beast::flat_buffer buffer{kBufferLimitBytes};
-    http::response_parser<http::string_body> parser;
-    ByteLease lease; ///< Share of the byte budget that the body uses.
+    std::optional<ResponseReader> reader; ///< Replaced when the method of the request is known; never empty.
+    ByteLease lease;                      ///< Share of the byte budget that the body uses.
     bool bytesSent = false;
     bool written = false;
     bool aborted = false;
@@ -139,8 +132,9 @@
     }
     enableDeadPeerDetection(d->stream.socket());
     d->stream.expires_after(times.header);
+    d->reader.emplace(d->request.method());
     d->startWriting();
-    http::async_read_header(d->stream, d->buffer, d->parser, yield[error]);
+    error = d->reader->readHeader(d->stream, yield);
     if (error || d->aborted) {
         return d->faultOf(error, "header");
     }
@@ -149,19 +143,18 @@
 
 const EndpointExchange::Response &EndpointExchange::response() const
 {
-    return d_->parser.get();
+    return d_->reader->response();
 }
 
 std::variant<std::string, ExchangeFault> EndpointExchange::read(std::chrono::milliseconds silence, asio::yield_context yield)
 {
     const auto d = d_;
-    if (d->parser.is_done()) {
-        return std::exchange(d->parser.get().body(), {});
+    if (d->reader->isDone()) {
+        return d->reader->takeBody();
     }
-    error_code error;
     d->stream.expires_after(silence);
-    http::async_read_some(d->stream, d->buffer, d->parser, yield[error]);
-    std::string part = std::exchange(d->parser.get().body(), {});
+    const auto error = d->reader->readSome(d->stream, yield);
+    std::string part = d->reader->takeBody();
     if ((error || d->aborted) && (part.empty() || d->aborted)) {
         return d->faultOf(error, "body");
     }
@@ -176,9 +169,9 @@
         d->lease = ByteLease(*budget);
     }
     d->stream.expires_after(time);
-    while (!error && !d->aborted && !d->parser.is_done()) {
-        http::async_read_some(d->stream, d->buffer, d->parser, yield[error]);
-        const auto size = d->parser.get().body().size();
+    while (!error && !d->aborted && !d->reader->isDone()) {
+        error = d->reader->readSome(d->stream, yield);
+        const auto size = d->reader->response().body().size();
         if (size > limitBytes) {
             return ExchangeFault{.kind = ExchangeFault::Kind::Malformed, .detail = "body: longer than " + std::to_string(limitBytes) + " bytes"};
         }
@@ -186,7 +179,7 @@
             return ExchangeFault{.kind = ExchangeFault::Kind::Malformed, .detail = "body: no memory for " + std::to_string(size) + " bytes"};
         }
     }
-    if (d->parser.is_done() && !d->aborted) {
+    if (d->reader->isDone() && !d->aborted) {
         return std::nullopt;
     }
     return d->faultOf(error, "body");
@@ -194,12 +187,12 @@
 
 bool EndpointExchange::isComplete() const
 {
-    return d_->parser.is_done();
+    return d_->reader->isDone();
 }
 
 bool EndpointExchange::isSelfDelimiting() const
 {
-    return !d_->parser.need_eof();
+    return !d_->reader->endsWithConnection();
 }
 
 bool EndpointExchange::bytesSent() const
--- a/daemon/endpoints/loadpoller.cpp
+++ b/daemon/endpoints/loadpoller.cpp
@@ -1,5 +1,7 @@
 #include "daemon/endpoints/loadpoller.h"
 
+#include "daemon/http/responsereader.h"
+
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
@@ -28,8 +30,6 @@
 
 // Largest body of a response.
 constexpr std::uint64_t kMaxReportBytes = 1U << 20U;
-// Limit of received bytes that are not parsed yet, such as a header.
-constexpr std::size_t kBufferLimitBytes = 65536;
 
 /// Determines when a report was measured. For reports with a time by the engine's clock, that is when the time was first seen to change.
 struct ReportAge
@@ -175,6 +175,9 @@
             return std::nullopt;
         }
         error_code error;
+        if (stream.socket().is_open() && !isReusable(stream)) {
+            stream.close();
+        }
         stream.expires_after(options.timeout);
         if (!stream.socket().is_open()) {
             stream.async_connect(asio::ip::tcp::endpoint(asio::ip::make_address(engine.address.ip), engine.address.port), yield[error]);
@@ -187,21 +190,20 @@
         if (!error) {
             http::async_write(stream, request, yield[error]);
         }
-        beast::flat_buffer buffer{kBufferLimitBytes};
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(kMaxReportBytes);
+        ResponseReader reader(request.method(), {.bodyBytes = kMaxReportBytes});
         if (!error) {
-            http::async_read(stream, buffer, parser, yield[error]);
+            error = reader.readAll(stream, yield);
         }
         stream.expires_never();
+        const auto &response = reader.response();
         if (!error && onResponse) {
-            onResponse(engine.id, parser.get());
+            onResponse(engine.id, response);
         }
-        json content = error ? json() : json::parse(parser.get().body(), nullptr, false);
-        if (error || !parser.keep_alive() || parser.get().result() != http::status::ok) {
+        json content = error ? json() : json::parse(response.body(), nullptr, false);
+        if (error || !response.keep_alive() || reader.hasExtraBytes() || response.result() != http::status::ok) {
             stream.close();
         }
-        if (error || parser.get().result() != http::status::ok || content.is_discarded()) {
+        if (error || response.result() != http::status::ok || content.is_discarded()) {
             return std::nullopt;
         }
         return content;
--- a/daemon/endpoints/promptguard.cpp
+++ b/daemon/endpoints/promptguard.cpp
@@ -1,5 +1,7 @@
 #include "daemon/endpoints/promptguard.h"
 
+#include "daemon/http/responsereader.h"
+
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
@@ -54,12 +56,8 @@
         request.set(http::field::authorization, engine.authorizationHeader);
     }
     http::async_write(stream, request, yield[error]);
-    beast::flat_buffer buffer{kProbeBufferBytes};
-    http::response_parser<http::string_body> parser;
-    if (!error) {
-        http::async_read_header(stream, buffer, parser, yield[error]);
-    }
-    return !error;
+    ResponseReader reader(request.method(), {.unparsedBytes = kProbeBufferBytes});
+    return !error && !reader.readHeader(stream, yield);
 }
 
 } // namespace
--- a/daemon/endpoints/serviceclient.cpp
+++ b/daemon/endpoints/serviceclient.cpp
@@ -1,5 +1,7 @@
 #include "daemon/endpoints/serviceclient.h"
 
+#include "daemon/http/responsereader.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -44,14 +46,12 @@
     if (error) {
         return fail("failed while the request was being sent");
     }
-    beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(options.bodyLimitBytes);
-    http::async_read(stream, buffer, parser, yield[error]);
+    ResponseReader reader(request.method(), {.bodyBytes = options.bodyLimitBytes});
+    error = reader.readAll(stream, yield);
     if (error) {
         return fail("sent no complete response");
     }
-    result.response = parser.release();
+    result.response = reader.release();
     return result;
 }
 
--- a/daemon/frontend/httpconnection.cpp
+++ b/daemon/frontend/httpconnection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <glog/logging.h>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -29,6 +30,7 @@
 // connection and the caller might never see the refusal.
 constexpr auto kLingerTimeout = std::chrono::seconds(1);
 constexpr std::size_t kLingerBytes = 8'388'608;
+constexpr unsigned kHttp11 = 11;
 constexpr std::string_view kEventsHeader = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n";
 
 std::variant<beast::tcp_stream, beast::ssl_stream<beast::tcp_stream>> makeStream(HttpConnection::Socket socket, const std::shared_ptr<asio::ssl::context> &tls)
@@ -108,25 +110,53 @@
     parser.header_limit(static_cast<std::uint32_t>(options_.headerLimitBytes));
     parser.body_limit(options_.bodyLimitBytes);
     error_code error;
+    isHead_ = false;
     tcp().expires_after(options_.headerTimeout);
     with([&](auto &stream) { return http::async_read_header(stream, buffer_, parser, yield[error]); });
-    if (!error && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        writeRaw("HTTP/1.1 100 Continue\r\n\r\n", {}, {}, yield);
-    }
-    if (!error) {
-        tcp().expires_after(options_.bodyTimeout);
-        with([&](auto &stream) { return http::async_read(stream, buffer_, parser, yield[error]); });
-    }
     if (error) {
         refuse(error, yield);
         return std::nullopt;
     }
+    const auto &header = parser.get().base();
+    version_ = header.version();
+    isHead_ = header.method() == http::verb::head;
+    if (const auto fault = checkFraming(header)) {
+        refuse(*fault, yield);
+        return std::nullopt;
+    }
+    if (!parser.is_done()) {
+        // The parser adds trailers to the header, where they would count like fields that the caller sent before the body.
+        std::optional<RequestHeader> withoutTrailers;
+        if (parser.chunked()) {
+            withoutTrailers = header;
+        }
+        if (version_ == kHttp11 && beast::iequals(header[http::field::expect], "100-continue")) {
+            writeRaw("HTTP/1.1 100 Continue\r\n\r\n", {}, {}, yield);
+        }
+        tcp().expires_after(options_.bodyTimeout);
+        with([&](auto &stream) { return http::async_read(stream, buffer_, parser, yield[error]); });
+        if (error) {
+            refuse(error, yield);
+            return std::nullopt;
+        }
+        if (withoutTrailers) {
+            parser.get().base() = *withoutTrailers;
+        }
+    }
     auto request = parser.release();
-    version_ = request.version();
     keepAlive_ = request.keep_alive();
     return request;
 }
 
+void HttpConnection::refuse(const FramingFault &fault, asio::yield_context yield)
+{
+    keepAlive_ = false;
+    LOG(INFO) << "event=request_malformed status=" << static_cast<unsigned>(fault.status) << " reason=\"" << fault.detail << '"';
+    auto response = errorReply({ResultCode::MalformedRequest, "the request is malformed: " + fault.detail, {}}, FinalState::NotRun);
+    response.result(fault.status);
+    write(std::move(response), yield);
+}
+
 void HttpConnection::refuse(const error_code &error, asio::yield_context yield)
 {
     keepAlive_ = false;
@@ -140,7 +170,9 @@
     } else if (error == http::error::body_limit) {
         refusal = {ResultCode::RequestTooLarge, "the body is larger than " + std::to_string(options_.bodyLimitBytes) + " bytes", {}};
     }
-    write(errorReply(refusal, FinalState::NotRun), yield);
+    auto response = errorReply(refusal, FinalState::NotRun);
+    LOG(INFO) << "event=request_malformed status=" << response.result_int() << " reason=\"" << error.message() << '"';
+    write(std::move(response), yield);
 }
 
 bool HttpConnection::write(HttpResponse response, asio::yield_context yield)
@@ -150,10 +182,23 @@
     }
     response.version(version_);
     response.keep_alive(keepAlive_);
-    response.prepare_payload();
+    const bool isHeaderOnly = isHead_ || hasNoBody(response.result());
+    if (!isHeaderOnly) {
+        response.prepare_payload();
+    } else if (!response.body().empty()) {
+        response.content_length(response.body().size());
+    }
+    if (response.result() == http::status::no_content) {
+        response.content_length(boost::none);
+    }
     error_code error;
     tcp().expires_after(options_.writeTimeout);
-    with([&](auto &stream) { return http::async_write(stream, response, yield[error]); });
+    if (isHeaderOnly) {
+        http::response_serializer<http::string_body> serializer(response);
+        with([&](auto &stream) { return http::async_write_header(stream, serializer, yield[error]); });
+    } else {
+        with([&](auto &stream) { return http::async_write(stream, response, yield[error]); });
+    }
     broken_ = static_cast<bool>(error);
     return !broken_;
 }
@@ -171,11 +216,17 @@
     return !broken_;
 }
 
-bool HttpConnection::startEvents(asio::yield_context yield)
+void HttpConnection::beginStream()
 {
     // HTTP/1.0 has no chunks: the end of the connection is the end of the answer.
-    keepAlive_ = keepAlive_ && version_ == 11;
-    const std::string_view framing = version_ == 11 ? "Transfer-Encoding: chunked\r\n" : "";
+    endsWithConnection_ = version_ != kHttp11;
+    keepAlive_ = keepAlive_ && !endsWithConnection_;
+}
+
+bool HttpConnection::startEvents(asio::yield_context yield)
+{
+    beginStream();
+    const std::string_view framing = endsWithConnection_ ? "" : "Transfer-Encoding: chunked\r\n";
     return writeRaw(kEventsHeader, framing, keepAlive_ ? "\r\n" : "Connection: close\r\n\r\n", yield);
 }
 
@@ -185,10 +236,9 @@
         return false;
     }
     header.version(version_);
-    // HTTP/1.0 has no chunks: the end of the connection is the end of the answer.
-    keepAlive_ = keepAlive_ && version_ == 11;
+    beginStream();
     header.keep_alive(keepAlive_);
-    header.chunked(version_ == 11);
+    header.chunked(!endsWithConnection_);
     error_code error;
     tcp().expires_after(options_.writeTimeout);
     http::response_serializer<http::string_body> serializer(header);
@@ -199,7 +249,7 @@
 
 bool HttpConnection::writeEvents(std::string_view bytes, asio::yield_context yield)
 {
-    if (version_ != 11) {
+    if (endsWithConnection_) {
         return writeRaw(bytes, {}, {}, yield);
     }
     std::array<char, 20> size{};
@@ -211,9 +261,10 @@
 
 void HttpConnection::endEvents(asio::yield_context yield)
 {
-    if (version_ == 11) {
+    if (!endsWithConnection_) {
         writeRaw("0\r\n\r\n", {}, {}, yield);
     }
+    endsWithConnection_ = false;
 }
 
 bool HttpConnection::peerClosed()
@@ -266,6 +317,9 @@
 {
     broken_ = true;
     error_code ignored;
+    if (endsWithConnection_) {
+        tcp().socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     tcp().socket().close(ignored);
 }
 
--- a/daemon/frontend/httpconnection.h
+++ b/daemon/frontend/httpconnection.h
@@ -2,6 +2,7 @@
 
 #include "daemon/frontend/frontendoptions.h"
 #include "daemon/frontend/httpreply.h"
+#include "daemon/http/messageframing.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
@@ -41,11 +42,12 @@
     /// @return false if the connection is of no use.
     [[nodiscard]] bool handshake(boost::asio::yield_context yield);
 
-    /// Reads the next request. Requests that are malformed, too large or too slow are answered here.
+    /// Reads the next request. Requests that are malformed, too large or too slow are answered here, and so are those whose end is not
+    /// clear. Trailers are dropped.
     /// @return the request, or nothing when the connection is at its end.
     [[nodiscard]] std::optional<HttpRequest> read(boost::asio::yield_context yield);
 
-    /// Writes a whole response.
+    /// Writes a whole response. If the request is a HEAD request, the body is left out; a length that the response states stays.
     /// @return false if the caller has gone away.
     bool write(HttpResponse response, boost::asio::yield_context yield);
 
@@ -78,7 +80,8 @@
     /// The next response is the last one on this connection.
     void closeAfterResponse();
 
-    /// Closes the connection at once, so that a response that has begun cannot be taken for a whole one.
+    /// Closes the connection at once, so that a response that has begun cannot be taken for a whole one. One that ends with its
+    /// connection is reset.
     void abort();
 
     /// Ends the connection. The peer gets the chance to read what was written before.
@@ -95,6 +98,9 @@
     auto with(Function &&function);
     [[nodiscard]] bool waitForRequest(boost::asio::yield_context yield);
     void refuse(const boost::system::error_code &error, boost::asio::yield_context yield);
+    void refuse(const FramingFault &fault, boost::asio::yield_context yield);
+    /// Determines how a streamed response ends.
+    void beginStream();
     void waitForPeer();
     bool writeRaw(std::string_view first, std::string_view second, std::string_view third, boost::asio::yield_context yield);
 
@@ -104,6 +110,8 @@
     boost::beast::flat_buffer buffer_;
     unsigned version_ = 11;
     bool keepAlive_ = true;
+    bool isHead_ = false;                          ///< The request is a HEAD request, whose response has no body.
+    bool endsWithConnection_ = false;              ///< The response that is being written has neither length nor chunks.
     std::shared_ptr<std::function<void()>> watch_; ///< Its address tells one watch from the next.
     bool broken_ = false;                          ///< A read or write failed: only an abrupt end is possible.
 };
--- a/daemon/frontend/httpfrontend.cpp
+++ b/daemon/frontend/httpfrontend.cpp
@@ -72,17 +72,14 @@
 
     void startConnection(tcp::socket socket)
     {
-        ++connections_;
         auto executor = socket.get_executor();
         auto tls = std::atomic_load(&tls_);
         auto connection = std::make_shared<HttpConnection>(std::move(socket), std::move(tls), optionsNow());
+        // Counts the connection until its coroutine ends, also by an exception.
+        ++connections_;
+        auto counted = std::shared_ptr<Private>(this, [self = shared_from_this()](Private *frontend) { --frontend->connections_; });
         asio::spawn(
-            executor,
-            [self = shared_from_this(), connection](asio::yield_context yield) {
-                self->serve(*connection, yield);
-                --self->connections_;
-            },
-            asio::detached);
+            executor, [self = std::move(counted), connection](asio::yield_context yield) { self->serve(*connection, yield); }, asio::detached);
     }
 
     /// @return the bounds of the settings or, where they set some, of the routes in force.
--- a/daemon/frontend/httpfrontend_test.cpp
+++ b/daemon/frontend/httpfrontend_test.cpp
@@ -131,6 +131,50 @@
     }
 }
 
+// Guards against a request in the body of another one: the own interface must agree with callers on where a request ends.
+TEST_CASE("a request whose end is unclear gets 400 or 501, and nothing of its body runs")
+{
+    Fleet fleet;
+    const auto body = completion(1).dump();
+    const std::string inner
+        = "POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer ds_k1_north-secret\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (const auto &[headers, status] : std::vector<std::pair<std::string, unsigned>>{{"Transfer-Encoding: chunked, identity\r\n", 400},
+                                                                                       {"Transfer-Encoding: identity\r\n", 400},
+                                                                                       {"Transfer-Encoding: gzip\r\n", 400},
+                                                                                       {"Transfer-Encoding: gzip, chunked\r\n", 501},
+                                                                                       {"Transfer-Encoding: identity\r\nContent-Length: 2\r\n", 400}}) {
+        for (const char *target : {"/v1/completions", "/v1/services/booking/orders", "/v1/models", "/healthz", "/nothing"}) {
+            CAPTURE(headers);
+            CAPTURE(target);
+            Caller caller(fleet.vm1->port());
+            caller.send("POST " + std::string(target) + " HTTP/1.1\r\nAuthorization: Bearer ds_k1_north-secret\r\nIdempotency-Key: k\r\n" + headers + "\r\n"
+                        + inner);
+            CHECK(caller.receive().status == status);
+            CHECK(caller.closedByPeer());
+        }
+    }
+    CHECK(fleet.engine1->started() + fleet.engine2->started() == 0);
+}
+
+// Guards against bodies in answers to HEAD, which callers take for the beginning of the next answer.
+TEST_CASE("answers to HEAD have no body")
+{
+    Fleet fleet;
+    Caller caller(fleet.vm1->port());
+    for (const char *target : {"/healthz", "/readyz", "/metrics", "/v1/models", "/v1/completions", "/nothing"}) {
+        CAPTURE(target);
+        caller.send("HEAD " + std::string(target) + " HTTP/1.1\r\nAuthorization: Bearer ds_k1_north-secret\r\n\r\nGET /healthz HTTP/1.1\r\n\r\n");
+        http::response_parser<http::string_body> parser;
+        parser.skip(true);
+        beast::flat_buffer buffer;
+        http::read_header(caller.socket(), buffer, parser);
+        CHECK(parser.get().count("Content-Length") == 1);
+        http::response<http::string_body> next;
+        http::read(caller.socket(), buffer, next);
+        CHECK(next.body() == "ok\n");
+    }
+}
+
 // Guards against a connection that serves only one request, and against a refusal that breaks those after it.
 TEST_CASE("a connection serves several requests, pipelined ones too")
 {
--- a/daemon/frontend/orderrouter.cpp
+++ b/daemon/frontend/orderrouter.cpp
@@ -42,8 +42,17 @@
 constexpr unsigned kRecordBackoffDoublings = 5;
 constexpr auto kRecordBackoff = std::chrono::seconds(1);
 // Headers that belong to the caller's connection or to this system, not to the order.
-constexpr std::array<std::string_view, 9> kDroppedHeaders
-    = {"Authorization", "Connection", "Keep-Alive", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade", kTicketHeader};
+constexpr std::array<std::string_view, 11> kDroppedHeaders = {"Authorization",
+                                                              "Connection",
+                                                              "Expect",
+                                                              "Keep-Alive",
+                                                              "Proxy-Authorization",
+                                                              "Proxy-Connection",
+                                                              "TE",
+                                                              "Trailer",
+                                                              "Transfer-Encoding",
+                                                              "Upgrade",
+                                                              kTicketHeader};
 
 std::string hex(const unsigned char *bytes, unsigned count)
 {
--- a/daemon/frontend/requesthandler.cpp
+++ b/daemon/frontend/requesthandler.cpp
@@ -33,6 +33,11 @@
     return jsonReply(nlohmann::json{{"object", "list"}, {"data", models}}.dump());
 }
 
+bool isRead(const HttpRequest &request)
+{
+    return request.method() == http::verb::get || request.method() == http::verb::head;
+}
+
 const ServiceId *serviceOf(const ApiRoute &route)
 {
     if (const auto *ticket = std::get_if<TicketRoute>(&route)) {
@@ -97,7 +102,7 @@
             connection.write(wrongMethod("POST"), yield);
         }
     } else if (std::holds_alternative<ModelsRoute>(route)) {
-        connection.write(request.method() == http::verb::get ? modelsReply(grant) : wrongMethod("GET"), yield);
+        connection.write(isRead(request) ? modelsReply(grant) : wrongMethod("GET"), yield);
     } else {
         connection.write(serviceReply(route, grant, request, yield), yield);
     }
@@ -142,7 +147,7 @@
         return refusal ? errorReply(*refusal, FinalState::NotRun) : orders_.issueTicket(grant, ticket->service);
     }
     if (const auto *query = std::get_if<OrderQueryRoute>(&route)) {
-        return request.method() == http::verb::get ? orders_.query(grant, query->service, query->key, yield) : wrongMethod("GET");
+        return isRead(request) ? orders_.query(grant, query->service, query->key, yield) : wrongMethod("GET");
     }
     return orders_.call(grant, *serviceOf(route), request, yield);
 }
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -441,6 +441,9 @@
         if (exchange_->response().result() != http::status::ok || isForOtherRequest || !head.isVerified) {
             return relayErrorResponse(head, isForOtherRequest, yield);
         }
+        if (request_.http.method() == http::verb::head) {
+            return relayHeader(yield);
+        }
         lastEventOfRunAt_ = gateway_.now();
         for (;;) {
             // Only complete events count as progress. An engine that occasionally sends bytes without completing an event is
@@ -467,6 +470,16 @@
         }
     }
 
+    /// Sends the response to a HEAD request, which has no events.
+    RunEnd relayHeader(asio::yield_context yield)
+    {
+        ended_ = true;
+        markBegun();
+        state_.onAttemptEnded(AttemptEnd::Answered);
+        connection_.write(gateway_.dialect.toCaller(exchange_->response()), yield);
+        return RunEnd::Complete;
+    }
+
     /// Sends the complete events that the reader has buffered to the caller.
     /// @return false if the caller has disconnected.
     bool deliver(asio::yield_context yield)
--- /dev/null
+++ b/daemon/http/responsereader.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <boost/asio/spawn.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/verb.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/// @file
+/// Reads one HTTP response from a connection. All clients of this program read their responses with it, so that all of them agree on
+/// where a response ends.
+///
+/// Example:
+/// @code
+///   ResponseReader reader(http::verb::get, {.bodyBytes = 65536});
+///   if (const auto error = reader.readAll(stream, yield)) { ... }
+///   const bool mayReuse = reader.response().keep_alive() && !reader.hasExtraBytes();
+/// @endcode
+
+namespace daisystream
+{
+
+/// Sizes of a response, in bytes. A larger one is read with an error.
+struct ResponseLimits
+{
+    std::uint32_t headerBytes = 65'536;
+    std::size_t unparsedBytes = 131'072;      ///< Received bytes that are not parsed yet, such as a header or the extension of a chunk.
+    std::optional<std::uint64_t> bodyBytes{}; ///< Not set: the caller limits the body.
+
+    friend auto operator<=>(const ResponseLimits &, const ResponseLimits &) = default;
+};
+
+/// Must be used from one strand only, for a single response. Interim responses (1xx) are skipped, and trailers are dropped: nothing that
+/// follows a body can change what the header says.
+class ResponseReader
+{
+public:
+    using Response = boost::beast::http::response<boost::beast::http::string_body>;
+
+    /// @param method of the request. The response to HEAD has no body.
+    explicit ResponseReader(boost::beast::http::verb method, const ResponseLimits &limits = {});
+
+    /// Reads the header of the final response.
+    /// @return an error of the connection or of Beast's HTTP category; the latter if the bytes are no response, or the end of its body
+    ///     is not clear.
+    [[nodiscard]] boost::system::error_code readHeader(boost::beast::tcp_stream &stream, boost::asio::yield_context yield);
+
+    /// Reads a part of the body after the header was read. The bytes are in `response` until `takeBody` is called.
+    /// @return as for `readHeader`.
+    [[nodiscard]] boost::system::error_code readSome(boost::beast::tcp_stream &stream, boost::asio::yield_context yield);
+
+    /// Reads the header and the whole body.
+    /// @return as for `readHeader`.
+    [[nodiscard]] boost::system::error_code readAll(boost::beast::tcp_stream &stream, boost::asio::yield_context yield);
+
+    /// @return the response as far as it was read.
+    [[nodiscard]] const Response &response() const;
+
+    /// @return the complete response. The reader must not be used afterwards.
+    [[nodiscard]] Response release();
+
+    /// Removes the bytes of the body that were read so far.
+    [[nodiscard]] std::string takeBody();
+
+    /// @return whether the header of the final response was read.
+    [[nodiscard]] bool hasHeader() const;
+
+    /// @return whether the response was read completely.
+    [[nodiscard]] bool isDone() const;
+
+    /// @return whether the body ends with the connection, so that a complete response cannot be told from one that was cut short.
+    [[nodiscard]] bool endsWithConnection() const;
+
+    /// @return whether bytes were received that do not belong to the response. The connection must not be used again then.
+    [[nodiscard]] bool hasExtraBytes() const;
+
+private:
+    void startMessage();
+
+    const bool isHead_;
+    const ResponseLimits limits_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+    std::optional<boost::beast::http::response_header<>> header_; ///< Header of a chunked response, without the trailers that the parser adds.
+    bool hasHeader_ = false;
+};
+
+/// @return whether a connection without a request in progress can take the next one: the peer has neither closed it nor sent bytes, which
+///     would be taken for the beginning of the next response.
+[[nodiscard]] bool isReusable(boost::beast::tcp_stream &stream);
+
+} // namespace daisystream
--- a/daemon/status/operatorapi.cpp
+++ b/daemon/status/operatorapi.cpp
@@ -1,13 +1,15 @@
 #include "daemon/status/operatorapi.h"
 
+#include "daemon/frontend/httpconnection.h"
+
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/verb.hpp>
 
 #include <atomic>
 
@@ -15,7 +17,6 @@
 {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 using boost::system::error_code;
@@ -26,6 +27,18 @@
 constexpr unsigned kMaxConnections = 32;
 constexpr auto kExchangeTimeout = std::chrono::seconds(5);
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(200);
+constexpr std::uint64_t kBodyLimitBytes = 4096; // No page needs a body.
+
+FrontendOptions connectionOptions()
+{
+    FrontendOptions options;
+    options.bodyLimitBytes = kBodyLimitBytes;
+    options.idleTimeout = kExchangeTimeout;
+    options.headerTimeout = kExchangeTimeout;
+    options.bodyTimeout = kExchangeTimeout;
+    options.writeTimeout = kExchangeTimeout;
+    return options;
+}
 
 } // namespace
 
@@ -43,48 +56,43 @@
     {
         error_code error;
         while (acceptor.is_open()) {
-            auto stream = std::make_shared<beast::tcp_stream>(asio::make_strand(io));
-            acceptor.async_accept(stream->socket(), yield[error]);
+            tcp::socket socket(asio::make_strand(io));
+            acceptor.async_accept(socket, yield[error]);
             if (error) {
                 asio::steady_timer timer(acceptor.get_executor(), kAcceptRetryDelay);
                 timer.async_wait(yield[error]);
             } else if (connections < kMaxConnections) {
-                asio::spawn(
-                    stream->get_executor(), [self = shared_from_this(), stream](asio::yield_context inner) { self->serve(*stream, inner); }, asio::detached);
+                start(std::move(socket));
             }
         }
     }
 
-    void serve(beast::tcp_stream &stream, asio::yield_context yield)
+    void start(tcp::socket socket)
     {
+        const auto executor = socket.get_executor();
+        auto connection = std::make_shared<HttpConnection>(std::move(socket), nullptr, connectionOptions());
+        // Counts the connection until its coroutine ends, also by an exception.
         ++connections;
-        error_code error;
-        beast::flat_buffer buffer;
-        bool keepAlive = true;
-        while (!error && keepAlive) {
-            http::request<http::string_body> request;
-            stream.expires_after(kExchangeTimeout);
-            http::async_read(stream, buffer, request, yield[error]);
-            if (error) {
-                break;
-            }
-            auto response = respond(request);
-            keepAlive = request.keep_alive();
-            response.keep_alive(keepAlive);
-            response.prepare_payload();
-            http::async_write(stream, response, yield[error]);
+        auto counted = std::shared_ptr<Private>(this, [self = shared_from_this()](Private *api) { --api->connections; });
+        asio::spawn(
+            executor, [self = std::move(counted), connection](asio::yield_context yield) { self->serve(*connection, yield); }, asio::detached);
+    }
+
+    void serve(HttpConnection &connection, asio::yield_context yield) const
+    {
+        while (const auto request = connection.read(yield)) {
+            connection.write(respond(*request), yield);
         }
-        stream.socket().shutdown(tcp::socket::shutdown_send, error);
-        --connections;
+        connection.close(yield);
     }
 
-    [[nodiscard]] http::response<http::string_body> respond(const http::request<http::string_body> &request) const
+    [[nodiscard]] HttpResponse respond(const HttpRequest &request) const
     {
         const auto found = pages.find(std::string(request.target()));
-        if (found == pages.end() || request.method() != http::verb::get) {
+        if (found == pages.end() || (request.method() != http::verb::get && request.method() != http::verb::head)) {
             return {http::status::not_found, 11};
         }
-        http::response<http::string_body> response(http::status::ok, 11);
+        HttpResponse response(http::status::ok, 11);
         response.set(http::field::content_type, found->second.contentType);
         response.body() = found->second.content();
         if (response.body().empty()) {
--- a/daemon/store/platformclient.cpp
+++ b/daemon/store/platformclient.cpp
@@ -1,5 +1,7 @@
 #include "daemon/store/platformclient.h"
 
+#include "daemon/http/responsereader.h"
+
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -29,8 +31,9 @@
 constexpr std::size_t kIdleConnections = 8;
 // A page of rows holds 1 MB, which grows by half when encoded as base64 and JSON; objects written by this system are smaller.
 constexpr std::uint64_t kBodyLimit = 4U << 20U;
-// Limit for received bytes that are not parsed yet. A header has at most 8 KiB, and no reply uses chunk extensions.
+// Limit for received bytes that are not parsed yet. No reply uses chunk extensions.
 constexpr std::size_t kBufferLimit = 65536;
+constexpr std::uint32_t kHeaderLimit = 8192;
 
 using Request = http::request<http::string_body>;
 using Response = http::response<http::string_body>;
@@ -116,12 +119,14 @@
     Stream takeIdleConnection()
     {
         const std::lock_guard lock(mutex);
-        if (idle.empty()) {
-            return nullptr;
+        while (!idle.empty()) {
+            auto stream = std::move(idle.back());
+            idle.pop_back();
+            if (isReusable(*stream)) {
+                return stream;
+            }
         }
-        auto stream = std::move(idle.back());
-        idle.pop_back();
-        return stream;
+        return nullptr;
     }
 
     void storeIdleConnection(Stream stream)
@@ -267,18 +272,17 @@
         error_code error;
         stream->expires_after(timeout);
         http::async_write(*stream, request, yield[error]);
-        beast::flat_buffer buffer{kBufferLimit};
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(kBodyLimit);
+        ResponseReader reader(request.method(), {.headerBytes = kHeaderLimit, .unparsedBytes = kBufferLimit, .bodyBytes = kBodyLimit});
         if (!error) {
-            http::async_read(*stream, buffer, parser, yield[error]);
+            error = reader.readAll(*stream, yield);
         }
         if (error) {
             return {.response = {}, .sent = true, .reason = error.message(), .wasClosedForResend = false};
         }
         stream->expires_never();
-        Response response = parser.release();
-        if (response.keep_alive()) {
+        const bool hasExtraBytes = reader.hasExtraBytes();
+        Response response = reader.release();
+        if (response.keep_alive() && !hasExtraBytes) {
             storeIdleConnection(stream);
         }
         return {.response = std::move(response), .sent = true, .reason = {}, .wasClosedForResend = false};
--- a/fuzz/main.cpp
+++ b/fuzz/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control/settings.h"
 #include "daemon/endpoints/ssereader.h"
+#include "daemon/http/messageframing.h"
 #include "daemon/peers/peermessage.h"
 #include "daemon/store/storewatch.h"
 #include "daisystream/base/random.h"
@@ -69,6 +70,28 @@
     return std::nullopt;
 }
 
+std::optional<std::string> decodeRequest(const std::string &bytes)
+{
+    http::request_parser<http::string_body> parser;
+    parser.eager(true);
+    boost::system::error_code error;
+    parser.put(boost::asio::buffer(bytes), error);
+    if (parser.is_header_done()) {
+        const auto &request = parser.get();
+        const bool isAccepted = !checkFraming(request.base());
+        if (isAccepted && parser.chunked() != (request.count(http::field::transfer_encoding) > 0)) {
+            return "a transfer coding was accepted and ignored";
+        }
+        if (isAccepted) {
+            const auto dialect = platform::gatewayDialect();
+            (void)dialect->readCaller(request);
+            auto forwarded = dialect->toEndpoint(request, {.endpointName = "e-1", .timeLeft = std::chrono::milliseconds(1)});
+            forwarded.prepare_payload(); // Throws for a method that must not have a body.
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<std::string> decodeResponse(const std::string &bytes)
 {
     http::response_parser<http::string_body> parser;
@@ -143,6 +166,7 @@
             {"endpoints", plain([](const std::string &bytes) { return decodeEndpoints(bytes); })},
             {"vms", plain([](const std::string &bytes) { return decodeVms(bytes); })},
             {"events", decodeEvents},
+            {"request", decodeRequest},
             {"response", decodeResponse},
             {"peer", decodePeer}};
 }
