Begin during a stop only what ends before the process does

Cause: canServe admitted by the kind of the request alone, 3.5 s before the end for each resumable answer, and was asked only when a request arrived and at the signal. Calls and answers without an event were cut with the process as well.

Change: ShutdownAdmission decides by time: time limits that end before the last answer are always served, answers by the slowest pace that their objectives permit or that was seen recently, calls by what they took recently. It is asked again while a request waits and before each sending. Half a second before the kill, what has no response gets its final one; what runs at the very end is broken off visibly. Each response that begins during the stop closes its connection, and the own interface resumes no answer then. Why it works: the largest number of events of an answer is in the request, so that its end is known before it begins.

--- a/daemon/frontend/httpconnection.cpp
+++ b/daemon/frontend/httpconnection.cpp
@@ -43,9 +43,10 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(Socket socket, std::shared_ptr<asio::ssl::context> tls, const FrontendOptions &options)
+HttpConnection::HttpConnection(Socket socket, std::shared_ptr<asio::ssl::context> tls, const FrontendOptions &options, std::function<bool()> isStopping)
     : options_(options)
     , tls_(std::move(tls))
+    , isStopping_(std::move(isStopping))
     , stream_(makeStream(std::move(socket), tls_))
 {
     error_code ignored;
@@ -180,6 +181,7 @@
     if (broken_) {
         return false;
     }
+    closeIfStopping();
     response.version(version_);
     response.keep_alive(keepAlive_);
     const bool isHeaderOnly = isHead_ || hasNoBody(response.result());
@@ -219,6 +221,7 @@
 void HttpConnection::beginStream()
 {
     // HTTP/1.0 has no chunks: the end of the connection is the end of the answer.
+    closeIfStopping();
     endsWithConnection_ = version_ != kHttp11;
     keepAlive_ = keepAlive_ && !endsWithConnection_;
 }
@@ -308,9 +311,9 @@
     watch_.reset();
 }
 
-void HttpConnection::closeAfterResponse()
+void HttpConnection::closeIfStopping()
 {
-    keepAlive_ = false;
+    keepAlive_ = keepAlive_ && !(isStopping_ && isStopping_());
 }
 
 void HttpConnection::abort()
--- a/daemon/frontend/httpconnection.h
+++ b/daemon/frontend/httpconnection.h
@@ -36,7 +36,8 @@
     using Socket = boost::asio::ip::tcp::socket;
 
     /// @param tls null for plain TCP.
-    HttpConnection(Socket socket, std::shared_ptr<boost::asio::ssl::context> tls, const FrontendOptions &options);
+    /// @param isStopping whether the VM shuts down, so that each response that begins is the last one on its connection; may be empty.
+    HttpConnection(Socket socket, std::shared_ptr<boost::asio::ssl::context> tls, const FrontendOptions &options, std::function<bool()> isStopping = {});
 
     /// Performs the TLS handshake, if there is one.
     /// @return false if the connection is of no use.
@@ -77,9 +78,6 @@
 
     void stopWatching();
 
-    /// The next response is the last one on this connection.
-    void closeAfterResponse();
-
     /// Closes the connection at once, so that a response that has begun cannot be taken for a whole one. One that ends with its
     /// connection is reset.
     void abort();
@@ -101,11 +99,13 @@
     void refuse(const FramingFault &fault, boost::asio::yield_context yield);
     /// Determines how a streamed response ends.
     void beginStream();
+    void closeIfStopping();
     void waitForPeer();
     bool writeRaw(std::string_view first, std::string_view second, std::string_view third, boost::asio::yield_context yield);
 
     FrontendOptions options_;
     std::shared_ptr<boost::asio::ssl::context> tls_;
+    std::function<bool()> isStopping_;
     std::variant<Plain, Tls> stream_;
     boost::beast::flat_buffer buffer_;
     unsigned version_ = 11;
--- a/daemon/frontend/httpfrontend.cpp
+++ b/daemon/frontend/httpfrontend.cpp
@@ -74,7 +74,8 @@
     {
         auto executor = socket.get_executor();
         auto tls = std::atomic_load(&tls_);
-        auto connection = std::make_shared<HttpConnection>(std::move(socket), std::move(tls), optionsNow());
+        auto connection
+            = std::make_shared<HttpConnection>(std::move(socket), std::move(tls), optionsNow(), [&lists = context_.parts.lists] { return lists.isStopping(); });
         // Counts the connection until its coroutine ends, also by an exception.
         ++connections_;
         auto counted = std::shared_ptr<Private>(this, [self = shared_from_this()](Private *frontend) { --frontend->connections_; });
--- a/daemon/frontend/httpfrontend_test.cpp
+++ b/daemon/frontend/httpfrontend_test.cpp
@@ -208,6 +208,26 @@
     CHECK(refused.state() == "notRun");
 }
 
+// Guards against an answer that is resumed at a VM that is about to end, and against connections that are kept to such a VM.
+TEST_CASE("a stopping VM resumes no answer and closes each connection with its next response")
+{
+    Fleet fleet;
+    EventStream stream(fleet.vm1->port(), kCompletions, kNorth, completion(3));
+    Answer answer;
+    collect(stream, answer);
+    REQUIRE_FALSE(answer.lastId.empty());
+    Caller kept(fleet.vm1->port());
+    kept.send(http::verb::get, "/healthz", {});
+    CHECK(kept.receive().status == 200);
+    fleet.vm1->lists.setStopping();
+    const auto refused = request(fleet.vm1->port(), http::verb::get, kCompletions, with(kNorth, "Last-Event-ID", answer.lastId));
+    CHECK(refused.status == 503);
+    CHECK(refused.code() == 301);
+    kept.send(http::verb::get, "/healthz", {});
+    CHECK(kept.receive().headers.at("Connection") == "close");
+    CHECK(kept.closedByPeer());
+}
+
 // Guards against a refusal that keeps its retry time to itself or rounds it down.
 TEST_CASE("a refusal of the scheduler carries Retry-After")
 {
--- a/daemon/frontend/requesthandler.cpp
+++ b/daemon/frontend/requesthandler.cpp
@@ -124,6 +124,11 @@
 
 void RequestHandler::resume(bool chat, const CallerGrant &grant, HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield)
 {
+    if (context_.parts.lists.isStopping()) {
+        // Another VM can resume the answer up to its end. How it ends is not known here.
+        connection.write(errorReply(*context_.parts.lists.admission(), FinalState::OutcomeUnknown), yield);
+        return;
+    }
     const auto id = request[kLastEventId];
     const auto point = context_.openResume({id.data(), id.size()}, grant.team);
     if (const auto *error = std::get_if<Error>(&point)) {
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -8,6 +8,8 @@
 #include "daisystream/base/stablehash.h"
 #include "daisystream/forwarding/forwardingstate.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 
 namespace daisystream
@@ -31,7 +33,7 @@
 constexpr std::chrono::milliseconds kRetryAfterFull{200};
 
 /// Forwards a single call, with its retries.
-class Call
+class Call : public std::enable_shared_from_this<Call>
 {
 public:
     Call(GatewayContext &gateway, HttpConnection &connection, const RoutedRequest &request)
@@ -52,6 +54,7 @@
                 exchange_->abort();
             }
         });
+        const auto shutdownWatch = watchShutdown();
         gateway_.countRequest(request_.service);
         const auto verdict = guard().admit(request_.head.sharedParts);
         if (const auto *refusal = std::get_if<Error>(&verdict)) {
@@ -62,6 +65,11 @@
             if (!endpoint) {
                 break;
             }
+            if (!gateway_.canServe(request_)) {
+                gateway_.onCallEnded(endpoint->id, CallResult::CallerLeft, {});
+                failure_ = shuttingDownError();
+                break;
+            }
             tried_.push_back(endpoint->id);
             attempt(*endpoint, yield);
         }
@@ -75,9 +83,26 @@
         return gateway_.frontend.parts.promptGuard;
     }
 
+    /// Ends the exchange with an endpoint when the time is over that this VM has left.
+    /// @return keeps the callback registered.
+    [[nodiscard]] std::shared_ptr<void> watchShutdown()
+    {
+        return gateway_.watchShutdown([weak = weak_from_this(), executor = strandOf(connection_.executor())] {
+            boost::asio::post(executor, [weak] {
+                const auto self = weak.lock();
+                if (self && self->gateway_.shutdownPhase() >= ShutdownPhase::Answering) {
+                    self->isCutByShutdown_ = true;
+                    if (self->exchange_) {
+                        self->exchange_->abort();
+                    }
+                }
+            });
+        });
+    }
+
     [[nodiscard]] bool mayAttempt()
     {
-        if (callerLeft_ || answered_ || gateway_.now() >= request_.deadline || !state_.mayRetry() || unreachableCount_ >= kMaxUnreachable) {
+        if (callerLeft_ || isCutByShutdown_ || answered_ || gateway_.now() >= request_.deadline || !state_.mayRetry() || unreachableCount_ >= kMaxUnreachable) {
             return false;
         }
         if (state_.sent() > 0 && !guard().mayRepeat(request_.head.sharedParts, tried_.back())) {
@@ -205,12 +230,13 @@
             // Another endpoint may succeed after a server error; this answer is final only if no other endpoint may be tried.
             answered_ = !isServerError || !state_.mayRetry();
         }
-        if (callerLeft_) {
+        if (callerLeft_ || isCutByShutdown_) {
             result = CallResult::CallerLeft;
         } else if (fault && end == AttemptEnd::MayHaveRun) {
             guard().onFailed(endpoint, request_.head.sharedParts, sentAt_);
         } else if (end == AttemptEnd::Answered) {
             guard().onBegun(request_.head.sharedParts, sentAt_);
+            gateway_.onCallTime(request_, gateway_.now() - sentAt_);
         }
         if (!fault && end == AttemptEnd::MayHaveRun) {
             failure_
@@ -252,7 +278,9 @@
             return;
         }
         Error error = failure_.value_or(Error{ResultCode::TimeLimitPassed, "the time limit was exceeded", {}});
-        if (gateway_.now() >= request_.deadline) {
+        if (isCutByShutdown_) {
+            error = shuttingDownError();
+        } else if (gateway_.now() >= request_.deadline) {
             error = {ResultCode::TimeLimitPassed, "the time limit was exceeded; " + error.detail, error.retryAfter};
         } else if (budgetExhausted_) {
             error.detail += "; the retry budget is exhausted";
@@ -274,6 +302,7 @@
     std::size_t unreachableCount_ = 0;   ///< Attempts of which no byte was sent.
     bool answered_ = false;              ///< `answer_` is final.
     bool budgetExhausted_ = false;
+    bool isCutByShutdown_ = false;
     bool callerLeft_ = false;
 };
 
@@ -281,7 +310,7 @@
 
 void forwardCall(GatewayContext &gateway, HttpConnection &connection, const RoutedRequest &request, boost::asio::yield_context yield)
 {
-    Call(gateway, connection, request).run(yield);
+    std::make_shared<Call>(gateway, connection, request)->run(yield);
 }
 
 } // namespace daisystream
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -3,6 +3,10 @@
 #include "daemon/endpoints/permitclient.h"
 #include "daisystream/base/stablehash.h"
 
+#include <boost/asio/detached.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <iterator>
 
@@ -11,10 +15,12 @@
 namespace
 {
 
-// Time that a request must have left until the process is killed. There is none for long answers, which take longer than any
-// grace time.
-constexpr std::chrono::milliseconds kMinTimeForCall{2000};
-constexpr std::chrono::milliseconds kMinTimeForShortAnswer{3500};
+// Before the platform kills the process: for the final responses, the last messages to other VMs and the last lines of the log.
+constexpr std::chrono::milliseconds kLastAnswerMargin{500};
+// The balancer asks every second and stops after two refusals.
+constexpr std::chrono::milliseconds kHandoverTime{2500};
+constexpr std::chrono::milliseconds kReviewInterval{50};
+constexpr std::size_t kMinPrune = 64;
 // Subtracted from the time for which a leaving endpoint still accepts requests. That time starts when the endpoint tells
 // the store that it is leaving; this VM learns of it later, and a request takes time to reach the endpoint.
 constexpr std::chrono::milliseconds kDrainMargin{500};
@@ -354,14 +360,35 @@
     }
 }
 
-void GatewayContext::beginShutdown()
+TimePoint GatewayContext::beginShutdown()
 {
     const auto at = now();
+    const auto last = at + settings.graceTime - kLastAnswerMargin;
+    {
+        const std::lock_guard lock(mutex_);
+        shutdownAdmission_.begin({.handoverEnd = at + kHandoverTime, .lastAnswer = last});
+        lastAnswer_ = last;
+    }
+    boost::asio::spawn(
+        frontend.io,
+        [this](boost::asio::yield_context yield) {
+            boost::asio::steady_timer timer(frontend.io);
+            for (;;) {
+                reviewShutdown();
+                timer.expires_after(kReviewInterval);
+                timer.async_wait(yield);
+            }
+        },
+        boost::asio::detached);
+    return last;
+}
+
+void GatewayContext::reviewShutdown()
+{
     std::vector<std::weak_ptr<std::function<void()>>> watches;
     {
         const std::lock_guard lock(mutex_);
-        stoppingSince_ = at;
-        watches.swap(shutdownWatches_);
+        watches = shutdownWatches_;
     }
     for (const auto &weak : watches) {
         if (const auto watch = weak.lock()) {
@@ -370,18 +397,15 @@
     }
 }
 
-std::shared_ptr<void> GatewayContext::watchShutdown(std::function<void()> onShutdown)
+std::shared_ptr<void> GatewayContext::watchShutdown(std::function<void()> onReview)
 {
-    auto watch = std::make_shared<std::function<void()>>(std::move(onShutdown));
-    {
-        const std::lock_guard lock(mutex_);
-        if (!stoppingSince_) {
-            std::erase_if(shutdownWatches_, [](const auto &entry) { return entry.expired(); });
-            shutdownWatches_.push_back(watch);
-            return watch;
-        }
+    auto watch = std::make_shared<std::function<void()>>(std::move(onReview));
+    const std::lock_guard lock(mutex_);
+    if (shutdownWatches_.size() >= nextPrune_) {
+        std::erase_if(shutdownWatches_, [](const auto &entry) { return entry.expired(); });
+        nextPrune_ = std::max(kMinPrune, 2 * shutdownWatches_.size());
     }
-    (*watch)();
+    shutdownWatches_.push_back(watch);
     return watch;
 }
 
@@ -391,21 +415,65 @@
     admissionEnded_ = true;
 }
 
-bool GatewayContext::canServe(const RequestKind &kind)
+void GatewayContext::cutAnswers()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        isCutting_ = true;
+    }
+    reviewShutdown();
+}
+
+bool GatewayContext::canServe(const RoutedRequest &request)
 {
     const auto at = now();
     const std::lock_guard lock(mutex_);
-    if (admissionEnded_) {
-        return false;
+    if (admissionEnded_ || !lastAnswer_) {
+        return !admissionEnded_;
     }
-    if (!stoppingSince_) {
-        return true;
+    const std::uint64_t tokensPerEvent = request.engine != nullptr ? std::max(1U, request.engine->tokensPerEvent) : 1;
+    return shutdownAdmission_.canServe({.route = request.route->name,
+                                        .kind = request.route->kind,
+                                        .arrival = request.arrival,
+                                        .deadline = request.deadline,
+                                        .goal = request.route->goal,
+                                        .maxEvents = (request.head.maxOutputTokens + tokensPerEvent - 1) / tokensPerEvent},
+                                       at);
+}
+
+ShutdownPhase GatewayContext::shutdownPhase()
+{
+    const auto at = now();
+    const std::lock_guard lock(mutex_);
+    if (!lastAnswer_) {
+        return ShutdownPhase::None;
     }
-    const auto *stream = std::get_if<AnswerStream>(&kind);
-    if (stream != nullptr && !stream->resumable) {
-        return false;
+    if (isCutting_) {
+        return ShutdownPhase::Cutting;
     }
-    return at + (stream != nullptr ? kMinTimeForShortAnswer : kMinTimeForCall) < *stoppingSince_ + settings.graceTime;
+    return at < *lastAnswer_ ? ShutdownPhase::Stopping : ShutdownPhase::Answering;
+}
+
+void GatewayContext::onCallTime(const RoutedRequest &request, Duration took)
+{
+    const std::lock_guard lock(mutex_);
+    shutdownAdmission_.onCall(request.route->name, took);
+}
+
+void GatewayContext::onAnswerTime(const RoutedRequest &request, Duration untilFirst, Duration gap)
+{
+    const std::lock_guard lock(mutex_);
+    shutdownAdmission_.onAnswer(request.route->name, untilFirst, gap);
+}
+
+void GatewayContext::countStopRefusal()
+{
+    ++stopRefusals_;
+}
+
+std::uint64_t GatewayContext::stopRefusals() const
+{
+    return stopRefusals_;
 }
 
 bool GatewayContext::mayResumeAt(const EndpointId &endpoint)
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -10,7 +10,9 @@
 #include "daisystream/forwarding/bytebudget.h"
 #include "daisystream/retry/servicebudget.h"
 #include "daisystream/routes/routetable.h"
+#include "daisystream/shutdown/shutdownadmission.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -58,6 +60,14 @@
 /// @return the priority that is sent to an engine, 0 being the most urgent: by the priority of the team, then of the route.
 [[nodiscard]] std::uint32_t enginePriority(const RoutedRequest &request);
 
+/// How far the shutdown of a VM has come.
+enum class ShutdownPhase : std::uint8_t {
+    None,      ///< The VM does not shut down.
+    Stopping,  ///< Requests that can be completed are served.
+    Answering, ///< Requests whose response has not begun get their final response now.
+    Cutting,   ///< Answers that have begun are broken off.
+};
+
 /// How a request ended, for the metrics.
 enum class RequestOutcome : std::uint8_t {
     Answered,       ///< The endpoint's response was sent to the caller, whether success or error.
@@ -175,18 +185,40 @@
     void announceLeaving(const std::vector<EndpointId> &endpoints);
 
     /// Must be called on SIGTERM. The platform kills the process `GatewaySettings::graceTime` later.
-    void beginShutdown();
+    /// @return when every request must have its final response, except for answers that have begun.
+    TimePoint beginShutdown();
 
     /// Registers a callback for the shutdown.
-    /// @param onShutdown called on any thread when the shutdown begins, or before this function returns if it has begun.
+    /// @param onReview called on any thread when the shutdown begins and several times a second after that, since less and less time is
+    ///     left for requests that have not begun.
     /// @return keeps the callback registered.
-    [[nodiscard]] std::shared_ptr<void> watchShutdown(std::function<void()> onShutdown);
+    [[nodiscard]] std::shared_ptr<void> watchShutdown(std::function<void()> onReview);
 
     /// Makes `canServe` return false from now on, so that new requests are refused as not run. Admitted requests continue.
     void endAdmission();
 
-    /// @return whether a request of this kind that starts now can be completed before the process is killed.
-    [[nodiscard]] bool canServe(const RequestKind &kind);
+    /// Breaks off the answers that have begun, since the process is about to end.
+    void cutAnswers();
+
+    /// @return whether a request that begins now can be completed before the process is killed.
+    [[nodiscard]] bool canServe(const RoutedRequest &request);
+
+    /// @return how far the shutdown has come.
+    [[nodiscard]] ShutdownPhase shutdownPhase();
+
+    /// Records how long a call took at its endpoint.
+    void onCallTime(const RoutedRequest &request, Duration took);
+
+    /// Records how long an answer took at its engine.
+    /// @param untilFirst time from the sending to the first event.
+    /// @param gap average time between two events.
+    void onAnswerTime(const RoutedRequest &request, Duration untilFirst, Duration gap);
+
+    /// Counts a request that is refused because the VM shuts down.
+    void countStopRefusal();
+
+    /// @return the number of requests that were refused because the VM shuts down.
+    [[nodiscard]] std::uint64_t stopRefusals() const;
 
     /// @return whether the endpoint is known and accepts new work.
     [[nodiscard]] bool isInService(const EndpointId &endpoint) const;
@@ -199,6 +231,8 @@
     class Series;
     using Watches = std::multimap<EndpointId, std::weak_ptr<std::function<void()>>>;
 
+    void reviewShutdown();
+
     std::mutex mutex_;
     const ZoneId zone_; ///< Of this VM.
     Random random_;
@@ -208,8 +242,12 @@
     Watches watches_;
     std::vector<std::weak_ptr<std::function<void()>>> shutdownWatches_;
     std::map<EndpointId, TimePoint> leavingSince_; ///< When this VM learned that an endpoint is leaving.
-    std::optional<TimePoint> stoppingSince_;       ///< When the shutdown began.
+    ShutdownAdmission shutdownAdmission_;
+    std::optional<TimePoint> lastAnswer_; ///< Set when the shutdown began: when every request must have its final response.
+    std::size_t nextPrune_ = 0;           ///< Number of callbacks at which expired ones are removed.
+    std::atomic<std::uint64_t> stopRefusals_{0};
     bool admissionEnded_ = false;
+    bool isCutting_ = false;
     std::function<std::optional<std::chrono::milliseconds>()> contactAge_;
     std::function<void(const EndpointId &)> leavingHandler_;
     std::unique_ptr<Series> series_;
--- a/daemon/gateway/gatewayhandler.cpp
+++ b/daemon/gateway/gatewayhandler.cpp
@@ -32,9 +32,6 @@
 void GatewayHandler::serve(HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield)
 {
     const RunningGuard guard(gateway_.frontend);
-    if (gateway_.frontend.parts.lists.isStopping()) {
-        connection.closeAfterResponse();
-    }
     const auto admitted = admit(request);
     if (const auto *error = std::get_if<Error>(&admitted)) {
         const auto table = gateway_.frontend.parts.lists.routes();
@@ -81,14 +78,15 @@
         routed.team = team->id;
         routed.priority = team->priority.value_or(route->priority);
     }
-    if (!gateway_.canServe(route->kind)) {
-        return shuttingDownError();
-    }
     routed.service = chooseService(*route);
     const auto *service = table->service(routed.service);
     routed.engine = service != nullptr && service->engine ? &*service->engine : nullptr;
     routed.arrival = arrival;
     routed.deadline = arrival + requestTimeLimit(routed.head, *route);
+    if (!gateway_.canServe(routed)) {
+        gateway_.countStopRefusal();
+        return shuttingDownError();
+    }
     return routed;
 }
 
--- a/daemon/gateway/gatewayreply.cpp
+++ b/daemon/gateway/gatewayreply.cpp
@@ -50,6 +50,9 @@
 {
     const bool hasNotRun = failureOutcome == FailureOutcome::NotRun;
     gateway.onEnded(request, hasNotRun ? RequestOutcome::NotRun : RequestOutcome::OutcomeUnknown);
+    if (hasNotRun && error.code == ResultCode::Stopping) {
+        gateway.countStopRefusal();
+    }
     gateway.startLine("give_up", request)
         .field("reason", toString(error.code))
         .field("not_run", hasNotRun ? "true" : "false")
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -77,6 +77,7 @@
     void run(asio::yield_context yield)
     {
         connection_.watchPeer([self = shared_from_this()] { self->onCallerLeft(); });
+        const auto shutdownWatch = watchShutdown();
         gateway_.countRequest(request_.service);
         auto end = RunEnd::Failed;
         const auto verdict = guard().admit(request_.head.sharedParts);
@@ -116,7 +117,7 @@
 
     [[nodiscard]] bool mayRunAgain()
     {
-        if (callerLeft_ || gateway_.now() >= request_.deadline || (!state_.mayRetry() && !state_.mayContinue())) {
+        if (callerLeft_ || isCutByShutdown_ || gateway_.now() >= request_.deadline || (!state_.mayRetry() && !state_.mayContinue())) {
             return false;
         }
         if (state_.sent() > 0 && !recalled_ && lastFailedEngine_ && !guard().mayRepeat(request_.head.sharedParts, *lastFailedEngine_)) {
@@ -165,7 +166,6 @@
             refused_ = true;
             return RunEnd::Complete;
         }
-        const auto shutdownWatch = watchShutdown();
         const auto blockWatch = watchBlocks();
         if (const auto ended = assignEngine(yield)) {
             return *ended;
@@ -224,6 +224,12 @@
                 refused_ = true;
                 return RunEnd::Complete;
             }
+            if (!mayBegin()) {
+                gateway_.dispatcher.onFinished(workId_, 0, FinishReason::MovedAway);
+                failure_ = shuttingDownError();
+                refused_ = true;
+                return RunEnd::Complete;
+            }
             const bool holdsPermit = permitted == endpoint->id && gateway_.now() - askedAt <= kPermitLifetime;
             const bool isPermitted = holdsPermit || !gateway_.frontend.parts.permits.acquire(permitFor(endpoint->id), yield);
             if (isPermitted && !callerLeft_) {
@@ -276,21 +282,50 @@
                                                           yield);
     }
 
-    /// Cancels the wait for an engine when this VM shuts down and the answer could not be completed in time. Another VM can
-    /// serve the request.
+    /// @return whether the answer has begun, or can still be completed if it begins now.
+    [[nodiscard]] bool mayBegin()
+    {
+        return started_ || gateway_.canServe(request_);
+    }
+
+    /// Reacts to the shutdown of this VM as long as it lasts.
     /// @return keeps the callback registered.
     [[nodiscard]] std::shared_ptr<void> watchShutdown()
     {
         return gateway_.watchShutdown([weak = weak_from_this(), executor = strandOf(connection_.executor())] {
             asio::post(executor, [weak] {
-                const auto self = weak.lock();
-                if (self && !self->gateway_.canServe(self->request_.route->kind)) {
-                    self->requester_.cancelRequest(shuttingDownError());
+                if (const auto self = weak.lock()) {
+                    self->onShutdownReview();
                 }
             });
         });
     }
 
+    /// Cancels the wait for an engine once the answer could not be completed in time, so that another VM can serve the request. At the
+    /// end, gives up an answer that has not begun, and breaks off one that has.
+    void onShutdownReview()
+    {
+        if (!mayBegin()) {
+            requester_.cancelRequest(shuttingDownError());
+        }
+        const auto phase = gateway_.shutdownPhase();
+        if (phase >= ShutdownPhase::Answering && !started_ && !ended_) {
+            isCutByShutdown_ = true;
+            if (exchange_) {
+                exchange_->abort();
+            }
+        }
+        if (phase == ShutdownPhase::Cutting && started_ && !ended_) {
+            isCutByShutdown_ = true;
+            connection_.stopWatching();
+            connection_.abort();
+            requester_.cancelRequest(shuttingDownError());
+            if (exchange_) {
+                exchange_->abort();
+            }
+        }
+    }
+
     /// @return the error if a part of the prompt was blocked since the request was admitted.
     [[nodiscard]] std::optional<Error> blockOfParts() const
     {
@@ -622,6 +657,10 @@
     {
         ended_ = true;
         markBegun();
+        if (eventsOfRun_ == events_ && firstEventAt_ && events_ > 0) {
+            const auto gaps = static_cast<Duration::rep>(std::max<std::uint64_t>(1, events_ - 1));
+            gateway_.onAnswerTime(request_, *firstEventAt_ - sentAt_, (lastEventAt_ - *firstEventAt_) / gaps);
+        }
         connection_.endEvents(yield);
         return RunEnd::Complete;
     }
@@ -637,12 +676,12 @@
         if (callerLeft_) {
             return RunEnd::CallerLeft;
         }
-        if (isStoppedForMove()) {
+        if (isStoppedForMove() && !isCutByShutdown_) {
             return RunEnd::Moved;
         }
         state_.onAttemptEnded(exchange_->bytesSent() ? AttemptEnd::MayHaveRun : AttemptEnd::NotSent);
         lastFailedEngine_ = endpoint_.id;
-        if (exchange_->bytesSent() && !begunInRun_ && !recalled_) {
+        if (exchange_->bytesSent() && !begunInRun_ && !recalled_ && !isCutByShutdown_) {
             guard().onFailed(endpoint_, request_.head.sharedParts, sentAt_);
         }
         const auto code = fault.kind == ExchangeFault::Kind::Silent ? ResultCode::EndpointSilent : ResultCode::EndpointUnreachable;
@@ -725,7 +764,9 @@
             return;
         }
         Error error = failure_;
-        if (!refused_ && gateway_.now() >= request_.deadline) {
+        if (isCutByShutdown_) {
+            error = shuttingDownError();
+        } else if (!refused_ && gateway_.now() >= request_.deadline) {
             error = {ResultCode::TimeLimitPassed, "the time limit was exceeded; " + failure_.detail, {}};
         }
         sendFailure(gateway_, connection_, request_, error, state_.failureOutcome(), yield);
@@ -766,6 +807,7 @@
     bool isTrial_ = false;         ///< The request shows whether a blocked part still crashes engines.
     bool refused_ = false;         ///< No engine was assigned.
     bool recalled_ = false;        ///< The scheduler cancelled the current run to assign the request again.
+    bool isCutByShutdown_ = false; ///< The request was given up because this VM ends.
     bool provenNotRun_ = false;    ///< The engine proved that it did not run the request.
     bool callerLeft_ = false;
 };
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -47,6 +47,8 @@
 constexpr auto kFarewellTime = std::chrono::milliseconds(200);
 // Before the platform kills the process, so that its last lines of log are written.
 constexpr auto kKillMargin = std::chrono::milliseconds(250);
+// For breaking off the answers that are still running.
+constexpr auto kCutTime = std::chrono::milliseconds(50);
 
 std::uint64_t randomSeed()
 {
@@ -227,28 +229,32 @@
         const auto begunAt = clock_.now();
         LOG(INFO) << "event=shutdown_begun running=" << frontend_.running();
         control_.beginShutdown();
-        if (auto *gateway = frontend_.gateway()) {
-            gateway->beginShutdown();
-        }
+        auto *gateway = frontend_.gateway();
+        const auto lastAnswer = gateway != nullptr ? gateway->beginShutdown() : TimePoint::max();
+        const auto lastMoment = gateway != nullptr ? begunAt + settings_.gateway->graceTime - kKillMargin : TimePoint::max();
         asio::steady_timer timer(io_);
         if (settings_.listenReadiness) {
             // Until the balancer has noticed, new connections still come here.
-            timer.expires_after(kRotationTime);
+            timer.expires_after(std::min<Duration>(kRotationTime, lastAnswer - clock_.now()));
             timer.async_wait(yield);
         }
-        const auto lastMoment = settings_.gateway ? begunAt + settings_.gateway->graceTime - kKillMargin : TimePoint::max();
-        waitForAnswers(lastMoment, timer, yield);
+        waitForAnswers(lastAnswer, timer, yield);
         frontend_.close();
-        if (clock_.now() < lastMoment) {
+        if (clock_.now() < lastAnswer) {
             timer.expires_after(kFarewellTime);
             timer.async_wait(yield);
         }
         waitForAnswers(lastMoment, timer, yield);
         if (const auto running = frontend_.running(); running > 0) {
             LOG(WARNING) << "event=shutdown_cut running=" << running << " reason=grace_time_over";
+            if (gateway != nullptr) {
+                gateway->cutAnswers();
+            }
+            timer.expires_after(kCutTime);
+            timer.async_wait(yield);
         }
         control_.stop();
-        LOG(INFO) << "event=shutdown_done";
+        LOG(INFO) << "event=shutdown_done refused=" << (gateway != nullptr ? gateway->stopRefusals() : 0);
         io_.stop();
     }
 
