Keep a response that is complete when its exchange is aborted

A response that had arrived whole was thrown away if the exchange was aborted before the waiting coroutine went on, for instance at the last moment of a stop: its caller got 502 instead of an answer that was ready. readAll now reports what was read. Found by reading; the window is a few microseconds and no test shows it.

--- a/daemon/endpoints/endpointexchange.cpp
+++ b/daemon/endpoints/endpointexchange.cpp
@@ -179,7 +179,8 @@
             return ExchangeFault{.kind = ExchangeFault::Kind::Malformed, .detail = "body: no memory for " + std::to_string(size) + " bytes"};
         }
     }
-    if (d->reader->isDone() && !d->aborted) {
+    // A response that was complete before `abort` was called is not lost.
+    if (d->reader->isDone()) {
         return std::nullopt;
     }
     return d->faultOf(error, "body");
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -83,7 +83,7 @@
         return gateway_.frontend.parts.promptGuard;
     }
 
-    /// Ends the exchange with an endpoint when the time is over that this VM has left.
+    /// Ends the exchange with an endpoint when this VM has no time left to wait for it.
     /// @return keeps the callback registered.
     [[nodiscard]] std::shared_ptr<void> watchShutdown()
     {
@@ -302,7 +302,7 @@
     std::size_t unreachableCount_ = 0;   ///< Attempts of which no byte was sent.
     bool answered_ = false;              ///< `answer_` is final.
     bool budgetExhausted_ = false;
-    bool isCutByShutdown_ = false;
+    bool isCutByShutdown_ = false; ///< The call was given up because this VM ends.
     bool callerLeft_ = false;
 };
 
