Take zones out of service by the operator's rows, and limit cold endpoints

The operator's row for a zone was read nowhere, so that requests reached endpoints of zones that were out of service. The watch of the configuration's table now keeps the set of withdrawn zones by the revision of the store and hands it to the other VMs as a document; their endpoints get no new work but keep their answers. Cold endpoints get a request limit from the configuration, kept by permits.

--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -206,7 +206,8 @@
 
     [[nodiscard]] EndpointState stateOf(const EndpointId &endpoint) const
     {
-        return draining.contains(endpoint) || leaving.contains(endpoint) ? EndpointState::Draining : EndpointState::InService;
+        const bool getsNoWork = draining.contains(endpoint) || leaving.contains(endpoint) || withdrawn.contains(endpoint);
+        return getsNoWork ? EndpointState::Draining : EndpointState::InService;
     }
 
     ScheduledCell &findOrCreateCell(const CellId &id, TimePoint now)
@@ -855,6 +856,7 @@
     AskTracker askTracker;
     std::vector<VmId> vms;
     std::set<EndpointId> draining;                  ///< Drained by operators.
+    std::set<EndpointId> withdrawn;                 ///< In zones that are out of service.
     std::set<EndpointId> leaving;                   ///< About to be reclaimed by the platform.
     std::map<CellId, ScheduledCell> scheduledCells; ///< Cells of this VM, and those that it schedules in place of their owner.
     std::map<CellId, CellDigest> cellLoads;         ///< As the owners last reported.
@@ -1031,6 +1033,13 @@
     return isKnown && d_->stateOf(endpoint) == EndpointState::InService;
 }
 
+bool CellDispatcher::isLeaving(const EndpointId &endpoint) const
+{
+    const std::lock_guard lock(d_->mutex);
+    const bool isKnown = std::any_of(d_->endpoints.begin(), d_->endpoints.end(), [&](const auto &candidate) { return candidate.id == endpoint; });
+    return !isKnown || d_->draining.contains(endpoint) || d_->leaving.contains(endpoint);
+}
+
 void CellDispatcher::setVms(const std::vector<VmId> &live, const std::vector<VmId> &dead)
 {
     d_->apply([&](TimePoint now) {
@@ -1070,6 +1079,11 @@
     d_->apply([&](TimePoint /*now*/) { d_->replaceEndpoints(d_->draining, endpoints); });
 }
 
+void CellDispatcher::setWithdrawn(const std::vector<EndpointId> &endpoints)
+{
+    d_->apply([&](TimePoint /*now*/) { d_->replaceEndpoints(d_->withdrawn, endpoints); });
+}
+
 void CellDispatcher::setLeaving(const std::vector<EndpointId> &endpoints)
 {
     d_->apply([&](TimePoint /*now*/) { d_->replaceEndpoints(d_->leaving, endpoints); });
--- a/daemon/cells/celldispatcher.h
+++ b/daemon/cells/celldispatcher.h
@@ -56,6 +56,9 @@
     /// @return whether the endpoint is known and accepts new requests.
     [[nodiscard]] bool isInService(const EndpointId &endpoint) const;
 
+    /// @return whether the endpoint is unknown or about to end, so that running answers should be moved.
+    [[nodiscard]] bool isLeaving(const EndpointId &endpoint) const;
+
     /// Sets the check that runs before an endpoint is used for a new request; see `VmMonitor::assignment`.
     /// @param check returns nothing if the endpoint may be used, else the error for the caller. Called without locks.
     void setAssignmentCheck(std::function<std::optional<Error>()> check);
@@ -76,6 +79,10 @@
     /// Replaces the set of endpoints that operators are draining. They get no new requests.
     void setDraining(const std::vector<EndpointId> &endpoints);
 
+    /// Replaces the set of endpoints whose zone is out of service. They get no new requests, but they are not about to end, so that
+    /// running answers stay there.
+    void setWithdrawn(const std::vector<EndpointId> &endpoints);
+
     /// Replaces the set of endpoints that the platform is about to reclaim. They get no new requests.
     void setLeaving(const std::vector<EndpointId> &endpoints);
 
--- a/daemon/control/controlplane.cpp
+++ b/daemon/control/controlplane.cpp
@@ -1,10 +1,12 @@
 #include "daemon/control/controlplane.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <fstream>
+#include <map>
 #include <mutex>
 #include <set>
 #include <sstream>
@@ -59,14 +61,14 @@
     return load;
 }
 
-EndpointSettings toSettings(const EndpointEntry &entry, const RouteTable *routes)
+EndpointSettings toSettings(const EndpointEntry &entry, const RouteTable *routes, bool isCold)
 {
     EndpointSettings endpoint;
     endpoint.id = entry.id();
     endpoint.name = entry.name;
     endpoint.zone = entry.zone;
     endpoint.slots = entry.slots;
-    endpoint.isCold = entry.coldDuration.count() > 0;
+    endpoint.isCold = isCold;
     endpoint.service = entry.service;
     endpoint.kind = EndpointKind::Service;
     if (const auto address = parseSocketAddress(entry.address)) {
@@ -90,6 +92,7 @@
 public:
     Private(boost::asio::io_context &io, const Settings &daemonSettings, const Clock &clock, const ControlOptions &options)
         : settings(daemonSettings)
+        , clock(clock)
         , lists(options.adapter.parseRoutes)
         , platform(io, daemonSettings.platform, options.adapter.store)
         , peers(io, {.vm = daemonSettings.vm, .zone = daemonSettings.zone, .incarnation = options.incarnation}, clock, metrics, options.peers)
@@ -102,6 +105,7 @@
         , permits(io, daemonSettings.vm, clock, metrics, [this](const VmId &to, const PeerMessage &message) { return peers.send(to, message); })
         , promptGuard(io, daemonSettings.vm, clock, metrics, options.adapter.load.target, options.seed)
         , load(io, dispatcher, clock, metrics, loadOptions(options))
+        , coldTimer(io)
     {
         promptGuard.setAnnouncer([this](const QuarantineNews &quarantine) {
             NewsMessage news;
@@ -120,6 +124,7 @@
                           StoreWatchParts{.lists = lists, .platform = platform, .metrics = metrics, .clock = clock},
                           StoreWatchHandlers{.onEndpoints = [this](const auto &entries) { onEndpoints(entries); },
                                              .onVms = [this](const auto &vms) { onVms(vms); },
+                                             .onZones = [this](const ZoneWithdrawals &withdrawals) { onZones(withdrawals); },
                                              .onPublished = [this](DocumentKind kind) { announce(kind); },
                                              .onChanges = [this](const EndpointChanges &changes) { announceChanges(changes); },
                                              .followsConfig = [this] { return followsConfig(); },
@@ -142,6 +147,54 @@
         applyEndpoints();
     }
 
+    /// Handles a change of the zones that are out of service.
+    void onZones(const ZoneWithdrawals &withdrawals)
+    {
+        {
+            const std::lock_guard lock(mutex);
+            for (const auto &zone : withdrawals.zones()) {
+                zoneGauge(zone).set(1);
+            }
+            for (const auto &zone : zones.zones()) {
+                if (!withdrawals.contains(zone)) {
+                    zoneGauge(zone).set(0);
+                }
+            }
+            zones = withdrawals;
+        }
+        applyEndpoints();
+    }
+
+    [[nodiscard]] Gauge &zoneGauge(const ZoneId &zone)
+    {
+        return metrics.gauge("daisystream_zone_withdrawn", "1 if the operator has taken the zone out of service.", {{"zone", zone.value()}});
+    }
+
+    /// @return until when the endpoint is cold; in the past if it is not. The entry states the time that was left when it was written,
+    ///     so that the time runs from its first arrival. The caller holds `mutex`.
+    [[nodiscard]] TimePoint coldUntil(const EndpointEntry &entry)
+    {
+        ColdEndpoint &cold = coldEndpoints[entry.id()];
+        if (cold.stated != entry.coldDuration) {
+            cold = {.stated = entry.coldDuration, .until = clock.now() + entry.coldDuration};
+        }
+        return cold.until;
+    }
+
+    /// Applies the endpoints again when the first of them is no longer cold.
+    void scheduleColdEnd(std::optional<TimePoint> end)
+    {
+        if (!end) {
+            return;
+        }
+        coldTimer.expires_after(*end - clock.now() + std::chrono::milliseconds(1));
+        coldTimer.async_wait([this](const boost::system::error_code &cancelled) {
+            if (!cancelled) {
+                applyEndpoints();
+            }
+        });
+    }
+
     /// @return the engines that this VM must poll to find out whether they are leaving: none while the store reports that.
     [[nodiscard]] std::vector<EndpointSettings> enginesToPollForLeaving()
     {
@@ -156,7 +209,7 @@
                 engines.push_back(*engine);
             }
         }
-        std::erase_if(engines, [this](const auto &engine) { return !dispatcher.isInService(engine.id); });
+        std::erase_if(engines, [this](const auto &engine) { return dispatcher.isLeaving(engine.id); });
         return engines;
     }
 
@@ -188,22 +241,43 @@
         const auto routes = lists.routes();
         std::vector<EndpointSettings> endpoints;
         std::vector<EndpointId> draining;
+        std::vector<EndpointId> withdrawn;
+        std::map<EndpointId, double> coldLimits;
+        std::optional<TimePoint> coldEnd;
         std::set<EndpointId> inService;
         {
             const std::lock_guard lock(mutex);
+            const auto now = clock.now();
             for (const auto &entry : listedEndpoints) {
-                endpoints.push_back(toSettings(entry, routes.get()));
+                const auto until = coldUntil(entry);
+                endpoints.push_back(toSettings(entry, routes.get(), until > now));
+                const auto *service = routes == nullptr ? nullptr : routes->service(entry.service);
+                if (until > now) {
+                    coldEnd = std::min(coldEnd.value_or(until), until);
+                }
+                if (until > now && service != nullptr && service->coldRequestsPerSecond > 0) {
+                    coldLimits.emplace(entry.id(), service->coldRequestsPerSecond);
+                }
+                if (zones.contains(entry.zone)) {
+                    withdrawn.push_back(entry.id());
+                }
                 if (entry.state == EndpointState::InService && !statedLeaving.contains(entry.id())) {
                     inService.insert(entry.id());
                 } else {
                     draining.push_back(entry.id());
                 }
             }
+            std::erase_if(coldEndpoints, [&](const auto &cold) {
+                return std::none_of(listedEndpoints.begin(), listedEndpoints.end(), [&](const auto &entry) { return entry.id() == cold.first; });
+            });
         }
+        permits.setColdLimits(coldLimits);
+        scheduleColdEnd(coldEnd);
         std::vector<EndpointId> leaving;
         std::set_difference(inServiceBefore.begin(), inServiceBefore.end(), inService.begin(), inService.end(), std::back_inserter(leaving));
         inServiceBefore = std::move(inService);
         dispatcher.setDraining(draining);
+        dispatcher.setWithdrawn(withdrawn);
         dispatcher.setEndpoints(endpoints);
         std::vector<EndpointId> ids;
         std::transform(endpoints.begin(), endpoints.end(), std::back_inserter(ids), [](const auto &endpoint) { return endpoint.id; });
@@ -256,7 +330,15 @@
         }
     }
 
+    /// For how long an endpoint is cold.
+    struct ColdEndpoint
+    {
+        std::chrono::milliseconds stated{0}; ///< As the entry of the endpoint states it.
+        TimePoint until{};
+    };
+
     const Settings settings;
+    const Clock &clock;
     Metrics metrics;
     ListTable lists;
     PlatformClient platform;
@@ -269,11 +351,14 @@
     std::optional<StoreWatch> watch;
     std::function<void(const std::vector<EndpointId> &)> endpointHandler;
     std::function<void(std::size_t)> vmHandler;
-    std::mutex applyMutex;                      // Locked before every other mutex; prevents an older endpoint list from replacing a newer one.
-    std::mutex mutex;                           // Level 3 in the lock order.
-    std::vector<EndpointEntry> listedEndpoints; ///< Latest endpoint list of the store, guarded by `mutex`.
-    std::set<EndpointId> statedLeaving;         ///< Endpoints that stated that they are leaving, guarded by `mutex`. Ids are never reused.
-    std::set<EndpointId> inServiceBefore;       ///< Endpoints in service after the last update, guarded by `applyMutex`.
+    std::mutex applyMutex;                            // Locked before every other mutex; prevents an older endpoint list from replacing a newer one.
+    std::mutex mutex;                                 // Level 3 in the lock order.
+    std::vector<EndpointEntry> listedEndpoints;       ///< Latest endpoint list of the store, guarded by `mutex`.
+    std::set<EndpointId> statedLeaving;               ///< Endpoints that stated that they are leaving, guarded by `mutex`. Ids are never reused.
+    std::set<EndpointId> inServiceBefore;             ///< Endpoints in service after the last update, guarded by `applyMutex`.
+    ZoneWithdrawals zones;                            ///< Guarded by `mutex`.
+    std::map<EndpointId, ColdEndpoint> coldEndpoints; ///< Guarded by `mutex`.
+    boost::asio::steady_timer coldTimer;              ///< Used under `applyMutex`.
 };
 
 ControlPlane::ControlPlane(boost::asio::io_context &io, const Settings &settings, const Clock &clock, const ControlOptions &options)
@@ -428,6 +513,14 @@
     nlohmann::json status = d_->dispatcher.status();
     status["vm"] = d_->settings.vm.value();
     status["vms"] = d_->monitor.status();
+    {
+        const std::lock_guard lock(d_->mutex);
+        auto withdrawn = nlohmann::json::array();
+        for (const auto &zone : d_->zones.zones()) {
+            withdrawn.push_back(zone.value());
+        }
+        status["withdrawnZones"] = {{"zones", withdrawn}, {"revision", d_->zones.revision()}};
+    }
     const auto refusal = d_->lists.admission();
     status["admission"] = refusal ? toString(refusal->code) : "open";
     return status;
--- a/daemon/endpoints/permitclient.cpp
+++ b/daemon/endpoints/permitclient.cpp
@@ -232,6 +232,11 @@
     d_->locked([&](TimePoint /*now*/) { d_->permits.retain(endpoints); });
 }
 
+void PermitClient::setColdLimits(const std::map<EndpointId, double> &limits)
+{
+    d_->locked([&](TimePoint /*now*/) { d_->permits.limits().setColdLimits(limits); });
+}
+
 void PermitClient::onStatements(const std::vector<LimitStatement> &statements)
 {
     for (const auto &statement : statements) {
--- a/daemon/endpoints/permitclient.h
+++ b/daemon/endpoints/permitclient.h
@@ -76,6 +76,10 @@
     /// Forgets the limits of all other endpoints.
     void setEndpoints(const std::vector<EndpointId> &endpoints);
 
+    /// Replaces the limits of cold endpoints, in requests a second from all VMs together. They hold beside the limits that
+    /// endpoints state; the smaller one binds.
+    void setColdLimits(const std::map<EndpointId, double> &limits);
+
     /// Handles what endpoints stated to other VMs.
     void onStatements(const std::vector<LimitStatement> &statements);
 
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -92,6 +92,7 @@
         , moveTime(metrics.histogram("daisystream_move_seconds", "Time to move a running answer to another engine."))
         , moved(metrics.counter("daisystream_moves_total", "Attempts to move a running answer to another engine.", {{"outcome", "moved"}}))
         , notMoved(metrics.counter("daisystream_moves_total", "Attempts to move a running answer to another engine.", {{"outcome", "not_moved"}}))
+        , redirected(metrics.counter("daisystream_redirected_total", "Assigned requests whose endpoint went out of service before they were sent."))
         , sentToLimited(metrics.counter("daisystream_limited_sends_total", "Requests sent to endpoints that state a request limit."))
     {
     }
@@ -120,6 +121,7 @@
     Histogram &moveTime;
     Counter &moved;
     Counter &notMoved;
+    Counter &redirected;
     Counter &sentToLimited;
 };
 
@@ -466,6 +468,11 @@
     shutdownAdmission_.onAnswer(request.route->name, untilFirst, gap);
 }
 
+void GatewayContext::countRedirect()
+{
+    series_->redirected.add(1);
+}
+
 void GatewayContext::countStopRefusal()
 {
     ++stopRefusals_;
@@ -484,6 +491,11 @@
     return leaving == leavingSince_.end() || at + kDrainMargin < leaving->second + settings.drainTime;
 }
 
+bool GatewayContext::isLeaving(const EndpointId &endpoint) const
+{
+    return dispatcher.isLeaving(endpoint);
+}
+
 bool GatewayContext::isInService(const EndpointId &endpoint) const
 {
     return dispatcher.isInService(endpoint);
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -214,6 +214,9 @@
     /// @param gap average time between two events.
     void onAnswerTime(const RoutedRequest &request, Duration untilFirst, Duration gap);
 
+    /// Counts a request that was assigned to an endpoint which went out of service before the request was sent.
+    void countRedirect();
+
     /// Counts a request that is refused because the VM shuts down.
     void countStopRefusal();
 
@@ -223,6 +226,9 @@
     /// @return whether the endpoint is known and accepts new work.
     [[nodiscard]] bool isInService(const EndpointId &endpoint) const;
 
+    /// @return whether the endpoint is unknown or about to end.
+    [[nodiscard]] bool isLeaving(const EndpointId &endpoint) const;
+
     /// @return whether an answer that was stopped at an endpoint may resume there: the endpoint is not leaving, or is leaving but
     ///     still accepts requests.
     [[nodiscard]] bool mayResumeAt(const EndpointId &endpoint);
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -218,6 +218,13 @@
                             kRetryAfterFailure};
                 return callerLeft_ ? RunEnd::CallerLeft : RunEnd::Failed;
             }
+            if (!gateway_.isInService(endpoint->id)) {
+                // Its zone was taken out of service, or it began to drain, after the owner had decided.
+                gateway_.dispatcher.onFinished(workId_, 0, FinishReason::MovedAway);
+                gateway_.countRedirect();
+                denied.push_back(endpoint->id);
+                continue;
+            }
             if (auto refusal = blockOfParts()) {
                 gateway_.dispatcher.onFinished(workId_, 0, FinishReason::MovedAway);
                 failure_ = std::move(*refusal);
@@ -612,7 +619,7 @@
             });
         };
         endpointWatch_ = gateway_.watchEndpoint(endpoint_.id, onLeaving);
-        if (!gateway_.isInService(endpoint_.id)) {
+        if (gateway_.isLeaving(endpoint_.id)) {
             startMove();
         }
     }
--- a/daemon/peers/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -30,7 +30,7 @@
 {
 
 /// Both ends of a connection must speak the same version.
-constexpr std::uint32_t kPeerProtocolVersion = 3;
+constexpr std::uint32_t kPeerProtocolVersion = 4;
 
 /// A longer message closes the connection. A whole list of 1,300 teams takes less than 1 MiB.
 constexpr std::uint32_t kMaxPeerMessageBytes = 16U << 20U;
--- a/daemon/store/listtable.cpp
+++ b/daemon/store/listtable.cpp
@@ -34,6 +34,8 @@
         return "endpoints";
     case DocumentKind::Vms:
         return "vms";
+    case DocumentKind::Zones:
+        return "zones";
     }
     return "?";
 }
--- a/daemon/store/listtable.h
+++ b/daemon/store/listtable.h
@@ -36,9 +36,10 @@
     Routes = 4,    ///< The configuration of a deployment that uses routes instead of plans and limits.
     Endpoints = 5, ///< The registered endpoints; see `encodeEndpoints`.
     Vms = 6,       ///< The registered VMs of this deployment; see `encodeVms`.
+    Zones = 7,     ///< The zones that the operator has taken out of service; see `encodeZones`.
 };
 
-constexpr std::size_t kDocumentKinds = 7;
+constexpr std::size_t kDocumentKinds = 8;
 
 /// @return the table and key of the row that holds the document, for example "lists/plans".
 [[nodiscard]] const char *toString(DocumentKind kind);
--- a/daemon/store/storewatch.cpp
+++ b/daemon/store/storewatch.cpp
@@ -70,7 +70,14 @@
 {
     auto list = nlohmann::json::array();
     for (const auto &entry : entries) {
-        list.push_back({entry.name, entry.service.value(), entry.address, entry.zone.value(), static_cast<int>(entry.state), entry.slots, entry.startedAt});
+        list.push_back({entry.name,
+                        entry.service.value(),
+                        entry.address,
+                        entry.zone.value(),
+                        static_cast<int>(entry.state),
+                        entry.slots,
+                        entry.startedAt,
+                        entry.coldDuration.count()});
     }
     return list.dump();
 }
@@ -88,6 +95,7 @@
             entry.state = item.at(4).get<int>() == static_cast<int>(EndpointState::InService) ? EndpointState::InService : EndpointState::Draining;
             entry.slots = item.at(5).get<std::uint32_t>();
             entry.startedAt = item.at(6).get<std::uint64_t>();
+            entry.coldDuration = milliseconds(item.at(7).get<std::int64_t>());
             entries.push_back(std::move(entry));
         }
     } catch (const nlohmann::json::exception &fault) {
@@ -125,6 +133,29 @@
     return vms;
 }
 
+std::string encodeZones(const std::set<ZoneId> &zones)
+{
+    auto list = nlohmann::json::array();
+    for (const auto &zone : zones) {
+        list.push_back(zone.value());
+    }
+    return list.dump();
+}
+
+std::optional<std::set<ZoneId>> decodeZones(const std::string &text)
+{
+    std::set<ZoneId> zones;
+    try {
+        for (const auto &item : nlohmann::json::parse(text)) {
+            zones.emplace(item.get<std::string>());
+        }
+    } catch (const nlohmann::json::exception &fault) {
+        LOG(ERROR) << "event=document_refused document=zones reason=\"" << fault.what() << '"';
+        return std::nullopt;
+    }
+    return zones;
+}
+
 class StoreWatch::Private : public std::enable_shared_from_this<Private>
 {
 public:
@@ -234,8 +265,9 @@
 
     // The configuration.
 
-    void onConfig(const StoreRows &rows)
+    void onConfig(const StoreRows &rows, bool isFullTable)
     {
+        onZoneRows(rows, isFullTable);
         for (const auto &row : rows.rows) {
             if (row.key != source.configKey || row.removed) {
                 continue;
@@ -251,6 +283,75 @@
         }
     }
 
+    // The zones that are out of service.
+
+    void onZoneRows(const StoreRows &rows, bool isFullTable)
+    {
+        bool hasChanged = false;
+        std::set<ZoneId> zones;
+        for (const auto &row : rows.rows) {
+            if (source.zonePrefix.empty() || !row.key.starts_with(source.zonePrefix)) {
+                continue;
+            }
+            const ZoneId zone(row.key.substr(source.zonePrefix.size()));
+            if (isFullTable) {
+                zones.insert(zone);
+            } else {
+                hasChanged = withdrawals.apply(zone, !row.removed, row.version) || hasChanged;
+            }
+        }
+        if (isFullTable) {
+            hasChanged = withdrawals.replace(zones, rows.revision);
+        }
+        if (hasChanged) {
+            publishZones();
+        }
+    }
+
+    void publishZones()
+    {
+        if (parts.lists.offer(DocumentKind::Zones, {.number = withdrawals.revision(), .changeId = {}}, encodeZones(withdrawals.zones()))) {
+            handlers.onPublished(DocumentKind::Zones);
+        }
+        notifyZones("store");
+    }
+
+    /// Applies a set of zones received from another VM, if it is newer; else, puts the own set in force again, which is newer and
+    /// which the other VM lacks.
+    void onZoneDocument()
+    {
+        const auto document = parts.lists.document(DocumentKind::Zones);
+        const auto zones = decodeZones(document.text);
+        if (!zones || document.version.number == withdrawals.revision()) {
+            return;
+        }
+        if (document.version.number < withdrawals.revision()) {
+            if (*zones != withdrawals.zones()) {
+                publishZones();
+            }
+            return;
+        }
+        if (withdrawals.replace(*zones, document.version.number)) {
+            notifyZones("other_vm");
+        }
+    }
+
+    void notifyZones(const char *from)
+    {
+        for (const auto &zone : withdrawals.zones()) {
+            if (!loggedZones.contains(zone)) {
+                LOG(INFO) << "event=zone_withdrawn zone=" << zone << " revision=" << withdrawals.revision() << " source=" << from;
+            }
+        }
+        for (const auto &zone : loggedZones) {
+            if (!withdrawals.contains(zone)) {
+                LOG(INFO) << "event=zone_restored zone=" << zone << " revision=" << withdrawals.revision() << " source=" << from;
+            }
+        }
+        loggedZones = withdrawals.zones();
+        handlers.onZones(withdrawals);
+    }
+
     /// Determines the time as of which a reply confirms the configuration. That time lies between the request and the
     /// arrival of the reply. The store's clock gives a closer estimate, by the smallest clock difference seen so far,
     /// which belongs to the fastest reply.
@@ -508,6 +609,8 @@
     std::atomic<bool> isLost{false}; ///< True while `unreachableSince` is set; readable from any thread.
     EndpointDirectory directory;
     std::map<EndpointId, EndpointState> loggedStates;
+    ZoneWithdrawals withdrawals;
+    std::set<ZoneId> loggedZones; ///< The zones that the log names as withdrawn.
     std::map<std::string, ListedVm> vms;
     std::uint64_t vmsRevision = 0;
     std::atomic<bool> isVmListKnown{false};
@@ -527,6 +630,8 @@
             asio::post(self->strand, [self] { self->onDocument(); });
         } else if (self && kind == DocumentKind::Vms) {
             asio::post(self->strand, [self] { self->onVmDocument(); });
+        } else if (self && kind == DocumentKind::Zones) {
+            asio::post(self->strand, [self] { self->onZoneDocument(); });
         }
     });
 }
@@ -545,7 +650,7 @@
     d->startedAt = d->parts.clock.now();
     d->follow({.table = d->source.configTable,
                .wait = kConfigWait,
-               .onRows = [d](const StoreRows &rows, bool) { d->onConfig(rows); },
+               .onRows = [d](const StoreRows &rows, bool isFullTable) { d->onConfig(rows, isFullTable); },
                .onReply = [d](TimePoint sentAt, const StoreRows &rows) { d->onConfigReply(sentAt, rows); },
                .onFailure = [d] { d->onFailure(); },
                .isWanted = [d] { return !d->isWaitingForVms() && d->handlers.followsConfig(); },
--- a/daemon/store/storewatch.h
+++ b/daemon/store/storewatch.h
@@ -6,6 +6,7 @@
 #include "daemon/store/platformclient.h"
 #include "daisystream/base/clock.h"
 #include "daisystream/endpoint/endpointdirectory.h"
+#include "daisystream/endpoint/zonewithdrawals.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -32,6 +33,7 @@
 {
     std::string configTable; ///< The row `configKey` of this table holds the configuration.
     std::string configKey;
+    std::string zonePrefix;    ///< A row of `configTable` with this prefix and the name of a zone takes that zone out of service.
     std::string endpointTable; ///< Table with one row for each endpoint.
     /// @return the version number in a configuration, or nothing if the configuration is malformed.
     std::function<std::optional<std::uint64_t>(std::string_view text)> configVersion;
@@ -53,6 +55,7 @@
 {
     std::function<void(const std::vector<EndpointEntry> &)> onEndpoints; ///< Receives all endpoints that are valid now.
     std::function<void(const std::vector<ListedVm> &)> onVms;            ///< Receives all registered VMs.
+    std::function<void(const ZoneWithdrawals &)> onZones;                ///< Receives the zones that are out of service.
     std::function<void(DocumentKind)> onPublished;                       ///< A document read from the platform was put in force.
     std::function<void(const EndpointChanges &)> onChanges;              ///< Receives endpoint changes that this VM read from the platform.
     std::function<bool()> followsConfig;                                 ///< False while other VMs watch the configuration and forward it.
@@ -73,6 +76,12 @@
 /// @return the VMs in a text from `encodeVms`, or nothing if the text is malformed. Malformed entries are skipped.
 [[nodiscard]] std::optional<std::vector<ListedVm>> decodeVms(const std::string &text);
 
+/// @return the text of the document `DocumentKind::Zones`.
+[[nodiscard]] std::string encodeZones(const std::set<ZoneId> &zones);
+
+/// @return the zones in a text from `encodeZones`, or nothing if the text is malformed.
+[[nodiscard]] std::optional<std::set<ZoneId>> decodeZones(const std::string &text);
+
 /// Watches the platform's tables and reports changes to the handlers. Thread-safe: its state is used on one strand.
 class StoreWatch
 {
--- /dev/null
+++ b/daisystream/endpoint/zonewithdrawals.cpp
@@ -0,0 +1,53 @@
+#include "daisystream/endpoint/zonewithdrawals.h"
+
+#include <algorithm>
+
+namespace daisystream
+{
+
+ZoneWithdrawals::ZoneWithdrawals(internal::ZoneWithdrawalFaults faults)
+    : faults_(faults)
+{
+}
+
+bool ZoneWithdrawals::replace(const std::set<ZoneId> &zones, std::uint64_t revision)
+{
+    if (revision < revision_ && !faults_.ignoresRevisions) {
+        return false;
+    }
+    revision_ = std::max(revision_, revision);
+    const bool hasChanged = zones != zones_;
+    zones_ = zones;
+    return hasChanged;
+}
+
+bool ZoneWithdrawals::apply(const ZoneId &zone, bool isWithdrawn, std::uint64_t revision)
+{
+    if (revision <= revision_ && !faults_.ignoresRevisions) {
+        return false;
+    }
+    revision_ = std::max(revision_, revision);
+    if (isWithdrawn) {
+        zones_.insert(zone);
+    } else {
+        zones_.erase(zone);
+    }
+    return true;
+}
+
+bool ZoneWithdrawals::contains(const ZoneId &zone) const
+{
+    return zones_.contains(zone);
+}
+
+const std::set<ZoneId> &ZoneWithdrawals::zones() const
+{
+    return zones_;
+}
+
+std::uint64_t ZoneWithdrawals::revision() const
+{
+    return revision_;
+}
+
+} // namespace daisystream
--- a/daisystream/limits/endpointpermits.cpp
+++ b/daisystream/limits/endpointpermits.cpp
@@ -20,6 +20,8 @@
 // Bounds of the rates that are used in time arithmetic.
 constexpr double kMinPerSecond = 0.001;
 constexpr double kMaxPerSecond = 100'000;
+// Age of the statement in a request for a permit of an endpoint that states no limit: older than every real statement.
+constexpr Duration kNeverStated = std::chrono::hours(24);
 
 /// @return a number in (0, 1] that is the same on all VMs.
 double uniformHash(std::uint64_t request, const EndpointId &endpoint)
@@ -177,8 +179,7 @@
 {
     request.vm = self_;
     const auto endpoint = request.endpoint;
-    const auto statement = limits_.statement(endpoint, now);
-    if (!statement || statement->perSecond == 0) {
+    if (!limits_.limit(endpoint)) {
         return {PermitDecided{.number = number, .outcome = PermitGranted{}}};
     }
     const auto full = full_.find(endpoint);
@@ -189,10 +190,15 @@
     const auto &owners = ownersOf(endpoint);
     const auto avoided = avoidUntil_.find(owners.front());
     const bool skipsIssuer = avoided != avoidUntil_.end() && avoided->second > now && owners.size() > 1 && !options_.faults.neverStandsIn;
-    PermitAsk ask{.number = number, .request = std::move(request), .statement = *statement};
+    PermitAsk ask{.number = number, .request = std::move(request), .statement = statementOf(endpoint, now)};
     return send(std::move(ask), skipsIssuer ? owners[1] : owners.front(), skipsIssuer || owners.size() == 1, now);
 }
 
+LimitStatement EndpointPermits::statementOf(const EndpointId &endpoint, TimePoint now) const
+{
+    return limits_.statement(endpoint, now).value_or(LimitStatement{.endpoint = endpoint, .perSecond = 0, .age = kNeverStated});
+}
+
 std::vector<PermitAction> EndpointPermits::send(PermitAsk ask, const VmId &to, bool isLast, TimePoint now)
 {
     if (to == self_) {
--- a/daisystream/limits/endpointpermits.h
+++ b/daisystream/limits/endpointpermits.h
@@ -170,6 +170,7 @@
     /// @return the part of the live and lately lost VMs that follows this VM's view of who issues permits.
     [[nodiscard]] double followingShare(TimePoint now) const;
     [[nodiscard]] PermitTerms termsFor(const EndpointId &endpoint, TimePoint now);
+    [[nodiscard]] LimitStatement statementOf(const EndpointId &endpoint, TimePoint now) const;
     [[nodiscard]] PermitOutcome issue(const PermitRequest &request, TimePoint now);
     [[nodiscard]] std::vector<PermitAction> send(PermitAsk ask, const VmId &to, bool isLast, TimePoint now);
     [[nodiscard]] std::vector<PermitAction> askNext(std::uint64_t number, TimePoint now);
--- a/daisystream/limits/requestlimits.cpp
+++ b/daisystream/limits/requestlimits.cpp
@@ -51,10 +51,20 @@
     return statement.perSecond != before;
 }
 
+void RequestLimits::setColdLimits(std::map<EndpointId, double> limits)
+{
+    cold_ = std::move(limits);
+}
+
 std::optional<double> RequestLimits::limit(const EndpointId &endpoint) const
 {
     const auto found = known_.find(endpoint);
-    return found == known_.end() || found->second.perSecond == 0 ? std::nullopt : std::optional(found->second.perSecond);
+    const auto stated = found == known_.end() || found->second.perSecond == 0 ? std::nullopt : std::optional(found->second.perSecond);
+    const auto cold = cold_.find(endpoint);
+    if (cold == cold_.end()) {
+        return stated;
+    }
+    return std::min(stated.value_or(cold->second), cold->second);
 }
 
 std::optional<LimitStatement> RequestLimits::statement(const EndpointId &endpoint, TimePoint now) const
--- a/daisystream/limits/requestlimits.h
+++ b/daisystream/limits/requestlimits.h
@@ -61,10 +61,14 @@
     /// @return whether the limit has changed.
     bool onStatement(const LimitStatement &statement, TimePoint now);
 
-    /// @return the requests a second that the endpoint takes from all VMs together; nothing if it states no limit.
+    /// Replaces the limits of endpoints that are cold, which follow from the configuration and are not stated by the endpoints.
+    void setColdLimits(std::map<EndpointId, double> limits);
+
+    /// @return the requests a second that the endpoint takes from all VMs together, the smaller of the stated limit and that of a cold
+    ///     endpoint; nothing if it has neither.
     [[nodiscard]] std::optional<double> limit(const EndpointId &endpoint) const;
 
-    /// @return the latest statement of the endpoint; nothing if it never stated a limit.
+    /// @return the latest statement of the endpoint; nothing if it never stated a limit. Limits of cold endpoints are not part of it.
     [[nodiscard]] std::optional<LimitStatement> statement(const EndpointId &endpoint, TimePoint now) const;
 
     /// @return the endpoints that state a limit now, sorted by id.
@@ -81,6 +85,7 @@
     };
 
     std::map<EndpointId, Known> known_;
+    std::map<EndpointId, double> cold_; ///< Requests a second.
     internal::RequestLimitFaults faults_;
 };
 
--- a/daisystream/routes/routetable.h
+++ b/daisystream/routes/routetable.h
@@ -102,6 +102,7 @@
 {
     ServiceId id{};
     std::uint32_t maxConnections = 0;      ///< Connections that one endpoint accepts from all VMs together.
+    double coldRequestsPerSecond = 0;      ///< Requests a second that a cold endpoint accepts from all VMs together; 0: no limit.
     std::optional<EngineProfile> engine{}; ///< Set if the endpoints of the service are engines.
 
     friend auto operator<=>(const ServiceProfile &, const ServiceProfile &) = default;
