Apply all zones of one transaction of the store

All rows that are written in one transaction have the same revision, so that the second zone of a reply counted as already known and stayed in service. Changes that are read together are now applied together. The new test needs the new function and was not run on the code before.

--- a/daemon/store/storewatch.cpp
+++ b/daemon/store/storewatch.cpp
@@ -287,23 +287,17 @@
 
     void onZoneRows(const StoreRows &rows, bool isFullTable)
     {
-        bool hasChanged = false;
         std::set<ZoneId> zones;
+        std::vector<ZoneChange> changes;
         for (const auto &row : rows.rows) {
             if (source.zonePrefix.empty() || !row.key.starts_with(source.zonePrefix)) {
                 continue;
             }
             const ZoneId zone(row.key.substr(source.zonePrefix.size()));
-            if (isFullTable) {
-                zones.insert(zone);
-            } else {
-                hasChanged = withdrawals.apply(zone, !row.removed, row.version) || hasChanged;
-            }
-        }
-        if (isFullTable) {
-            hasChanged = withdrawals.replace(zones, rows.revision);
+            zones.insert(zone);
+            changes.push_back({.zone = zone, .isWithdrawn = !row.removed, .revision = row.version});
         }
-        if (hasChanged) {
+        if (isFullTable ? withdrawals.replace(zones, rows.revision) : withdrawals.apply(changes)) {
             publishZones();
         }
     }
--- a/daisystream/endpoint/zonewithdrawals.cpp
+++ b/daisystream/endpoint/zonewithdrawals.cpp
@@ -23,16 +23,26 @@
 
 bool ZoneWithdrawals::apply(const ZoneId &zone, bool isWithdrawn, std::uint64_t revision)
 {
-    if (revision <= revision_ && !faults_.ignoresRevisions) {
-        return false;
-    }
-    revision_ = std::max(revision_, revision);
-    if (isWithdrawn) {
-        zones_.insert(zone);
-    } else {
-        zones_.erase(zone);
+    return apply({ZoneChange{.zone = zone, .isWithdrawn = isWithdrawn, .revision = revision}});
+}
+
+bool ZoneWithdrawals::apply(const std::vector<ZoneChange> &changes)
+{
+    const auto known = revision_;
+    bool isNewer = false;
+    for (const auto &change : changes) {
+        if (change.revision <= known && !faults_.ignoresRevisions) {
+            continue;
+        }
+        isNewer = true;
+        revision_ = std::max(revision_, change.revision);
+        if (change.isWithdrawn) {
+            zones_.insert(change.zone);
+        } else {
+            zones_.erase(change.zone);
+        }
     }
-    return true;
+    return isNewer;
 }
 
 bool ZoneWithdrawals::contains(const ZoneId &zone) const
--- a/daisystream/endpoint/zonewithdrawals.h
+++ b/daisystream/endpoint/zonewithdrawals.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <set>
+#include <vector>
 
 /// @file
 /// The zones that the operator has taken out of service, as of one revision of the platform's store.
@@ -32,6 +33,16 @@
 
 } // namespace internal
 
+/// One zone that was withdrawn or restored.
+struct ZoneChange
+{
+    ZoneId zone{};
+    bool isWithdrawn = false;   ///< False if the zone was restored.
+    std::uint64_t revision = 0; ///< Revision of the store that contains the change.
+
+    friend auto operator<=>(const ZoneChange &, const ZoneChange &) = default;
+};
+
 /// Set of withdrawn zones. Thread-compatible.
 class ZoneWithdrawals
 {
@@ -48,6 +59,11 @@
     /// @return whether the change is newer than the known revision.
     bool apply(const ZoneId &zone, bool isWithdrawn, std::uint64_t revision);
 
+    /// Applies changes that were read together, ordered by revision. Those that are not newer than the known revision are ignored. All
+    /// changes of one transaction of the store have the same revision and must be passed together.
+    /// @return whether at least one change is newer than the known revision.
+    bool apply(const std::vector<ZoneChange> &changes);
+
     [[nodiscard]] bool contains(const ZoneId &zone) const;
 
     [[nodiscard]] const std::set<ZoneId> &zones() const;
--- a/daisystream/endpoint/zonewithdrawals_test.cpp
+++ b/daisystream/endpoint/zonewithdrawals_test.cpp
@@ -61,5 +61,15 @@
     CHECK((withdrawals.zones() == std::set<ZoneId>{kSecond}));
 }
 
+// All rows that the operator writes in one transaction have the same revision. The second zone was ignored as already known.
+TEST_CASE("zonewithdrawals: two zones of one transaction are both withdrawn")
+{
+    ZoneWithdrawals withdrawals;
+    const std::vector<ZoneChange> both{{.zone = kFirst, .isWithdrawn = true, .revision = 7}, {.zone = kSecond, .isWithdrawn = true, .revision = 7}};
+    CHECK(withdrawals.apply(both));
+    CHECK((withdrawals.zones() == std::set<ZoneId>{kFirst, kSecond}));
+    CHECK_FALSE(withdrawals.apply(both));
+}
+
 } // namespace
 } // namespace daisystream
