Forecast answers that miss their pace beside a prefill

An engine that prefills a prompt delays the events of its running answers; on a slow engine whose host is busy as well, they miss the promised pace. The placement by added time now counts the expected misses, from the pace of the engine and the slowness that engines state.

--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -671,7 +671,11 @@
     void handleAsOwner(const VmId &from, const FirstTokenMessage &message, TimePoint now)
     {
         if (trackedFrom(from, message.cell, message.request)) {
-            scheduledCells.at(message.cell).scheduler.onFirstToken(message.request, now);
+            auto &scheduler = scheduledCells.at(message.cell).scheduler;
+            scheduler.onFirstToken(message.request, now);
+            if (message.slownessPercent > 0) {
+                scheduler.onSlowness(message.request, message.slownessPercent / 100.0, now);
+            }
             decide(message.cell, now);
         }
     }
@@ -943,7 +947,7 @@
     });
 }
 
-void CellDispatcher::onFirstToken(const RequestId &request)
+void CellDispatcher::onFirstToken(const RequestId &request, std::uint32_t slownessPercent)
 {
     d_->apply([&](TimePoint now) {
         const auto found = d_->local.find(request);
@@ -958,7 +962,7 @@
         }
         if (running.state == LocalRequest::State::Assigned && !running.hasFirstToken) {
             running.hasFirstToken = true;
-            d_->sendToOwner(running.owner, FirstTokenMessage{.cell = running.cell, .request = request}, now);
+            d_->sendToOwner(running.owner, FirstTokenMessage{.cell = running.cell, .request = request, .slownessPercent = slownessPercent}, now);
         }
     });
 }
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -471,6 +471,7 @@
     RunEnd relay(asio::yield_context yield)
     {
         const auto head = gateway_.dialect.readEndpoint(exchange_->response());
+        slownessPercent_ = head.load ? head.load->slownessPercent.value_or(0) : 0;
         gateway_.onEndpointHeaders(endpoint_.id, head, sentAt_);
         const bool isForOtherRequest = !head.attempt.empty() && head.attempt != request_.head.attempt;
         if (exchange_->response().result() != http::status::ok || isForOtherRequest || !head.isVerified) {
@@ -583,7 +584,7 @@
     {
         const auto now = gateway_.now();
         if (std::exchange(awaitsFirstEvent_, false)) {
-            gateway_.dispatcher.onFirstToken(workId_);
+            gateway_.dispatcher.onFirstToken(workId_, slownessPercent_);
             watchEndpoint();
         }
         if (now - progressReportedAt_ < kProgressInterval) {
@@ -794,21 +795,22 @@
     TimePoint progressReportedAt_{}; ///< When progress was last reported to the dispatcher.
     TimePoint lastEventAt_{};
     std::optional<TimePoint> firstEventAt_;
-    Duration longestGap_{};        ///< Longest time between two events of the answer, over all its runs.
-    TimePoint lastEventOfRunAt_{}; ///< When the last complete event of this run arrived, or its header before any event.
-    TimePoint sentAt_{};           ///< When the request was sent to the engine of the current run.
-    TimePoint moveStartedAt_{};    ///< When the last move was started.
-    bool awaitsFirstEvent_ = true; ///< No event arrived since the answer began or was moved.
-    bool deliveredInRun_ = false;  ///< An event of the current run was sent to the caller.
-    bool begunInRun_ = false;      ///< The engine has survived the beginning of the current run.
-    bool endedAfterEvent_ = false; ///< The engine, told to stop, closed the stream after a whole event.
-    bool started_ = false;         ///< The response header was sent to the caller.
-    bool ended_ = false;           ///< The complete answer or the engine's error response was sent to the caller.
-    bool isTrial_ = false;         ///< The request shows whether a blocked part still crashes engines.
-    bool refused_ = false;         ///< No engine was assigned.
-    bool recalled_ = false;        ///< The scheduler cancelled the current run to assign the request again.
-    bool isCutByShutdown_ = false; ///< The request was given up because this VM ends.
-    bool provenNotRun_ = false;    ///< The engine proved that it did not run the request.
+    Duration longestGap_{};             ///< Longest time between two events of the answer, over all its runs.
+    TimePoint lastEventOfRunAt_{};      ///< When the last complete event of this run arrived, or its header before any event.
+    TimePoint sentAt_{};                ///< When the request was sent to the engine of the current run.
+    TimePoint moveStartedAt_{};         ///< When the last move was started.
+    std::uint32_t slownessPercent_ = 0; ///< As the engine stated it with its latest response; 0 if it did not.
+    bool awaitsFirstEvent_ = true;      ///< No event arrived since the answer began or was moved.
+    bool deliveredInRun_ = false;       ///< An event of the current run was sent to the caller.
+    bool begunInRun_ = false;           ///< The engine has survived the beginning of the current run.
+    bool endedAfterEvent_ = false;      ///< The engine, told to stop, closed the stream after a whole event.
+    bool started_ = false;              ///< The response header was sent to the caller.
+    bool ended_ = false;                ///< The complete answer or the engine's error response was sent to the caller.
+    bool isTrial_ = false;              ///< The request shows whether a blocked part still crashes engines.
+    bool refused_ = false;              ///< No engine was assigned.
+    bool recalled_ = false;             ///< The scheduler cancelled the current run to assign the request again.
+    bool isCutByShutdown_ = false;      ///< The request was given up because this VM ends.
+    bool provenNotRun_ = false;         ///< The engine proved that it did not run the request.
     bool callerLeft_ = false;
 };
 
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -20,7 +20,7 @@
     refuse @9 :Refuse;
     withdraw @10 :Reference;
     cancel @11 :Cancel;
-    firstToken @12 :Reference;
+    firstToken @12 :FirstToken;
     progress @13 :Progress;
     done @14 :Done;
     resync @15 :Resync;
@@ -109,6 +109,12 @@
   request @1 :Text;
 }
 
+struct FirstToken {
+  cell @0 :Text;
+  request @1 :Text;
+  slownessPercent @2 :UInt32;     # Of the engine, as it stated it; 100: as usual, 0: not stated.
+}
+
 struct Assign {
   cell @0 :Text;
   request @1 :Text;
--- a/daemon/peers/peer.capnp.c++
+++ b/daemon/peers/peer.capnp.c++
@@ -287,7 +287,7 @@
     102, 105, 114, 115, 116,  84, 111, 107,
     101, 110,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    114, 133, 245, 189, 190,   8, 247, 211,
+    102,  95, 139,  69, 227,   7,  50, 186,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -394,6 +394,7 @@
   &s_aaac0189256539d9,
   &s_b81435d6e66e9c9a,
   &s_b86e1ef6a38c11c3,
+  &s_ba3207e3458b5f66,
   &s_c3a149f99ce16cd0,
   &s_c5e762968385be05,
   &s_cd9b4828ea8ac08a,
@@ -407,7 +408,7 @@
 static const uint16_t i_e291714a758976f3[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22};
 const ::capnp::_::RawSchema s_e291714a758976f3 = {
   0xe291714a758976f3, b_e291714a758976f3.words, 373, d_e291714a758976f3, m_e291714a758976f3,
-  19, 23, i_e291714a758976f3, nullptr, nullptr, { &s_e291714a758976f3, nullptr, nullptr, 0, 0, nullptr }
+  20, 23, i_e291714a758976f3, nullptr, nullptr, { &s_e291714a758976f3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<79> b_9577bae68f172a6b = {
@@ -1448,6 +1449,80 @@
   0, 2, i_d3f708bebdf58572, nullptr, nullptr, { &s_d3f708bebdf58572, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<63> b_ba3207e3458b5f66 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    102,  95, 139,  69, 227,   7,  50, 186,
+     11,   0,   0,   0,   1,   0,   1,   0,
+     86, 146, 126,  75, 240, 168, 193, 211,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  70, 105, 114, 115, 116,
+     84, 111, 107, 101, 110,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0, 130,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+     99, 101, 108, 108,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 113, 117, 101, 115, 116,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 108, 111, 119, 110, 101, 115, 115,
+     80, 101, 114,  99, 101, 110, 116,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ba3207e3458b5f66 = b_ba3207e3458b5f66.words;
+#if !CAPNP_LITE
+static const uint16_t m_ba3207e3458b5f66[] = {0, 1, 2};
+static const uint16_t i_ba3207e3458b5f66[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_ba3207e3458b5f66 = {
+  0xba3207e3458b5f66, b_ba3207e3458b5f66.words, 63, nullptr, m_ba3207e3458b5f66,
+  0, 3, i_ba3207e3458b5f66, nullptr, nullptr, { &s_ba3207e3458b5f66, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<79> b_d4c37bdc15f8eea3 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     163, 238, 248,  21, 220, 123, 195, 212,
@@ -3856,6 +3931,14 @@
 constexpr ::capnp::_::RawSchema const* Reference::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// FirstToken
+constexpr uint16_t FirstToken::_capnpPrivate::dataWordSize;
+constexpr uint16_t FirstToken::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind FirstToken::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* FirstToken::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Assign
 constexpr uint16_t Assign::_capnpPrivate::dataWordSize;
 constexpr uint16_t Assign::_capnpPrivate::pointerCount;
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(b86e1ef6a38c11c3);
 CAPNP_DECLARE_SCHEMA(e733484531a31e03);
 CAPNP_DECLARE_SCHEMA(d3f708bebdf58572);
+CAPNP_DECLARE_SCHEMA(ba3207e3458b5f66);
 CAPNP_DECLARE_SCHEMA(d4c37bdc15f8eea3);
 CAPNP_DECLARE_SCHEMA(959621ae3ee896ca);
 CAPNP_DECLARE_SCHEMA(c5e762968385be05);
@@ -214,6 +215,21 @@
   };
 };
 
+struct FirstToken {
+  FirstToken() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba3207e3458b5f66, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Assign {
   Assign() = delete;
 
@@ -612,7 +628,7 @@
 
   inline bool isFirstToken() const;
   inline bool hasFirstToken() const;
-  inline  ::daisystream::wire::Reference::Reader getFirstToken() const;
+  inline  ::daisystream::wire::FirstToken::Reader getFirstToken() const;
 
   inline bool isProgress() const;
   inline bool hasProgress() const;
@@ -773,11 +789,11 @@
 
   inline bool isFirstToken();
   inline bool hasFirstToken();
-  inline  ::daisystream::wire::Reference::Builder getFirstToken();
-  inline void setFirstToken( ::daisystream::wire::Reference::Reader value);
-  inline  ::daisystream::wire::Reference::Builder initFirstToken();
-  inline void adoptFirstToken(::capnp::Orphan< ::daisystream::wire::Reference>&& value);
-  inline ::capnp::Orphan< ::daisystream::wire::Reference> disownFirstToken();
+  inline  ::daisystream::wire::FirstToken::Builder getFirstToken();
+  inline void setFirstToken( ::daisystream::wire::FirstToken::Reader value);
+  inline  ::daisystream::wire::FirstToken::Builder initFirstToken();
+  inline void adoptFirstToken(::capnp::Orphan< ::daisystream::wire::FirstToken>&& value);
+  inline ::capnp::Orphan< ::daisystream::wire::FirstToken> disownFirstToken();
 
   inline bool isProgress();
   inline bool hasProgress();
@@ -1827,6 +1843,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class FirstToken::Reader {
+public:
+  typedef FirstToken Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCell() const;
+  inline  ::capnp::Text::Reader getCell() const;
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
+
+  inline  ::uint32_t getSlownessPercent() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FirstToken::Builder {
+public:
+  typedef FirstToken Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCell();
+  inline  ::capnp::Text::Builder getCell();
+  inline void setCell( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCell(unsigned int size);
+  inline void adoptCell(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCell();
+
+  inline bool hasRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
+
+  inline  ::uint32_t getSlownessPercent();
+  inline void setSlownessPercent( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FirstToken::Pipeline {
+public:
+  typedef FirstToken Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Assign::Reader {
 public:
   typedef Assign Reads;
@@ -4821,41 +4933,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::daisystream::wire::Reference::Reader Message::Reader::getFirstToken() const {
+inline  ::daisystream::wire::FirstToken::Reader Message::Reader::getFirstToken() const {
   KJ_IREQUIRE((which() == Message::FIRST_TOKEN),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::daisystream::wire::Reference>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::FirstToken>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::daisystream::wire::Reference::Builder Message::Builder::getFirstToken() {
+inline  ::daisystream::wire::FirstToken::Builder Message::Builder::getFirstToken() {
   KJ_IREQUIRE((which() == Message::FIRST_TOKEN),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::daisystream::wire::Reference>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::FirstToken>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setFirstToken( ::daisystream::wire::Reference::Reader value) {
+inline void Message::Builder::setFirstToken( ::daisystream::wire::FirstToken::Reader value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::FIRST_TOKEN);
-  ::capnp::_::PointerHelpers< ::daisystream::wire::Reference>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::daisystream::wire::FirstToken>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::daisystream::wire::Reference::Builder Message::Builder::initFirstToken() {
+inline  ::daisystream::wire::FirstToken::Builder Message::Builder::initFirstToken() {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::FIRST_TOKEN);
-  return ::capnp::_::PointerHelpers< ::daisystream::wire::Reference>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::FirstToken>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Message::Builder::adoptFirstToken(
-    ::capnp::Orphan< ::daisystream::wire::Reference>&& value) {
+    ::capnp::Orphan< ::daisystream::wire::FirstToken>&& value) {
   _builder.setDataField<Message::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::FIRST_TOKEN);
-  ::capnp::_::PointerHelpers< ::daisystream::wire::Reference>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::daisystream::wire::FirstToken>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::daisystream::wire::Reference> Message::Builder::disownFirstToken() {
+inline ::capnp::Orphan< ::daisystream::wire::FirstToken> Message::Builder::disownFirstToken() {
   KJ_IREQUIRE((which() == Message::FIRST_TOKEN),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::daisystream::wire::Reference>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::FirstToken>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -6589,6 +6701,88 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool FirstToken::Reader::hasCell() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FirstToken::Builder::hasCell() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FirstToken::Reader::getCell() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FirstToken::Builder::getCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FirstToken::Builder::setCell( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FirstToken::Builder::initCell(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FirstToken::Builder::adoptCell(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FirstToken::Builder::disownCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FirstToken::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FirstToken::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FirstToken::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FirstToken::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FirstToken::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FirstToken::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FirstToken::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FirstToken::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t FirstToken::Reader::getSlownessPercent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FirstToken::Builder::getSlownessPercent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FirstToken::Builder::setSlownessPercent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Assign::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -197,8 +197,8 @@
     return headers;
 }
 
-template<class Message>
-void writeReference(wire::Reference::Builder out, const Message &message)
+template<class Builder, class Message>
+void writeReference(Builder out, const Message &message)
 {
     out.setCell(text(message.cell.value()));
     out.setRequest(text(message.request.value()));
@@ -402,7 +402,9 @@
 
     void operator()(const FirstTokenMessage &message)
     {
-        writeReference(root_.initFirstToken(), message);
+        auto out = root_.initFirstToken();
+        writeReference(out, message);
+        out.setSlownessPercent(message.slownessPercent);
     }
 
     void operator()(const ProgressMessage &message)
@@ -791,7 +793,9 @@
                              .cancel = {.request = RequestId(string(cancel.getRequest())), .endpoint = EndpointId(string(cancel.getEndpoint()))}};
     }
     case wire::Message::FIRST_TOKEN:
-        return readReference<FirstTokenMessage>(in.getFirstToken());
+        return FirstTokenMessage{.cell = CellId(string(in.getFirstToken().getCell())),
+                                 .request = RequestId(string(in.getFirstToken().getRequest())),
+                                 .slownessPercent = in.getFirstToken().getSlownessPercent()};
     case wire::Message::PROGRESS:
         return read(in.getProgress());
     case wire::Message::DONE:
--- a/daemon/peers/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -30,7 +30,7 @@
 {
 
 /// Both ends of a connection must speak the same version.
-constexpr std::uint32_t kPeerProtocolVersion = 3;
+constexpr std::uint32_t kPeerProtocolVersion = 4;
 
 /// A longer message closes the connection. A whole list of 1,300 teams takes less than 1 MiB.
 constexpr std::uint32_t kMaxPeerMessageBytes = 16U << 20U;
@@ -176,6 +176,7 @@
 {
     CellId cell;
     RequestId request;
+    std::uint32_t slownessPercent = 0; ///< Of the engine, as it stated it with the response; 100 is its usual pace, 0 not stated.
 
     friend auto operator<=>(const FirstTokenMessage &, const FirstTokenMessage &) = default;
 };
--- a/daisystream/endpoint/endpointload.cpp
+++ b/daisystream/endpoint/endpointload.cpp
@@ -55,6 +55,8 @@
     if (work.awaitingFirstToken) {
         ++awaitingFirstToken_;
         pendingPromptTokens_ += work.promptTokens;
+    } else {
+        ++streaming_[work.pace];
     }
     recentRunning_ = std::max<double>(recentRunning_, running_[0] + running_[1]);
     recentTokens_ = std::max(recentTokens_, forecast_.held());
@@ -72,6 +74,8 @@
     if (work.awaitingFirstToken) {
         --awaitingFirstToken_;
         pendingPromptTokens_ -= work.promptTokens;
+    } else if (const auto streaming = streaming_.find(work.pace); --streaming->second == 0) {
+        streaming_.erase(streaming);
     }
 }
 
@@ -81,6 +85,7 @@
         work.awaitingFirstToken = false;
         --awaitingFirstToken_;
         pendingPromptTokens_ -= work.promptTokens;
+        ++streaming_[work.pace];
     }
 }
 
@@ -146,6 +151,16 @@
     return calibration_ * promptTokens * info_.stepCost.prefillMillisecondsPerThousandTokens / 1000.0;
 }
 
+double EndpointLoad::prefillStepMilliseconds(double promptTokens) const
+{
+    return stepMilliseconds(1, promptTokens) + promptDelayMilliseconds(std::min<double>(promptTokens, info_.stepCost.prefillTokensPerStep));
+}
+
+const std::map<double, std::uint32_t> &EndpointLoad::streamingByPace() const
+{
+    return streaming_;
+}
+
 double EndpointLoad::answerDelayMilliseconds() const
 {
     return calibration_ * info_.stepCost.perSequenceMilliseconds;
--- a/daisystream/endpoint/endpointload.h
+++ b/daisystream/endpoint/endpointload.h
@@ -84,6 +84,12 @@
     /// @return the delay that reading a prompt causes for each answer that is decoded meanwhile.
     [[nodiscard]] double promptDelayMilliseconds(double promptTokens) const;
 
+    /// @return the expected duration of a decode step in which the engine also prefills a prompt, with one more answer.
+    [[nodiscard]] double prefillStepMilliseconds(double promptTokens) const;
+
+    /// @return the answers of this scheduler that have their first token, by their promised tokens per second; 0: without a promise.
+    [[nodiscard]] const std::map<double, std::uint32_t> &streamingByPace() const;
+
     /// @return the delay that one more answer causes for each token of each other answer.
     [[nodiscard]] double answerDelayMilliseconds() const;
 
@@ -121,9 +127,10 @@
 
     EndpointInfo info_;
     MemoryForecast forecast_;
-    std::map<double, std::uint32_t> paces_;  // Number of answers per promised pace; few entries, because there are few plans.
-    std::array<std::uint32_t, 2> running_{}; // Per rank.
-    std::array<double, 2> heldTokens_{};     // Expected tokens in the memory now, per rank.
+    std::map<double, std::uint32_t> paces_;     // Number of answers per promised pace; few entries, because there are few plans.
+    std::map<double, std::uint32_t> streaming_; // The same without answers that wait for their first token.
+    std::array<std::uint32_t, 2> running_{};    // Per rank.
+    std::array<double, 2> heldTokens_{};        // Expected tokens in the memory now, per rank.
     std::uint32_t awaitingFirstToken_ = 0;
     std::uint64_t pendingPromptTokens_ = 0;
     std::uint64_t memoryCapacityTokens_ = 0;
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -6,6 +6,7 @@
 #include "daisystream/endpoint/endpointload.h"
 #include "daisystream/endpoint/prefixindex.h"
 #include "daisystream/fairness/fairqueue.h"
+#include "daisystream/scheduler/pauseforecast.h"
 #include "daisystream/scheduler/scheduler.h"
 #include "daisystream/scheduler/waitforecast.h"
 
@@ -47,6 +48,7 @@
     void onRunning(const WorkRequest &work, const EndpointId &endpoint, std::uint32_t generated, TimePoint now);
     void onLoadReport(const LoadReport &report, TimePoint now);
     void onCacheEvent(const CacheEvent &event);
+    void onSlowness(const RequestId &id, double slowness, TimePoint now);
 
     void decide(TimePoint now, std::vector<Action> &actions);
     [[nodiscard]] std::optional<TimePoint> nextWake() const;
@@ -112,6 +114,8 @@
         double windowSeconds = 0;
         double windowModelSeconds = 0;
         std::uint32_t paceWindows = 0; // Number of measuring windows that have ended.
+        double slowness = 1;           // As the endpoint stated it last.
+        TimePoint slownessAt{};
     };
 
     using LateItem = std::tuple<Rank, TimePoint, Slot>; // Ordered by rank (urgent first), then by arrival.
@@ -180,7 +184,9 @@
     [[nodiscard]] bool
     admits(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, bool ordinaryBelowFloor, TimePoint now) const;
     [[nodiscard]] double
-    addedMilliseconds(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens) const;
+    addedMilliseconds(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens, TimePoint now) const;
+    [[nodiscard]] double missedPaceMilliseconds(const Endpoint &endpoint, const Request &request, double expectedTokens, TimePoint now) const;
+    void countPrompt(TimePoint now);
     [[nodiscard]] bool keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool ordinaryBelowFloor, TimePoint now) const;
     [[nodiscard]] bool keepsUrgentFirstToken(const Endpoint &endpoint, const WorkRequest &work) const;
     void assign(Slot slot, const Choice &choice, const MemoryForecast::Contribution &memory, TimePoint now, std::vector<Action> &actions);
@@ -223,6 +229,9 @@
     std::set<std::pair<TimePoint, EndpointIndex>> endpointTimers_;
     std::size_t frozenEndpoints_ = 0;
     double typicalCalibration_ = 1.0;
+    SlownessDistribution slowness_;
+    double promptsPerSecond_ = 0; // Assigned prompts, as a moving average.
+    TimePoint promptsUpdatedAt_{};
     std::uint64_t calibrationReports_ = 0;
 
     double urgentPaceTokensPerSecond_ = 0; // Promised token rate of the latest urgent request, in tokens per second.
--- a/daisystream/scheduler/pooldecisions.cpp
+++ b/daisystream/scheduler/pooldecisions.cpp
@@ -27,7 +27,12 @@
 constexpr int kMaxComparedCandidates = 48; // The same for `Placement::LeastAddedTime`.
 // Cost of a preemption by the engine: it has to prefill the prompt again, and the caller waits too long for the next token.
 constexpr double kPreemptionCostMilliseconds = 10000;
-constexpr int kMaxCancelCandidates = 4; // Ordinary assignments that are considered for cancelling, the latest first.
+// Cost of an answer that misses its pace: it loses most of its value to its caller, somewhat less than one that is preempted.
+constexpr double kMissedPaceCostMilliseconds = 8000;
+// A stated slowness says nothing about the present after this time: hosts of engines are slow for some 100 ms at a time.
+constexpr milliseconds kSlownessLifetime(300);
+constexpr double kPromptRateSeconds = 5; // Time constant of the average rate of prompts.
+constexpr int kMaxCancelCandidates = 4;  // Ordinary assignments that are considered for cancelling, the latest first.
 // An endpoint with a cached prefix is preferred if its score is at most this much above that of the endpoint chosen without it.
 constexpr double kPrefixScoreTolerance = 0.10;
 constexpr milliseconds kResizeInterval(200);
@@ -256,7 +261,7 @@
     const bool compares = options_.placement == Placement::LeastAddedTime;
     for (auto candidate = index.begin(); candidate != index.end() && tried < (compares ? kMaxComparedCandidates : kMaxCandidates); ++candidate, ++tried) {
         const Endpoint &endpoint = *endpoints_[candidate->second];
-        const double added = addedMilliseconds(endpoint, request, memory, expectedTokens);
+        const double added = compares ? addedMilliseconds(endpoint, request, memory, expectedTokens, now) : 0;
         if ((!best || added < least) && admits(endpoint, request, memory, ordinaryBelowFloor, now)) {
             best = candidate->second;
             least = added;
@@ -270,13 +275,36 @@
 
 // Returns the sum of the time that the answer takes at an endpoint, of the delay that it causes to each answer that runs
 // there, and of the expected cost of preemptions.
-double Pool::addedMilliseconds(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens) const
+double Pool::addedMilliseconds(
+    const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens, TimePoint now) const
 {
     const EndpointLoad &load = endpoint.load;
     const std::uint32_t tokensToPrefill = prefillTokens(request.work);
     const double own = load.firstTokenMilliseconds(tokensToPrefill) + expectedTokens * load.stepMilliseconds(1, request.work.promptTokens);
     const double others = load.running() * (load.promptDelayMilliseconds(tokensToPrefill) + expectedTokens * load.answerDelayMilliseconds());
-    return own + others + kPreemptionCostMilliseconds * load.overflowProbability(memory);
+    return own + others + kPreemptionCostMilliseconds * load.overflowProbability(memory) + missedPaceMilliseconds(endpoint, request, expectedTokens, now);
+}
+
+// Returns the expected cost of answers that miss their pace: those that run at the endpoint while it prefills the prompt, and the request's own
+// answer while the endpoint prefills later prompts.
+double Pool::missedPaceMilliseconds(const Endpoint &endpoint, const Request &request, double expectedTokens, TimePoint now) const
+{
+    const std::uint32_t prompt = prefillTokens(request.work);
+    const double step = endpoint.load.prefillStepMilliseconds(std::max(prompt, request.work.promptTokens));
+    const bool isFresh = now - endpoint.slownessAt < kSlownessLifetime;
+    const auto current = isFresh ? std::optional(endpoint.slowness) : std::nullopt;
+    const double others = prompt == 0 ? 0.0 : expectedMisses({.stepMilliseconds = step, .answersByPace = endpoint.load.streamingByPace()}, slowness_, current);
+    const double seconds = expectedTokens * endpoint.load.stepMilliseconds(1, request.work.promptTokens) / 1000.0;
+    const double prompts = promptsPerSecond_ * seconds / static_cast<double>(std::max<std::size_t>(1, endpointIndex_.size()));
+    const double own = std::min(1.0, prompts) * missProbability(step, request.work.paceTokensPerSecond, slowness_, std::nullopt);
+    return kMissedPaceCostMilliseconds * (others + own);
+}
+
+void Pool::countPrompt(TimePoint now)
+{
+    const double elapsed = std::max(0.0, secondsOf(now - promptsUpdatedAt_));
+    promptsPerSecond_ = promptsPerSecond_ * std::exp(-elapsed / kPromptRateSeconds) + 1.0 / kPromptRateSeconds;
+    promptsUpdatedAt_ = now;
 }
 
 // Returns whether an endpoint can take a request now: it is healthy, has capacity, and keeps the promises to this request and to
@@ -361,6 +389,7 @@
     addToEndpoint(slot, choice.endpoint, now);
     figures.expectedTokens = lengths_.expectedRemaining(request.profile, 0, lengthLimit(request.work));
     waitForecast_.recordDispatch(request.work.rank, now);
+    countPrompt(now);
     actions.emplace_back(Assign{request.work.id, load.info().id, static_cast<std::uint8_t>(request.work.rank), figures});
 }
 
--- a/daisystream/scheduler/poolendpoints.cpp
+++ b/daisystream/scheduler/poolendpoints.cpp
@@ -196,6 +196,18 @@
     afterHealthChange(found->second, now);
 }
 
+void Pool::onSlowness(const RequestId &id, double slowness, TimePoint now)
+{
+    const Request *request = find(id);
+    if (request == nullptr || (request->state != State::Assigned && request->state != State::Streaming)) {
+        return;
+    }
+    slowness_.add(slowness);
+    Endpoint &endpoint = *endpoints_[request->endpoint];
+    endpoint.slowness = slowness;
+    endpoint.slownessAt = now;
+}
+
 void Pool::onCacheEvent(const CacheEvent &event)
 {
     const auto found = endpointIndex_.find(event.endpoint);
--- a/daisystream/scheduler/scheduler.cpp
+++ b/daisystream/scheduler/scheduler.cpp
@@ -87,6 +87,13 @@
     }
 }
 
+void Scheduler::onSlowness(const RequestId &request, double slowness, TimePoint now)
+{
+    if (internal::Pool *pool = d_->poolOf(request)) {
+        pool->onSlowness(request, slowness, now);
+    }
+}
+
 void Scheduler::onProgress(const RequestId &request, std::uint32_t generatedTokens, TimePoint now)
 {
     if (internal::Pool *pool = d_->poolOf(request)) {
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -196,6 +196,10 @@
     /// Records that the first token of an assigned request arrived.
     void onFirstToken(const RequestId &request, TimePoint now);
 
+    /// Records how slow the engine of an assigned request is at present, as the engine stated it.
+    /// @param slowness duration of work relative to the engine's usual pace.
+    void onSlowness(const RequestId &request, double slowness, TimePoint now);
+
     /// Records how far the answer of a request is.
     /// @param generatedTokens total number of tokens that were generated so far.
     void onProgress(const RequestId &request, std::uint32_t generatedTokens, TimePoint now);
