--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -672,10 +672,10 @@
     {
         if (trackedFrom(from, message.cell, message.request)) {
             auto &scheduler = scheduledCells.at(message.cell).scheduler;
-            scheduler.onFirstToken(message.request, now);
             if (message.slownessPercent > 0) {
                 scheduler.onSlowness(message.request, message.slownessPercent / 100.0, now);
             }
+            scheduler.onFirstToken(message.request, now);
             decide(message.cell, now);
         }
     }
--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -137,6 +137,7 @@
     request.progressSeen = false;
     request.assignedAt = now;
     request.load.awaitingFirstToken = request.state == State::Assigned;
+    request.modelFirstTokenSeconds = endpoint.load.firstTokenMilliseconds(prefillTokens(request.work)) / 1000.0 / endpoint.load.calibration();
     request.reservedTokens = std::min(kMaxReservedTokens, lengths_.expectedRemaining(request.profile, request.generated, lengthLimit(request.work)));
     queue_.reserve(request.team, request.reservedTokens);
     endpoint.load.add(request.load);
@@ -226,6 +227,7 @@
         ordinaryAwaiting_.erase({request.assignedAt, slot});
         setTimer(slot, std::nullopt);
         request.state = State::Streaming;
+        recordFirstTokenPace(request, now);
         endpoints_[request.endpoint]->load.firstToken(request.load);
         endpoints_[request.endpoint]->prefilledTokens += request.load.promptTokens;
     } else {
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -87,6 +87,7 @@
         bool progressSeen = false;                   // Whether progress was reported at this endpoint before, which the measurement of the token rate needs.
         std::uint64_t prefilledTokensAtProgress = 0; // Value of `Endpoint::prefilledTokens` at `lastProgressAt`.
         TimePoint assignedAt{};
+        double modelFirstTokenSeconds = 0; // Time to first token by the cost model, without calibration, when it was assigned.
     };
 
     struct Endpoint
@@ -148,6 +149,7 @@
     void setEndpointTimer(EndpointIndex index, std::optional<TimePoint> at);
     void afterHealthChange(EndpointIndex index, TimePoint now);
     void checkEndpoint(EndpointIndex index, TimePoint now, std::vector<Action> &actions);
+    void recordFirstTokenPace(const Request &request, TimePoint now);
     void recordOwnPace(EndpointIndex index, double seconds, double modelSeconds, TimePoint now);
 
     // Decisions. `ordinaryBelowFloor` is true if an ordinary request is dispatched before queued urgent ones, because ordinary requests
--- a/daisystream/scheduler/pooldecisions.cpp
+++ b/daisystream/scheduler/pooldecisions.cpp
@@ -29,8 +29,6 @@
 constexpr double kPreemptionCostMilliseconds = 10000;
 // Cost of an answer that misses its pace: it loses most of its value to its caller, somewhat less than one that is preempted.
 constexpr double kMissedPaceCostMilliseconds = 8000;
-// A stated slowness says nothing about the present after this time: hosts of engines are slow for some 100 ms at a time.
-constexpr milliseconds kSlownessLifetime(300);
 constexpr double kPromptRateSeconds = 5; // Time constant of the average rate of prompts.
 constexpr int kMaxCancelCandidates = 4;  // Ordinary assignments that are considered for cancelling, the latest first.
 // An endpoint with a cached prefix is preferred if its score is at most this much above that of the endpoint chosen without it.
--- a/daisystream/scheduler/poolendpoints.cpp
+++ b/daisystream/scheduler/poolendpoints.cpp
@@ -17,6 +17,8 @@
 // used for new endpoints.
 constexpr double kMinPaceGain = 0.2;
 constexpr double kTypicalCalibrationGain = 0.02;
+// Weight of a time to a first token in the pace of an endpoint. The time also depends on what waits at the endpoint.
+constexpr double kFirstTokenPaceGain = 0.6;
 
 } // namespace
 
@@ -221,6 +223,20 @@
     }
 }
 
+// Estimates the pace of an endpoint from the time to a first token, until it is measured from the token rate of own answers. Where engines
+// are replaced often, most requests go to engines whose token rate has not been measured yet.
+void Pool::recordFirstTokenPace(const Request &request, TimePoint now)
+{
+    Endpoint &endpoint = *endpoints_[request.endpoint];
+    if (request.work.movesFrom || endpoint.paceWindows > 0 || endpoint.health.hasReported() || request.modelFirstTokenSeconds <= 0) {
+        return;
+    }
+    const bool isFresh = now - endpoint.slownessAt < kSlownessLifetime;
+    const double ratio = secondsOf(now - request.assignedAt) / request.modelFirstTokenSeconds / (isFresh ? endpoint.slowness : 1.0);
+    const double own = endpoint.load.calibration() + kFirstTokenPaceGain * (ratio - endpoint.load.calibration());
+    endpoint.load.setCalibration(std::clamp(own, 0.5 * typicalCalibration_, 2.0 * typicalCalibration_));
+}
+
 // Compares the token rate of own answers with the cost model, about once per second. If the endpoint sends no load reports, the
 // ratio also calibrates the cost model.
 void Pool::recordOwnPace(EndpointIndex index, double seconds, double modelSeconds, TimePoint now)
--- a/daisystream/scheduler/poolinternal.h
+++ b/daisystream/scheduler/poolinternal.h
@@ -17,6 +17,8 @@
 // An ordinary request is assigned to a general endpoint with pending prompts only if all of them, including its own, fit into
 // the prefill of this many decode steps.
 constexpr std::uint64_t kMaxOrdinaryPrefillSteps = 4;
+// A stated slowness says nothing about the present after this time: hosts of engines are slow for some 100 ms at a time.
+constexpr std::chrono::milliseconds kSlownessLifetime(300);
 constexpr double kMaxQueueTimeShare = 0.7; // Longest time in the queue, as a share of the promised time to first token.
 
 /// @return the number of prompt tokens that an endpoint has to prefill for a request; 0 for an answer that moves with its KV cache.
