Ignore implausibly early first tokens in the pace of an engine

A first token of a cached prompt arrives long before the cost model's time and made its engine look twice as fast as it is.

--- a/daisystream/scheduler/poolendpoints.cpp
+++ b/daisystream/scheduler/poolendpoints.cpp
@@ -19,6 +19,8 @@
 constexpr double kTypicalCalibrationGain = 0.02;
 // Weight of a time to a first token in the pace of an endpoint. The time also depends on what waits at the endpoint.
 constexpr double kFirstTokenPaceGain = 0.6;
+// A first token that takes less than this share of the typical time tells nothing about the pace: most of the prompt was cached.
+constexpr double kMinPlausibleFirstToken = 0.25;
 
 } // namespace
 
@@ -233,6 +235,9 @@
     }
     const bool isFresh = now - endpoint.slownessAt < kSlownessLifetime;
     const double ratio = secondsOf(now - request.assignedAt) / request.modelFirstTokenSeconds / (isFresh ? endpoint.slowness : 1.0);
+    if (ratio < kMinPlausibleFirstToken * typicalCalibration_) {
+        return;
+    }
     const double own = endpoint.load.calibration() + kFirstTokenPaceGain * (ratio - endpoint.load.calibration());
     endpoint.load.setCalibration(std::clamp(own, 0.5 * typicalCalibration_, 2.0 * typicalCalibration_));
 }
