--- a/daisystream/scheduler/pool.cpp
+++ b/daisystream/scheduler/pool.cpp
@@ -336,6 +336,7 @@
     request.state = generated == 0 ? State::Assigned : State::Streaming;
     request.load.memory = MemoryForecast::contribution(lengths_, request.profile, work.promptTokens, generated, lengthLimit(work));
     addToEndpoint(slot, target->second, now);
+    request.modelFirstTokenSeconds = 0; // It is not known when the previous owner assigned the request.
 }
 
 } // namespace daisystream::internal
