Report the age of a stated slowness with the first token

The slowness is read with the header of the response, which may come long before the first event; the owner took it as measured at the first token. The message now carries the age, and an older statement does not replace a newer one. A slowness that was never stated is no longer represented by a time of zero. The assignment's log line and an option to disable the forecast are added for comparison.

--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -285,7 +285,9 @@
                   << " queued_ordinary=" << assign.figures.queuedOrdinary << " running=" << assign.figures.running
                   << " forecast_memory=" << assign.figures.forecastMemory << " step_ms=" << assign.figures.stepMilliseconds
                   << " waited_us=" << assign.figures.waited.count() << " first_token_us=" << assign.figures.firstTokenIn.count()
-                  << " expected_tokens=" << assign.figures.expectedTokens << " prefix=" << assign.figures.prefixCached;
+                  << " expected_tokens=" << assign.figures.expectedTokens << " prefix=" << assign.figures.prefixCached
+                  << " expected_misses=" << assign.figures.expectedMisses << " pace=" << assign.figures.calibration
+                  << " slowness=" << assign.figures.slowness.value_or(0) << " slowness_age_us=" << assign.figures.slownessAge.count();
         if (entry == self) {
             onAssign(id, self, assign, now);
         } else {
@@ -673,7 +675,7 @@
         if (trackedFrom(from, message.cell, message.request)) {
             auto &scheduler = scheduledCells.at(message.cell).scheduler;
             if (message.slownessPercent > 0) {
-                scheduler.onSlowness(message.request, message.slownessPercent / 100.0, now);
+                scheduler.onSlowness(message.request, message.slownessPercent / 100.0, now - std::max(Duration{}, message.slownessAge));
             }
             scheduler.onFirstToken(message.request, now);
             decide(message.cell, now);
@@ -947,7 +949,7 @@
     });
 }
 
-void CellDispatcher::onFirstToken(const RequestId &request, std::uint32_t slownessPercent)
+void CellDispatcher::onFirstToken(const RequestId &request, std::uint32_t slownessPercent, Duration slownessAge)
 {
     d_->apply([&](TimePoint now) {
         const auto found = d_->local.find(request);
@@ -962,7 +964,9 @@
         }
         if (running.state == LocalRequest::State::Assigned && !running.hasFirstToken) {
             running.hasFirstToken = true;
-            d_->sendToOwner(running.owner, FirstTokenMessage{.cell = running.cell, .request = request, .slownessPercent = slownessPercent}, now);
+            d_->sendToOwner(running.owner,
+                            FirstTokenMessage{.cell = running.cell, .request = request, .slownessPercent = slownessPercent, .slownessAge = slownessAge},
+                            now);
         }
     });
 }
--- a/daemon/cells/celldispatcher.h
+++ b/daemon/cells/celldispatcher.h
@@ -46,7 +46,7 @@
     void setCancelHandler(CancelHandler handler) override;
     void withdraw(const RequestId &request) override;
     void onResumed(const WorkRequest &work, const EndpointId &endpoint, std::uint32_t tokens) override;
-    void onFirstToken(const RequestId &request, std::uint32_t slownessPercent = 0) override;
+    void onFirstToken(const RequestId &request, std::uint32_t slownessPercent = 0, Duration slownessAge = {}) override;
     void onProgress(const RequestId &request, std::uint32_t tokens) override;
     void onFinished(const RequestId &request, std::uint32_t tokens, FinishReason reason) override;
     [[nodiscard]] std::vector<EndpointSettings> serviceEndpoints(const ServiceId &service) const override;
--- a/daemon/cells/dispatcher.h
+++ b/daemon/cells/dispatcher.h
@@ -58,7 +58,8 @@
 
     /// Reports the first token of an assigned request.
     /// @param slownessPercent duration of work at the engine, as it stated it with the response, in percent of the usual; 0: not stated.
-    virtual void onFirstToken(const RequestId &request, std::uint32_t slownessPercent = 0) = 0;
+    /// @param slownessAge time since the engine stated it.
+    virtual void onFirstToken(const RequestId &request, std::uint32_t slownessPercent = 0, Duration slownessAge = {}) = 0;
 
     /// Reports the progress of an assigned request.
     /// @param tokens number of tokens generated so far, in total.
--- a/daemon/frontend/frontendfixture_test.h
+++ b/daemon/frontend/frontendfixture_test.h
@@ -87,7 +87,7 @@
     void withdraw(const RequestId & /*request*/) override
     {
     }
-    void onFirstToken(const RequestId & /*request*/, std::uint32_t /*slownessPercent*/) override
+    void onFirstToken(const RequestId & /*request*/, std::uint32_t /*slownessPercent*/, Duration /*slownessAge*/) override
     {
     }
     void onProgress(const RequestId & /*request*/, std::uint32_t /*tokens*/) override
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -472,6 +472,7 @@
     {
         const auto head = gateway_.dialect.readEndpoint(exchange_->response());
         slownessPercent_ = head.load ? head.load->slownessPercent.value_or(0) : 0;
+        slownessReadAt_ = gateway_.now();
         gateway_.onEndpointHeaders(endpoint_.id, head, sentAt_);
         const bool isForOtherRequest = !head.attempt.empty() && head.attempt != request_.head.attempt;
         if (exchange_->response().result() != http::status::ok || isForOtherRequest || !head.isVerified) {
@@ -584,7 +585,7 @@
     {
         const auto now = gateway_.now();
         if (std::exchange(awaitsFirstEvent_, false)) {
-            gateway_.dispatcher.onFirstToken(workId_, slownessPercent_);
+            gateway_.dispatcher.onFirstToken(workId_, slownessPercent_, now - slownessReadAt_);
             watchEndpoint();
         }
         if (now - progressReportedAt_ < kProgressInterval) {
@@ -799,6 +800,7 @@
     TimePoint lastEventOfRunAt_{};      ///< When the last complete event of this run arrived, or its header before any event.
     TimePoint sentAt_{};                ///< When the request was sent to the engine of the current run.
     TimePoint moveStartedAt_{};         ///< When the last move was started.
+    TimePoint slownessReadAt_{};        ///< When that response began.
     std::uint32_t slownessPercent_ = 0; ///< As the engine stated it with its latest response; 0 if it did not.
     bool awaitsFirstEvent_ = true;      ///< No event arrived since the answer began or was moved.
     bool deliveredInRun_ = false;       ///< An event of the current run was sent to the caller.
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -113,6 +113,7 @@
   cell @0 :Text;
   request @1 :Text;
   slownessPercent @2 :UInt32;     # Of the engine, as it stated it; 100: as usual, 0: not stated.
+  slownessAge @3 :Int64;          # Microseconds since it stated it.
 }
 
 struct Assign {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -223,7 +223,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba3207e3458b5f66, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ba3207e3458b5f66, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1868,6 +1868,8 @@
 
   inline  ::uint32_t getSlownessPercent() const;
 
+  inline  ::int64_t getSlownessAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1913,6 +1915,9 @@
   inline  ::uint32_t getSlownessPercent();
   inline void setSlownessPercent( ::uint32_t value);
 
+  inline  ::int64_t getSlownessAge();
+  inline void setSlownessAge( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6783,6 +6788,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t FirstToken::Reader::getSlownessAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FirstToken::Builder::getSlownessAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FirstToken::Builder::setSlownessAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Assign::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -405,6 +405,7 @@
         auto out = root_.initFirstToken();
         writeReference(out, message);
         out.setSlownessPercent(message.slownessPercent);
+        out.setSlownessAge(toMicroseconds(message.slownessAge).count());
     }
 
     void operator()(const ProgressMessage &message)
@@ -795,7 +796,8 @@
     case wire::Message::FIRST_TOKEN:
         return FirstTokenMessage{.cell = CellId(string(in.getFirstToken().getCell())),
                                  .request = RequestId(string(in.getFirstToken().getRequest())),
-                                 .slownessPercent = in.getFirstToken().getSlownessPercent()};
+                                 .slownessPercent = in.getFirstToken().getSlownessPercent(),
+                                 .slownessAge = readDuration(in.getFirstToken().getSlownessAge())};
     case wire::Message::PROGRESS:
         return read(in.getProgress());
     case wire::Message::DONE:
--- a/daemon/peers/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -177,6 +177,7 @@
     CellId cell;
     RequestId request;
     std::uint32_t slownessPercent = 0; ///< Of the engine, as it stated it with the response; 100 is its usual pace, 0 not stated.
+    Duration slownessAge{};            ///< Time since the engine stated it.
 
     friend auto operator<=>(const FirstTokenMessage &, const FirstTokenMessage &) = default;
 };
--- a/daemon/peers/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -61,6 +61,7 @@
         WithdrawMessage{cell, request},
         CancelMessage{cell, {request, EndpointId("e1")}},
         FirstTokenMessage{cell, request},
+        FirstTokenMessage{.cell = cell, .request = request, .slownessPercent = 250, .slownessAge = std::chrono::milliseconds(40)},
         ProgressMessage{cell, {{request, 12}}},
         DoneMessage{cell, request, 40, FinishReason::MovedAway},
         ResyncMessage{cell, {{work(now), EndpointId("e1"), 5, true}}},
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -48,7 +48,7 @@
     void onRunning(const WorkRequest &work, const EndpointId &endpoint, std::uint32_t generated, TimePoint now);
     void onLoadReport(const LoadReport &report, TimePoint now);
     void onCacheEvent(const CacheEvent &event);
-    void onSlowness(const RequestId &id, double slowness, TimePoint now);
+    void onSlowness(const RequestId &id, double slowness, TimePoint statedAt);
 
     void decide(TimePoint now, std::vector<Action> &actions);
     [[nodiscard]] std::optional<TimePoint> nextWake() const;
@@ -115,8 +115,11 @@
         double windowSeconds = 0;
         double windowModelSeconds = 0;
         std::uint32_t paceWindows = 0; // Number of measuring windows that have ended.
-        double slowness = 1;           // As the endpoint stated it last.
+        std::optional<double> slowness; // As the endpoint stated it last.
         TimePoint slownessAt{};
+
+        /// @return the stated slowness if it is recent enough to describe the present.
+        [[nodiscard]] std::optional<double> currentSlowness(TimePoint now) const;
     };
 
     using LateItem = std::tuple<Rank, TimePoint, Slot>; // Ordered by rank (urgent first), then by arrival.
@@ -187,7 +190,7 @@
     admits(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, bool ordinaryBelowFloor, TimePoint now) const;
     [[nodiscard]] double
     addedMilliseconds(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens, TimePoint now) const;
-    [[nodiscard]] double missedPaceMilliseconds(const Endpoint &endpoint, const Request &request, double expectedTokens, TimePoint now) const;
+    [[nodiscard]] double expectedMissedPaces(const Endpoint &endpoint, const Request &request, double expectedTokens, TimePoint now) const;
     void countPrompt(TimePoint now);
     [[nodiscard]] bool keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool ordinaryBelowFloor, TimePoint now) const;
     [[nodiscard]] bool keepsUrgentFirstToken(const Endpoint &endpoint, const WorkRequest &work) const;
--- a/daisystream/scheduler/pooldecisions.cpp
+++ b/daisystream/scheduler/pooldecisions.cpp
@@ -280,22 +280,25 @@
     const std::uint32_t tokensToPrefill = prefillTokens(request.work);
     const double own = load.firstTokenMilliseconds(tokensToPrefill) + expectedTokens * load.stepMilliseconds(1, request.work.promptTokens);
     const double others = load.running() * (load.promptDelayMilliseconds(tokensToPrefill) + expectedTokens * load.answerDelayMilliseconds());
-    return own + others + kPreemptionCostMilliseconds * load.overflowProbability(memory) + missedPaceMilliseconds(endpoint, request, expectedTokens, now);
+    return own + others + kPreemptionCostMilliseconds * load.overflowProbability(memory)
+        + kMissedPaceCostMilliseconds * expectedMissedPaces(endpoint, request, expectedTokens, now);
 }
 
-// Returns the expected cost of answers that miss their pace: those that run at the endpoint while it prefills the prompt, and the request's own
+// Returns the expected number of answers that miss their pace because of a request: those that run at the endpoint while it prefills the prompt, and the request's own
 // answer while the endpoint prefills later prompts.
-double Pool::missedPaceMilliseconds(const Endpoint &endpoint, const Request &request, double expectedTokens, TimePoint now) const
+double Pool::expectedMissedPaces(const Endpoint &endpoint, const Request &request, double expectedTokens, TimePoint now) const
 {
+    if (!options_.forecastsMissedPace) {
+        return 0;
+    }
     const std::uint32_t prompt = prefillTokens(request.work);
     const double step = endpoint.load.prefillStepMilliseconds(std::max(prompt, request.work.promptTokens));
-    const bool isFresh = now - endpoint.slownessAt < kSlownessLifetime;
-    const auto current = isFresh ? std::optional(endpoint.slowness) : std::nullopt;
+    const auto current = endpoint.currentSlowness(now);
     const double others = prompt == 0 ? 0.0 : expectedMisses({.stepMilliseconds = step, .answersByPace = endpoint.load.streamingByPace()}, slowness_, current);
     const double seconds = expectedTokens * endpoint.load.stepMilliseconds(1, request.work.promptTokens) / 1000.0;
     const double prompts = promptsPerSecond_ * seconds / static_cast<double>(std::max<std::size_t>(1, endpointIndex_.size()));
     const double own = std::min(1.0, prompts) * missProbability(step, request.work.paceTokensPerSecond, slowness_, std::nullopt);
-    return kMissedPaceCostMilliseconds * (others + own);
+    return others + own;
 }
 
 void Pool::countPrompt(TimePoint now)
@@ -380,12 +383,20 @@
     figures.waited = std::chrono::duration_cast<std::chrono::microseconds>(now - request.work.arrival);
     figures.firstTokenIn = std::chrono::microseconds(std::lround(1000.0 * load.firstTokenMilliseconds(prefillTokens(request.work))));
     figures.prefixCached = choice.prefixCached;
+    figures.expectedTokens = lengths_.expectedRemaining(request.profile, 0, lengthLimit(request.work));
+    if (options_.placement == Placement::LeastAddedTime) {
+        figures.expectedMisses = expectedMissedPaces(*endpoints_[choice.endpoint], request, figures.expectedTokens, now);
+    }
+    figures.calibration = load.calibration();
+    figures.slowness = endpoints_[choice.endpoint]->slowness;
+    if (figures.slowness) {
+        figures.slownessAge = std::chrono::duration_cast<std::chrono::microseconds>(now - endpoints_[choice.endpoint]->slownessAt);
+    }
     dequeue(slot);
     request.state = State::Assigned;
     request.load.memory = memory;
     request.generated = request.work.heldTokens;
     addToEndpoint(slot, choice.endpoint, now);
-    figures.expectedTokens = lengths_.expectedRemaining(request.profile, 0, lengthLimit(request.work));
     waitForecast_.recordDispatch(request.work.rank, now);
     countPrompt(now);
     actions.emplace_back(Assign{request.work.id, load.info().id, static_cast<std::uint8_t>(request.work.rank), figures});
--- a/daisystream/scheduler/poolendpoints.cpp
+++ b/daisystream/scheduler/poolendpoints.cpp
@@ -200,7 +200,12 @@
     afterHealthChange(found->second, now);
 }
 
-void Pool::onSlowness(const RequestId &id, double slowness, TimePoint now)
+std::optional<double> Pool::Endpoint::currentSlowness(TimePoint now) const
+{
+    return now - slownessAt < kSlownessLifetime ? slowness : std::nullopt;
+}
+
+void Pool::onSlowness(const RequestId &id, double slowness, TimePoint statedAt)
 {
     const Request *request = find(id);
     if (request == nullptr || (request->state != State::Assigned && request->state != State::Streaming)) {
@@ -208,8 +213,10 @@
     }
     slowness_.add(slowness);
     Endpoint &endpoint = *endpoints_[request->endpoint];
-    endpoint.slowness = slowness;
-    endpoint.slownessAt = now;
+    if (!endpoint.slowness || statedAt >= endpoint.slownessAt) {
+        endpoint.slowness = slowness;
+        endpoint.slownessAt = statedAt;
+    }
 }
 
 void Pool::onCacheEvent(const CacheEvent &event)
@@ -233,8 +240,8 @@
     if (request.work.movesFrom || endpoint.paceWindows > 0 || endpoint.health.hasReported() || request.modelFirstTokenSeconds <= 0) {
         return;
     }
-    const bool isFresh = now - endpoint.slownessAt < kSlownessLifetime;
-    const double ratio = secondsOf(now - request.assignedAt) / request.modelFirstTokenSeconds / (isFresh ? endpoint.slowness : 1.0);
+    const double slowness = endpoint.currentSlowness(now).value_or(1.0);
+    const double ratio = secondsOf(now - request.assignedAt) / request.modelFirstTokenSeconds / slowness;
     if (ratio < kMinPlausibleFirstToken * typicalCalibration_) {
         return;
     }
--- a/daisystream/scheduler/scheduler.cpp
+++ b/daisystream/scheduler/scheduler.cpp
@@ -87,10 +87,10 @@
     }
 }
 
-void Scheduler::onSlowness(const RequestId &request, double slowness, TimePoint now)
+void Scheduler::onSlowness(const RequestId &request, double slowness, TimePoint statedAt)
 {
     if (internal::Pool *pool = d_->poolOf(request)) {
-        pool->onSlowness(request, slowness, now);
+        pool->onSlowness(request, slowness, statedAt);
     }
 }
 
--- a/daisystream/scheduler/scheduler.h
+++ b/daisystream/scheduler/scheduler.h
@@ -102,6 +102,10 @@
     std::chrono::microseconds firstTokenIn{}; ///< Expected time from now to the first token.
     double expectedTokens = 0;                ///< Expected length of the answer.
     bool prefixCached = false;                ///< Whether the endpoint was chosen because it has the prefix of the prompt in its cache.
+    double expectedMisses = 0;                ///< Expected number of answers that miss their promised pace because of this assignment.
+    double calibration = 1;                   ///< Pace of the endpoint: duration of a step relative to the cost model.
+    std::optional<double> slowness{};         ///< Latest slowness that the endpoint stated.
+    std::chrono::microseconds slownessAge{};  ///< Its age; 0 without a statement.
 
     friend auto operator<=>(const AssignmentDetails &, const AssignmentDetails &) = default;
 };
@@ -170,6 +174,8 @@
     /// Whether to reserve some endpoints for urgent requests, which keeps their decode steps short. Not useful if a full batch
     /// keeps every token rate that a plan promises: urgent requests would then be concentrated on few endpoints.
     bool reservesEndpoints = true;
+    /// Whether `Placement::LeastAddedTime` counts answers that are expected to miss their promised pace while a prompt is prefilled.
+    bool forecastsMissedPace = true;
     std::chrono::milliseconds reportTimeout{2000}; ///< A load report older than this is treated as frozen, that is, as telling nothing about the endpoint.
     std::chrono::milliseconds probeInterval{1000}; ///< Time between two probes of the same endpoint.
 };
@@ -196,9 +202,10 @@
     /// Records that the first token of an assigned request arrived.
     void onFirstToken(const RequestId &request, TimePoint now);
 
-    /// Records how slow the engine of an assigned request is at present, as the engine stated it.
+    /// Records how slow the engine of an assigned request is, as the engine stated it.
     /// @param slowness duration of work relative to the engine's usual pace.
-    void onSlowness(const RequestId &request, double slowness, TimePoint now);
+    /// @param statedAt when the engine stated it, which may be long before the first token.
+    void onSlowness(const RequestId &request, double slowness, TimePoint statedAt);
 
     /// Records how far the answer of a request is.
     /// @param generatedTokens total number of tokens that were generated so far.
