--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -6,6 +6,7 @@
 #include "daisystream/endpoint/endpointload.h"
 #include "daisystream/endpoint/prefixindex.h"
 #include "daisystream/fairness/fairqueue.h"
+#include "daisystream/scheduler/pauseforecast.h"
 #include "daisystream/scheduler/scheduler.h"
 #include "daisystream/scheduler/waitforecast.h"
 
@@ -47,6 +48,7 @@
     void onRunning(const WorkRequest &work, const EndpointId &endpoint, std::uint32_t generated, TimePoint now);
     void onLoadReport(const LoadReport &report, TimePoint now);
     void onCacheEvent(const CacheEvent &event);
+    void onSlowness(const RequestId &id, double slowness, TimePoint statedAt);
 
     void decide(TimePoint now, std::vector<Action> &actions);
     [[nodiscard]] std::optional<TimePoint> nextWake() const;
@@ -85,6 +87,7 @@
         bool progressSeen = false;                   // Whether progress was reported at this endpoint before, which the measurement of the token rate needs.
         std::uint64_t prefilledTokensAtProgress = 0; // Value of `Endpoint::prefilledTokens` at `lastProgressAt`.
         TimePoint assignedAt{};
+        double modelFirstTokenSeconds = 0; // Time to first token by the cost model, without calibration, when it was assigned.
     };
 
     struct Endpoint
@@ -112,6 +115,11 @@
         double windowSeconds = 0;
         double windowModelSeconds = 0;
         std::uint32_t paceWindows = 0; // Number of measuring windows that have ended.
+        std::optional<double> slowness; // As the endpoint stated it last.
+        TimePoint slownessAt{};
+
+        /// @return the stated slowness if it is recent enough to describe the present.
+        [[nodiscard]] std::optional<double> currentSlowness(TimePoint now) const;
     };
 
     using LateItem = std::tuple<Rank, TimePoint, Slot>; // Ordered by rank (urgent first), then by arrival.
@@ -144,6 +152,7 @@
     void setEndpointTimer(EndpointIndex index, std::optional<TimePoint> at);
     void afterHealthChange(EndpointIndex index, TimePoint now);
     void checkEndpoint(EndpointIndex index, TimePoint now, std::vector<Action> &actions);
+    void recordFirstTokenPace(const Request &request, TimePoint now);
     void recordOwnPace(EndpointIndex index, double seconds, double modelSeconds, TimePoint now);
 
     // Decisions. `ordinaryBelowFloor` is true if an ordinary request is dispatched before queued urgent ones, because ordinary requests
@@ -180,7 +189,9 @@
     [[nodiscard]] bool
     admits(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, bool ordinaryBelowFloor, TimePoint now) const;
     [[nodiscard]] double
-    addedMilliseconds(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens) const;
+    addedMilliseconds(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens, TimePoint now) const;
+    [[nodiscard]] double expectedMissedPaces(const Endpoint &endpoint, const Request &request, double expectedTokens, TimePoint now) const;
+    void countPrompt(TimePoint now);
     [[nodiscard]] bool keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool ordinaryBelowFloor, TimePoint now) const;
     [[nodiscard]] bool keepsUrgentFirstToken(const Endpoint &endpoint, const WorkRequest &work) const;
     void assign(Slot slot, const Choice &choice, const MemoryForecast::Contribution &memory, TimePoint now, std::vector<Action> &actions);
@@ -223,6 +234,9 @@
     std::set<std::pair<TimePoint, EndpointIndex>> endpointTimers_;
     std::size_t frozenEndpoints_ = 0;
     double typicalCalibration_ = 1.0;
+    SlownessDistribution slowness_;
+    double promptsPerSecond_ = 0; // Assigned prompts, as a moving average.
+    TimePoint promptsUpdatedAt_{};
     std::uint64_t calibrationReports_ = 0;
 
     double urgentPaceTokensPerSecond_ = 0; // Promised token rate of the latest urgent request, in tokens per second.
--- a/daisystream/scheduler/poolendpoints.cpp
+++ b/daisystream/scheduler/poolendpoints.cpp
@@ -17,6 +17,10 @@
 // used for new endpoints.
 constexpr double kMinPaceGain = 0.2;
 constexpr double kTypicalCalibrationGain = 0.02;
+// Weight of a time to a first token in the pace of an endpoint. The time also depends on what waits at the endpoint.
+constexpr double kFirstTokenPaceGain = 0.6;
+// A first token that takes less than this share of the typical time tells nothing about the pace: most of the prompt was cached.
+constexpr double kMinPlausibleFirstToken = 0.25;
 
 } // namespace
 
@@ -196,6 +200,25 @@
     afterHealthChange(found->second, now);
 }
 
+std::optional<double> Pool::Endpoint::currentSlowness(TimePoint now) const
+{
+    return now - slownessAt < kSlownessLifetime ? slowness : std::nullopt;
+}
+
+void Pool::onSlowness(const RequestId &id, double slowness, TimePoint statedAt)
+{
+    const Request *request = find(id);
+    if (request == nullptr || (request->state != State::Assigned && request->state != State::Streaming)) {
+        return;
+    }
+    slowness_.add(slowness);
+    Endpoint &endpoint = *endpoints_[request->endpoint];
+    if (!endpoint.slowness || statedAt >= endpoint.slownessAt) {
+        endpoint.slowness = slowness;
+        endpoint.slownessAt = statedAt;
+    }
+}
+
 void Pool::onCacheEvent(const CacheEvent &event)
 {
     const auto found = endpointIndex_.find(event.endpoint);
@@ -209,6 +232,23 @@
     }
 }
 
+// Estimates the pace of an endpoint from the time to a first token, until it is measured from the token rate of own answers. Where engines
+// are replaced often, most requests go to engines whose token rate has not been measured yet.
+void Pool::recordFirstTokenPace(const Request &request, TimePoint now)
+{
+    Endpoint &endpoint = *endpoints_[request.endpoint];
+    if (request.work.movesFrom || endpoint.paceWindows > 0 || endpoint.health.hasReported() || request.modelFirstTokenSeconds <= 0) {
+        return;
+    }
+    const double slowness = endpoint.currentSlowness(now).value_or(1.0);
+    const double ratio = secondsOf(now - request.assignedAt) / request.modelFirstTokenSeconds / slowness;
+    if (ratio < kMinPlausibleFirstToken * typicalCalibration_) {
+        return;
+    }
+    const double own = endpoint.load.calibration() + kFirstTokenPaceGain * (ratio - endpoint.load.calibration());
+    endpoint.load.setCalibration(std::clamp(own, 0.5 * typicalCalibration_, 2.0 * typicalCalibration_));
+}
+
 // Compares the token rate of own answers with the cost model, about once per second. If the endpoint sends no load reports, the
 // ratio also calibrates the cost model.
 void Pool::recordOwnPace(EndpointIndex index, double seconds, double modelSeconds, TimePoint now)
