--- a/daisystream/balancing/servicebalancer.h
+++ b/daisystream/balancing/servicebalancer.h
@@ -40,9 +40,10 @@
 /// Load that an endpoint reported in a response; includes the calls of all VMs.
 struct ReportedLoad
 {
-    std::uint32_t running = 0; ///< Calls that run.
-    std::uint32_t waiting = 0; ///< Calls that wait for a slot.
-    std::uint32_t slots = 0;   ///< Calls that can run at the same time.
+    std::uint32_t running = 0;                      ///< Calls that run.
+    std::uint32_t waiting = 0;                      ///< Calls that wait for a slot.
+    std::uint32_t slots = 0;                        ///< Calls that can run at the same time.
+    std::optional<std::uint32_t> slownessPercent{}; ///< How long work takes there at present, in percent of the usual; not set if not stated.
 
     friend auto operator<=>(const ReportedLoad &, const ReportedLoad &) = default;
 };
