Choose endpoints of plain services by the expected time to completion

The cost of an endpoint is now the expected time, from its load, base speed, slowness relative to the others and load limit. While endpoints differ, the choice is random among those whose costs are close, and the average reported load counts, so that VMs do not all choose the same one. Without differences, the cost is the same as before.

--- a/daisystream/balancing/servicebalancer.h
+++ b/daisystream/balancing/servicebalancer.h
@@ -3,6 +3,7 @@
 #include "daisystream/base/clock.h"
 #include "daisystream/base/ids.h"
 #include "daisystream/base/random.h"
+#include "daisystream/speed/speedtable.h"
 
 #include <chrono>
 #include <cstddef>
@@ -12,8 +13,9 @@
 #include <vector>
 
 /// @file
-/// Chooses an endpoint of a service without engines for each call: the least loaded one that is not ejected for failures.
-/// Each VM decides independently, based on its own calls and on the load that endpoints report in their responses.
+/// Chooses an endpoint of a service without engines for each call: the one where it is expected to complete first, of those that
+/// are not ejected for failures. Each VM decides independently, based on its own calls and on the load and slowness that endpoints
+/// report in their responses to this VM and to others.
 ///
 /// Example:
 /// @code
@@ -64,6 +66,9 @@
     std::chrono::milliseconds maxEjectionTime{8000};     ///< Upper bound of the doubled time.
     std::chrono::milliseconds reportedLoadLifetime{500}; ///< Time for which a reported load is used.
     std::chrono::milliseconds failureHalfLife{2000};     ///< Half-life of the failure rate while the endpoint gets no calls.
+    std::chrono::milliseconds averageLoadHalfLife{2000}; ///< Half-life of the average reported load while no load is reported.
+    bool usesSpeed = true;                               ///< Whether endpoints are compared by speed; false is for comparison in tests.
+    SpeedTableOptions speed{};                           ///< How speeds are estimated.
 
     friend auto operator<=>(const ServiceBalancerOptions &, const ServiceBalancerOptions &) = default;
 };
@@ -90,10 +95,30 @@
     /// Handles a load report of an endpoint. It replaces the earlier one.
     void onReportedLoad(const EndpointId &endpoint, const ReportedLoad &load, TimePoint now);
 
+    /// Handles a call that an endpoint answered, for the estimate of its speed.
+    /// @return as SpeedTable::onCall.
+    std::optional<double> onSpeedSample(const EndpointId &endpoint, const SpeedSample &sample, TimePoint now);
+
+    /// Handles a slowness that an endpoint reported to another VM.
+    /// @param gain as SpeedTable::onSlowness.
+    void onSlowness(const EndpointId &endpoint, std::uint32_t percent, TimePoint reportedAt, std::optional<double> gain);
+
+    /// @return the estimated speed of an endpoint.
+    [[nodiscard]] EndpointSpeed speed(const EndpointId &endpoint, TimePoint now) const;
+
+    /// @param timeLeft until the deadline of a call.
+    /// @return the time until an endpoint is expected to have capacity, if all candidates reported a load beyond their limits
+    ///     recently and the call is not expected to complete in time at any of them; else nothing.
+    [[nodiscard]] std::optional<Duration>
+    timeUntilCapacity(const std::vector<ServiceCandidate> &candidates, const RouteName &route, Duration timeLeft, TimePoint now) const;
+
     /// Removes the state of endpoints that no longer exist and have no calls of this VM.
     /// @param endpoints all candidates of all services.
     void retain(const std::vector<EndpointId> &endpoints);
 
+    /// Removes the state of an endpoint that no longer exists, unless it has calls of this VM.
+    void remove(const EndpointId &endpoint);
+
     /// @return whether the endpoint is ejected, so that it gets trial calls only.
     [[nodiscard]] bool isEjected(const EndpointId &endpoint) const;
 
@@ -112,15 +137,28 @@
         ReportedLoad reported;
         std::uint32_t outstandingAtReport = 0; ///< Calls of this VM that the reported load includes.
         TimePoint reportedAt{};
+        double averageLoad = 0; ///< Exponential moving average of the reported calls, valid at `reportedAt`.
+    };
+
+    /// Cost of sending a call to a candidate.
+    struct Cost
+    {
+        double value = 0;
+        bool isOverloaded = false; ///< The call would exceed the load limit of the endpoint.
     };
 
-    [[nodiscard]] double costOf(const ServiceCandidate &candidate, TimePoint now) const;
+    /// @param isUneven whether the candidates differ in speed.
+    [[nodiscard]] Cost costOf(const ServiceCandidate &candidate, const EndpointSpeed &speed, bool isUneven, TimePoint now) const;
+    /// @return the calls at the endpoint, as far as this VM knows; includes reports up to `reportedLoadLifetime` old.
+    [[nodiscard]] double loadOf(const State &state, TimePoint now) const;
     [[nodiscard]] double failureRate(const State &state, TimePoint now) const; ///< The rate after its decay until `now`.
     /// @return the average failure rate of the other endpoints with enough samples; 1 if there are none.
     [[nodiscard]] double othersFailureRate(const EndpointId &endpoint, TimePoint now) const;
 
     ServiceBalancerOptions options_;
     std::unordered_map<EndpointId, State> states_;
+    SpeedTable speeds_;
+    std::vector<EndpointSpeed> candidateSpeeds_; ///< Of the candidates of the current choice; kept to avoid allocations.
 };
 
 } // namespace daisystream
