Let the stand-in of an endpoint give long responses

Tests of clients that do not read their responses need responses that do not fit into the buffers of a connection. The query bytes=N of a target adds N spaces to the response of a call.

--- a/deploy/standins/fleetendpoint.cpp
+++ b/deploy/standins/fleetendpoint.cpp
@@ -63,6 +63,7 @@
     std::string attempt;
     unsigned made = 0;
     unsigned last = 0;
+    std::size_t padding = 0;    ///< Bytes that the response of a call has in addition.
     bool isUnframed = false;    ///< The answer has neither a length nor chunks and ends with its connection.
     bool crashesEngine = false; ///< Its prompt has a part that crashes engines.
     bool isCopied = false;      ///< A copy is under way.
@@ -70,6 +71,17 @@
     bool hasStopped = false;
 };
 
+/// @return the number in the query `bytes=` of a target, 0 if there is none.
+std::size_t paddingOf(std::string_view target)
+{
+    constexpr std::string_view kQuery = "?bytes=";
+    std::size_t bytes = 0;
+    if (const auto at = target.find(kQuery); at != std::string_view::npos) {
+        std::from_chars(target.data() + at + kQuery.size(), target.data() + target.size(), bytes);
+    }
+    return bytes;
+}
+
 /// The memory of a run, to go on from.
 struct Copy
 {
@@ -313,6 +325,7 @@
         const auto lastEvent = request[names::kLastEvent];
         std::from_chars(lastEvent.data(), lastEvent.data() + lastEvent.size(), run->made);
         run->last = std::string_view(request.target()).starts_with("/long/") ? kEventsOfLongAnswer : kEventsOfShortAnswer;
+        run->padding = paddingOf(std::string_view(request.target()));
         // A stream without framing that a killed process leaves behind a whole event looks complete, which no check may count.
         run->isUnframed = !options_.isEngine && segments_ % kUnframedEvery == 0;
         run->crashesEngine = options_.isEngine && hasDeadlyPart(std::string_view(request[names::kPromptParts]));
@@ -354,7 +367,7 @@
             return Ending::Broken;
         }
         const bool isFailure = isDue(failEvery_);
-        const std::string body = answerBody(run.name, run.attempt);
+        const std::string body = answerBody(run.name, run.attempt) + std::string(run.padding, ' ');
         std::string text = isFailure ? "HTTP/1.1 500 Internal Server Error\r\n" : "HTTP/1.1 200 OK\r\n";
         text += std::string(names::kAttempt) + ": " + run.attempt + "\r\n" + names::kProof + ": seal\r\n" + names::kLoad + ": " + loadText() + "\r\n"
             + limitLine(run.attempt) + "Content-Type: application/json\r\n";
