--- a/scenarios/process.cpp
+++ b/scenarios/process.cpp
@@ -53,6 +53,11 @@
     return d_->child_.running(ignored);
 }
 
+int Process::id() const
+{
+    return d_->child_.id();
+}
+
 int Process::wait()
 {
     std::error_code ignored;
--- a/scenarios/process.h
+++ b/scenarios/process.h
@@ -31,6 +31,9 @@
 
     [[nodiscard]] bool running();
 
+    /// @return the process id; after the end, the one that it had.
+    [[nodiscard]] int id() const;
+
     /// Waits for the end.
     /// @return the exit code, or 128 and the signal number.
     int wait();
