Check again that an endpoint is in service after waiting for a permit

A call, an answer or a moved answer that had waited for a permit was sent to its endpoint although the zone had been withdrawn meanwhile. The endpoint is now checked after the permit; answers that can start again elsewhere do not resume in a withdrawn zone.

--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -1040,6 +1040,12 @@
     return !isKnown || d_->draining.contains(endpoint) || d_->leaving.contains(endpoint);
 }
 
+bool CellDispatcher::isWithdrawn(const EndpointId &endpoint) const
+{
+    const std::lock_guard lock(d_->mutex);
+    return d_->withdrawn.contains(endpoint);
+}
+
 void CellDispatcher::setVms(const std::vector<VmId> &live, const std::vector<VmId> &dead)
 {
     d_->apply([&](TimePoint now) {
--- a/daemon/cells/celldispatcher.h
+++ b/daemon/cells/celldispatcher.h
@@ -59,6 +59,9 @@
     /// @return whether the endpoint is unknown or about to end, so that running answers should be moved.
     [[nodiscard]] bool isLeaving(const EndpointId &endpoint) const;
 
+    /// @return whether the zone of the endpoint is out of service.
+    [[nodiscard]] bool isWithdrawn(const EndpointId &endpoint) const;
+
     /// Sets the check that runs before an endpoint is used for a new request; see `VmMonitor::assignment`.
     /// @param check returns nothing if the endpoint may be used, else the error for the caller. Called without locks.
     void setAssignmentCheck(std::function<std::optional<Error>()> check);
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -124,9 +124,13 @@
         while (auto endpoint = gateway_.startCall(request_.service, excluded, isUrgent)) {
             const auto denied = gateway_.frontend.parts.permits.acquire(
                 {.endpoint = endpoint->id, .attempt = attemptHash_, .request = requestHash_, .isUrgent = isUrgent}, yield);
-            if (!denied && !callerLeft_) {
+            const bool isInService = gateway_.isInService(endpoint->id); // May have changed while waiting for the permit.
+            if (!denied && isInService && !callerLeft_) {
                 return endpoint;
             }
+            if (!isInService) {
+                gateway_.countRedirect();
+            }
             gateway_.onCallEnded(endpoint->id, CallResult::CallerLeft, {});
             if (callerLeft_) {
                 return std::nullopt;
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -496,6 +496,11 @@
     return dispatcher.isLeaving(endpoint);
 }
 
+bool GatewayContext::isWithdrawn(const EndpointId &endpoint) const
+{
+    return dispatcher.isWithdrawn(endpoint);
+}
+
 bool GatewayContext::isInService(const EndpointId &endpoint) const
 {
     return dispatcher.isInService(endpoint);
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -229,6 +229,9 @@
     /// @return whether the endpoint is unknown or about to end.
     [[nodiscard]] bool isLeaving(const EndpointId &endpoint) const;
 
+    /// @return whether the zone of the endpoint is out of service.
+    [[nodiscard]] bool isWithdrawn(const EndpointId &endpoint) const;
+
     /// @return whether an answer that was stopped at an endpoint may resume there: the endpoint is not leaving, or is leaving but
     ///     still accepts requests.
     [[nodiscard]] bool mayResumeAt(const EndpointId &endpoint);
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -239,10 +239,14 @@
             }
             const bool holdsPermit = permitted == endpoint->id && gateway_.now() - askedAt <= kPermitLifetime;
             const bool isPermitted = holdsPermit || !gateway_.frontend.parts.permits.acquire(permitFor(endpoint->id), yield);
-            if (isPermitted && !callerLeft_) {
+            const bool isInService = gateway_.isInService(endpoint->id); // May have changed while waiting for the permit.
+            if (isPermitted && isInService && !callerLeft_) {
                 endpoint_ = *endpoint;
                 return std::nullopt;
             }
+            if (!isInService) {
+                gateway_.countRedirect();
+            }
             gateway_.dispatcher.onFinished(workId_, 0, FinishReason::MovedAway);
             if (callerLeft_) {
                 return RunEnd::CallerLeft;
@@ -370,7 +374,7 @@
             return complete(yield);
         }
         const auto source = endpoint_.id;
-        if (!moved || (moved->target.id == source && !gateway_.mayResumeAt(source))) {
+        if (!moved || (moved->target.id == source && !mayResumeAt(source))) {
             failure_ = {ResultCode::EndpointReclaimed, "endpoint " + source.value() + " is leaving and the answer could not be moved", kRetryAfterFailure};
             return RunEnd::Failed;
         }
@@ -378,9 +382,13 @@
         workId_ = moved->workId;
         endpoint_ = moved->target;
         awaitsFirstEvent_ = true;
-        const auto end = hasPermitForMove(endpoint_.id, yield) ? runAtEndpoint(moved->memory, yield) : RunEnd::Failed;
+        deliveredInRun_ = false;
+        auto end = RunEnd::Failed;
+        if (hasPermitForMove(endpoint_.id, yield) && !isInAvoidedZone(endpoint_.id)) {
+            end = runAtEndpoint(moved->memory, yield);
+        }
         const bool isAtSource = moved->target.address == moved->memory.holder;
-        if (end != RunEnd::Failed || deliveredInRun_ || callerLeft_ || isAtSource || !gateway_.mayResumeAt(source)) {
+        if (end != RunEnd::Failed || deliveredInRun_ || callerLeft_ || isAtSource || !mayResumeAt(source)) {
             return end;
         }
         // The source has stopped the answer but still keeps its memory, so that the answer can resume there.
@@ -389,6 +397,18 @@
         return hasPermitForMove(source, yield) ? runAtEndpoint(moved->memory, yield) : RunEnd::Failed;
     }
 
+    /// @return whether the answer must not resume at an endpoint because its zone is out of service. An answer that cannot be started
+    ///     again at another engine resumes there nevertheless, since it would be lost.
+    [[nodiscard]] bool isInAvoidedZone(const EndpointId &endpoint) const
+    {
+        return kind_.resumable && gateway_.isWithdrawn(endpoint);
+    }
+
+    [[nodiscard]] bool mayResumeAt(const EndpointId &endpoint)
+    {
+        return gateway_.mayResumeAt(endpoint) && !isInAvoidedZone(endpoint);
+    }
+
     /// @return whether a moved answer may be sent to an endpoint.
     [[nodiscard]] bool hasPermitForMove(const EndpointId &endpoint, asio::yield_context yield)
     {
