Let a cold endpoint's time run from the writing of its entry, and its limit reach the issuer

News of single endpoints did not carry the cold time, so that only the watchers knew that an endpoint was cold. An endpoint that became cold again for the same duration was not noticed, since only a change of the duration counted. An issuer of permits that had not read the entry granted every request. The directory of endpoints now identifies each writing of an entry by its revision and ages the cold time; news and documents carry what is left; a request for a permit carries the limit. The timer of the cold time is cancelled at the stop.

--- a/daemon/control/controlplane.cpp
+++ b/daemon/control/controlplane.cpp
@@ -143,6 +143,11 @@
         {
             const std::lock_guard lock(mutex);
             listedEndpoints = entries;
+            coldUntil.clear();
+            const auto now = clock.now();
+            for (const auto &entry : entries) {
+                coldUntil.emplace(entry.id(), now + entry.coldDuration);
+            }
         }
         applyEndpoints();
     }
@@ -170,17 +175,6 @@
         return metrics.gauge("daisystream_zone_withdrawn", "1 if the operator has taken the zone out of service.", {{"zone", zone.value()}});
     }
 
-    /// @return until when the endpoint is cold; in the past if it is not. The entry states the time that was left when it was written,
-    ///     so that the time runs from its first arrival. The caller holds `mutex`.
-    [[nodiscard]] TimePoint coldUntil(const EndpointEntry &entry)
-    {
-        ColdEndpoint &cold = coldEndpoints[entry.id()];
-        if (cold.stated != entry.coldDuration) {
-            cold = {.stated = entry.coldDuration, .until = clock.now() + entry.coldDuration};
-        }
-        return cold.until;
-    }
-
     /// Applies the endpoints again when the first of them is no longer cold.
     void scheduleColdEnd(std::optional<TimePoint> end)
     {
@@ -249,7 +243,7 @@
             const std::lock_guard lock(mutex);
             const auto now = clock.now();
             for (const auto &entry : listedEndpoints) {
-                const auto until = coldUntil(entry);
+                const auto until = coldUntil.at(entry.id());
                 endpoints.push_back(toSettings(entry, routes.get(), until > now));
                 const auto *service = routes == nullptr ? nullptr : routes->service(entry.service);
                 if (until > now) {
@@ -267,9 +261,6 @@
                     draining.push_back(entry.id());
                 }
             }
-            std::erase_if(coldEndpoints, [&](const auto &cold) {
-                return std::none_of(listedEndpoints.begin(), listedEndpoints.end(), [&](const auto &entry) { return entry.id() == cold.first; });
-            });
         }
         permits.setColdLimits(coldLimits);
         scheduleColdEnd(coldEnd);
@@ -330,13 +321,6 @@
         }
     }
 
-    /// For how long an endpoint is cold.
-    struct ColdEndpoint
-    {
-        std::chrono::milliseconds stated{0}; ///< As the entry of the endpoint states it.
-        TimePoint until{};
-    };
-
     const Settings settings;
     const Clock &clock;
     Metrics metrics;
@@ -351,14 +335,14 @@
     std::optional<StoreWatch> watch;
     std::function<void(const std::vector<EndpointId> &)> endpointHandler;
     std::function<void(std::size_t)> vmHandler;
-    std::mutex applyMutex;                            // Locked before every other mutex; prevents an older endpoint list from replacing a newer one.
-    std::mutex mutex;                                 // Level 3 in the lock order.
-    std::vector<EndpointEntry> listedEndpoints;       ///< Latest endpoint list of the store, guarded by `mutex`.
-    std::set<EndpointId> statedLeaving;               ///< Endpoints that stated that they are leaving, guarded by `mutex`. Ids are never reused.
-    std::set<EndpointId> inServiceBefore;             ///< Endpoints in service after the last update, guarded by `applyMutex`.
-    ZoneWithdrawals zones;                            ///< Guarded by `mutex`.
-    std::map<EndpointId, ColdEndpoint> coldEndpoints; ///< Guarded by `mutex`.
-    boost::asio::steady_timer coldTimer;              ///< Used under `applyMutex`.
+    std::mutex applyMutex;                      // Locked before every other mutex; prevents an older endpoint list from replacing a newer one.
+    std::mutex mutex;                           // Level 3 in the lock order.
+    std::vector<EndpointEntry> listedEndpoints; ///< Latest endpoint list of the store, guarded by `mutex`.
+    std::set<EndpointId> statedLeaving;         ///< Endpoints that stated that they are leaving, guarded by `mutex`. Ids are never reused.
+    std::set<EndpointId> inServiceBefore;       ///< Endpoints in service after the last update, guarded by `applyMutex`.
+    ZoneWithdrawals zones;                      ///< Guarded by `mutex`.
+    std::map<EndpointId, TimePoint> coldUntil;  ///< Of each listed endpoint, guarded by `mutex`.
+    boost::asio::steady_timer coldTimer;        ///< Used under `applyMutex`.
 };
 
 ControlPlane::ControlPlane(boost::asio::io_context &io, const Settings &settings, const Clock &clock, const ControlOptions &options)
@@ -463,6 +447,10 @@
     if (d_->watch) {
         d_->watch->stop();
     }
+    {
+        const std::lock_guard lock(d_->applyMutex);
+        d_->coldTimer.cancel();
+    }
     d_->load.stop();
     d_->monitor.stop();
     d_->peers.stop();
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -212,6 +212,7 @@
   urgent @4 :Bool;
   patience @5 :Int64;
   statement @6 :LimitStatement;   # Names the endpoint.
+  coldPerSecond @7 :Float64;      # 0 if the endpoint is not cold as far as the asking VM knows.
 }
 
 struct PermitReply {
@@ -249,6 +250,7 @@
   state @6 :UInt8;
   slots @7 :UInt32;
   startedAt @8 :UInt64;
+  cold @9 :Int64;                 # Time for which the endpoint is still cold.
 }
 
 struct DocumentVersion {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -417,7 +417,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9361cac015d2008d, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9361cac015d2008d, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -477,7 +477,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8928c9ee11996c27, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(8928c9ee11996c27, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3224,6 +3224,8 @@
   inline bool hasStatement() const;
   inline  ::daisystream::wire::LimitStatement::Reader getStatement() const;
 
+  inline double getColdPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3281,6 +3283,9 @@
   inline void adoptStatement(::capnp::Orphan< ::daisystream::wire::LimitStatement>&& value);
   inline ::capnp::Orphan< ::daisystream::wire::LimitStatement> disownStatement();
 
+  inline double getColdPerSecond();
+  inline void setColdPerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3661,6 +3666,8 @@
 
   inline  ::uint64_t getStartedAt() const;
 
+  inline  ::int64_t getCold() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3732,6 +3739,9 @@
   inline  ::uint64_t getStartedAt();
   inline void setStartedAt( ::uint64_t value);
 
+  inline  ::int64_t getCold();
+  inline void setCold( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8174,6 +8184,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline double PermitAsk::Reader::getColdPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double PermitAsk::Builder::getColdPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setColdPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PermitReply::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8689,6 +8713,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t EndpointChange::Reader::getCold() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t EndpointChange::Builder::getCold() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void EndpointChange::Builder::setCold( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t DocumentVersion::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -266,6 +266,7 @@
             list[i].setState(static_cast<std::uint8_t>(change.entry->state));
             list[i].setSlots(change.entry->slots);
             list[i].setStartedAt(change.entry->startedAt);
+            list[i].setCold(toMicroseconds(change.entry->coldDuration).count());
         }
     }
 }
@@ -283,7 +284,9 @@
                                        .state = change.getState() == static_cast<std::uint8_t>(EndpointState::InService) ? EndpointState::InService
                                                                                                                          : EndpointState::Draining,
                                        .slots = change.getSlots(),
-                                       .startedAt = change.getStartedAt()};
+                                       .startedAt = change.getStartedAt(),
+                                       .coldDuration = std::chrono::duration_cast<std::chrono::milliseconds>(readDuration(change.getCold())),
+                                       .revision = read.revision};
         }
         changes.changes.push_back(std::move(read));
     }
@@ -519,6 +522,7 @@
         out.setUrgent(request.isUrgent);
         out.setPatience(toMicroseconds(request.patience).count());
         write(out.initStatement(), message.ask.statement);
+        out.setColdPerSecond(message.ask.coldPerSecond);
     }
 
     void operator()(const PermitReplyMessage &message)
@@ -714,7 +718,7 @@
                           .request = in.getRequest(),
                           .isUrgent = in.getUrgent(),
                           .patience = readDuration(in.getPatience())};
-    return {.ask = {.number = in.getNumber(), .request = std::move(request), .statement = std::move(statement)}};
+    return {.ask = {.number = in.getNumber(), .request = std::move(request), .statement = std::move(statement), .coldPerSecond = in.getColdPerSecond()}};
 }
 
 PermitReplyMessage read(wire::PermitReply::Reader in)
--- a/daemon/store/storewatch.cpp
+++ b/daemon/store/storewatch.cpp
@@ -77,7 +77,8 @@
                         static_cast<int>(entry.state),
                         entry.slots,
                         entry.startedAt,
-                        entry.coldDuration.count()});
+                        entry.coldDuration.count(),
+                        entry.revision});
     }
     return list.dump();
 }
@@ -96,6 +97,7 @@
             entry.slots = item.at(5).get<std::uint32_t>();
             entry.startedAt = item.at(6).get<std::uint64_t>();
             entry.coldDuration = milliseconds(item.at(7).get<std::int64_t>());
+            entry.revision = item.at(8).get<std::uint64_t>();
             entries.push_back(std::move(entry));
         }
     } catch (const nlohmann::json::exception &fault) {
@@ -427,7 +429,9 @@
     std::optional<EndpointEntry> parseEndpoint(const StoreRow &row) const
     {
         auto entry = source.parseEndpoint(row.key, row.text);
-        if (!entry) {
+        if (entry) {
+            entry->revision = row.version;
+        } else {
             LOG(WARNING) << "event=endpoint_ignored row=" << row.version << " reason=malformed_entry";
         }
         return entry;
@@ -438,7 +442,7 @@
     void publish(bool announces)
     {
         const auto now = parts.clock.now();
-        if (parts.lists.offer(DocumentKind::Endpoints, {.number = directory.revision(), .changeId = {}}, encodeEndpoints(directory.registered()))
+        if (parts.lists.offer(DocumentKind::Endpoints, {.number = directory.revision(), .changeId = {}}, encodeEndpoints(directory.registered(now)))
             && announces) {
             handlers.onPublished(DocumentKind::Endpoints);
         }
--- a/daisystream/endpoint/endpointdirectory.cpp
+++ b/daisystream/endpoint/endpointdirectory.cpp
@@ -24,7 +24,7 @@
     std::set<std::string> names;
     for (const auto &entry : entries) {
         names.insert(entry.name);
-        entries_[entry.name] = {.entry = entry};
+        store(entry, now);
     }
     for (auto entry = entries_.begin(); entry != entries_.end();) {
         const auto next = std::next(entry);
@@ -38,10 +38,10 @@
     return true;
 }
 
-void EndpointDirectory::put(const EndpointEntry &entry, std::uint64_t revision, TimePoint /*now*/)
+void EndpointDirectory::put(const EndpointEntry &entry, std::uint64_t revision, TimePoint now)
 {
     if (isNewChange(revision)) {
-        entries_[entry.name] = {.entry = entry};
+        store(entry, now);
         revision_ = revision;
     }
 }
@@ -86,6 +86,24 @@
     return revision > snapshotRevision_ && revision >= revision_;
 }
 
+void EndpointDirectory::store(const EndpointEntry &entry, TimePoint now)
+{
+    StoredEntry stored{.entry = entry, .coldUntil = now + entry.coldDuration};
+    const auto known = entries_.find(entry.name);
+    const bool isSame = known != entries_.end() && entry.revision != 0 && known->second.entry.revision == entry.revision;
+    if (isSame) {
+        stored.coldUntil = std::min(stored.coldUntil, known->second.coldUntil);
+    }
+    entries_[entry.name] = std::move(stored);
+}
+
+EndpointEntry EndpointDirectory::aged(const StoredEntry &stored, TimePoint now)
+{
+    auto entry = stored.entry;
+    entry.coldDuration = std::chrono::ceil<std::chrono::milliseconds>(std::max(stored.coldUntil - now, Duration::zero()));
+    return entry;
+}
+
 void EndpointDirectory::markUnregistered(std::map<std::string, StoredEntry>::iterator entry, TimePoint now)
 {
     // A draining endpoint has deregistered itself and does not register again.
@@ -119,18 +137,18 @@
     std::vector<EndpointEntry> found;
     for (const auto &[name, stored] : entries_) {
         if (isValid(stored, now)) {
-            found.push_back(stored.entry);
+            found.push_back(aged(stored, now));
         }
     }
     return found;
 }
 
-std::vector<EndpointEntry> EndpointDirectory::registered() const
+std::vector<EndpointEntry> EndpointDirectory::registered(TimePoint now) const
 {
     std::vector<EndpointEntry> found;
     for (const auto &[name, stored] : entries_) {
         if (!stored.isUnregistered) {
-            found.push_back(stored.entry);
+            found.push_back(aged(stored, now));
         }
     }
     return found;
--- a/daisystream/endpoint/endpointdirectory.h
+++ b/daisystream/endpoint/endpointdirectory.h
@@ -38,7 +38,8 @@
     EndpointState state = EndpointState::InService;
     std::uint32_t slots = 1;                   ///< Requests that the endpoint runs at the same time.
     std::uint64_t startedAt = 0;               ///< Milliseconds since the epoch by the endpoint's clock; differs between two starts.
-    std::chrono::milliseconds coldDuration{0}; ///< Time for which the endpoint is still slow after its start.
+    std::chrono::milliseconds coldDuration{0}; ///< Time for which the endpoint is still cold, as of the arrival of the entry.
+    std::uint64_t revision = 0;                ///< Revision of the store in which the entry was written; 0 if it is not known.
 
     /// @return the id of the endpoint, made of its name and start time, so that it is unique among all starts.
     [[nodiscard]] EndpointId id() const;
@@ -107,11 +108,13 @@
     /// Handles that the store no longer answers.
     void onStoreLost();
 
-    /// @return the entries that are valid now, including those that are kept after an outage of the store.
+    /// @return the entries that are valid now, including those that are kept after an outage of the store. Their cold time is that
+    ///     which is left now.
     [[nodiscard]] std::vector<EndpointEntry> entries(TimePoint now) const;
 
-    /// @return the entries that are registered in the store, without those that are kept after an outage.
-    [[nodiscard]] std::vector<EndpointEntry> registered() const;
+    /// @return the entries that are registered in the store, without those that are kept after an outage. Their cold time is that which
+    ///     is left now.
+    [[nodiscard]] std::vector<EndpointEntry> registered(TimePoint now) const;
 
     /// @return when the result of `entries` changes because kept entries become invalid; nothing if it does not.
     [[nodiscard]] std::optional<TimePoint> nextChange(TimePoint now) const;
@@ -127,8 +130,14 @@
     {
         EndpointEntry entry;
         bool isUnregistered = false; ///< No longer registered in the store.
+        TimePoint coldUntil{};
     };
 
+    /// Stores an entry. The cold time runs from its first arrival, also if the same entry is read again.
+    void store(const EndpointEntry &entry, TimePoint now);
+    /// @return the entry with the cold time that is left.
+    [[nodiscard]] static EndpointEntry aged(const StoredEntry &stored, TimePoint now);
+
     /// @return whether a single change of this revision is not yet part of the directory.
     [[nodiscard]] bool isNewChange(std::uint64_t revision) const;
     /// Marks an entry as no longer registered, and erases it if it is not to be kept.
--- a/daisystream/endpoint/endpointdirectory_test.cpp
+++ b/daisystream/endpoint/endpointdirectory_test.cpp
@@ -35,7 +35,7 @@
     directory.onStoreReturned(storeReturn, true);
     directory.replace({}, 9, storeReturn);
     CHECK(directory.entries(storeReturn + milliseconds(2000)).size() == 2);
-    CHECK(directory.registered().empty()); // Other VMs must not regard the kept entries as registered.
+    CHECK(directory.registered(storeReturn).empty()); // Other VMs must not regard the kept entries as registered.
     REQUIRE(directory.nextChange(storeReturn));
     directory.put(entry("b"), 10, storeReturn + milliseconds(1000));
     const auto later = *directory.nextChange(storeReturn + milliseconds(1000));
@@ -114,5 +114,35 @@
     CHECK(directory.entries(now) == std::vector<EndpointEntry>{named("b"), named("d")});
 }
 
+EndpointEntry coldEntry(milliseconds left, std::uint64_t revision)
+{
+    auto cold = entry("a");
+    cold.coldDuration = left;
+    cold.revision = revision;
+    return cold;
+}
+
+// An endpoint whose entry is not written again would stay cold, and its share of the work would stay small.
+TEST_CASE("the cold time of an endpoint runs from the first arrival of its entry")
+{
+    EndpointDirectory directory;
+    directory.put(coldEntry(milliseconds(3000), 5), 5, kNow);
+    CHECK(directory.entries(kNow + milliseconds(1000)).front().coldDuration == milliseconds(2000));
+    CHECK(directory.registered(kNow + milliseconds(1000)).front().coldDuration == milliseconds(2000)); // As other VMs are told.
+    directory.replace({coldEntry(milliseconds(3000), 5)}, 8, kNow + milliseconds(2000));               // The same entry, read again.
+    CHECK(directory.entries(kNow + milliseconds(2500)).front().coldDuration == milliseconds(500));
+    CHECK(directory.entries(kNow + milliseconds(3000)).front().coldDuration == milliseconds(0));
+}
+
+// The host of an endpoint may drop its caches again and again. Each time the entry states the same duration, so that the second time
+// went unnoticed and the endpoint received requests without a limit.
+TEST_CASE("an endpoint that is cold again for the same duration is cold for all of it")
+{
+    EndpointDirectory directory;
+    directory.put(coldEntry(milliseconds(3000), 5), 5, kNow);
+    directory.put(coldEntry(milliseconds(3000), 9), 9, kNow + milliseconds(10000));
+    CHECK(directory.entries(kNow + milliseconds(12000)).front().coldDuration == milliseconds(1000));
+}
+
 } // namespace
 } // namespace daisystream
--- a/daisystream/limits/endpointpermits.cpp
+++ b/daisystream/limits/endpointpermits.cpp
@@ -22,6 +22,9 @@
 constexpr double kMaxPerSecond = 100'000;
 // Age of the statement in a request for a permit of an endpoint that states no limit: older than every real statement.
 constexpr Duration kNeverStated = std::chrono::hours(24);
+// How long an issuer applies the limit of a cold endpoint that only other VMs know of. Longer than news need to reach it; each
+// request for a permit extends it.
+constexpr Duration kReportedColdTime = 2s;
 
 /// @return a number in (0, 1] that is the same on all VMs.
 double uniformHash(std::uint64_t request, const EndpointId &endpoint)
@@ -71,6 +74,7 @@
     limits_.retain(endpoints);
     std::erase_if(owners_, isGone);
     std::erase_if(full_, isGone);
+    std::erase_if(reportedCold_, isGone);
 }
 
 RequestLimits &EndpointPermits::limits()
@@ -161,15 +165,25 @@
     return std::max(followers, 1.0) / std::max(followers + others, 1.0);
 }
 
+std::optional<double> EndpointPermits::limitFor(const EndpointId &endpoint, TimePoint now) const
+{
+    const auto known = limits_.limit(endpoint);
+    const auto reported = reportedCold_.find(endpoint);
+    if (reported == reportedCold_.end() || reported->second.until <= now) {
+        return known;
+    }
+    return std::min(known.value_or(reported->second.perSecond), reported->second.perSecond);
+}
+
 PermitTerms EndpointPermits::termsFor(const EndpointId &endpoint, TimePoint now)
 {
-    const double limit = std::clamp(limits_.limit(endpoint).value_or(kMaxPerSecond), kMinPerSecond, kMaxPerSecond);
+    const double limit = std::clamp(limitFor(endpoint, now).value_or(kMaxPerSecond), kMinPerSecond, kMaxPerSecond);
     return {.perSecond = limit * followingShare(now), .isStandIn = ownersOf(endpoint).front() != self_};
 }
 
 PermitOutcome EndpointPermits::issue(const PermitRequest &request, TimePoint now)
 {
-    if (!limits_.limit(request.endpoint)) {
+    if (!limitFor(request.endpoint, now)) {
         return PermitGranted{};
     }
     return issuer_.request(request, termsFor(request.endpoint, now), now);
@@ -190,7 +204,8 @@
     const auto &owners = ownersOf(endpoint);
     const auto avoided = avoidUntil_.find(owners.front());
     const bool skipsIssuer = avoided != avoidUntil_.end() && avoided->second > now && owners.size() > 1 && !options_.faults.neverStandsIn;
-    PermitAsk ask{.number = number, .request = std::move(request), .statement = statementOf(endpoint, now)};
+    PermitAsk ask{
+        .number = number, .request = std::move(request), .statement = statementOf(endpoint, now), .coldPerSecond = limits_.coldLimit(endpoint).value_or(0)};
     return send(std::move(ask), skipsIssuer ? owners[1] : owners.front(), skipsIssuer || owners.size() == 1, now);
 }
 
@@ -276,6 +291,9 @@
 PermitReply EndpointPermits::onAsk(const PermitAsk &ask, TimePoint now)
 {
     limits_.onStatement(ask.statement, now);
+    if (ask.coldPerSecond > 0) {
+        reportedCold_[ask.request.endpoint] = {.perSecond = ask.coldPerSecond, .until = now + kReportedColdTime};
+    }
     const auto outcome = issue(ask.request, now);
     const auto known = limits_.statement(ask.request.endpoint, now);
     return {.number = ask.number, .endpoint = ask.request.endpoint, .outcome = outcome, .statement = known.value_or(ask.statement)};
--- a/daisystream/limits/endpointpermits.h
+++ b/daisystream/limits/endpointpermits.h
@@ -52,6 +52,7 @@
     std::uint64_t number = 0; ///< Chosen by the asking VM, which finds the request again by it.
     PermitRequest request{};
     LimitStatement statement{}; ///< The limit as the asking VM knows it; the issuer may not have been told.
+    double coldPerSecond = 0;   ///< Limit of the endpoint while it is cold, as the asking VM knows it; 0 if it is not cold.
 
     friend auto operator<=>(const PermitAsk &, const PermitAsk &) = default;
 };
@@ -165,10 +166,18 @@
         TimePoint until;       ///< For ordinary requests.
         TimePoint pausedUntil; ///< For all requests; the issuer is not asked before.
     };
+    /// Limit of a cold endpoint as another VM reported it.
+    struct ReportedCold
+    {
+        double perSecond = 0;
+        TimePoint until;
+    };
 
     [[nodiscard]] const std::vector<VmId> &ownersOf(const EndpointId &endpoint);
     /// @return the part of the live and lately lost VMs that follows this VM's view of who issues permits.
     [[nodiscard]] double followingShare(TimePoint now) const;
+    /// @return the limit by which this VM issues permits; nothing if it knows none.
+    [[nodiscard]] std::optional<double> limitFor(const EndpointId &endpoint, TimePoint now) const;
     [[nodiscard]] PermitTerms termsFor(const EndpointId &endpoint, TimePoint now);
     [[nodiscard]] LimitStatement statementOf(const EndpointId &endpoint, TimePoint now) const;
     [[nodiscard]] PermitOutcome issue(const PermitRequest &request, TimePoint now);
@@ -185,6 +194,7 @@
     std::map<EndpointId, std::vector<VmId>> owners_; ///< The first VMs by rendezvous hash, for the present live VMs.
     std::map<VmId, TimePoint> avoidUntil_;           ///< VMs that did not reply.
     std::map<EndpointId, Full> full_;
+    std::map<EndpointId, ReportedCold> reportedCold_;
     std::map<std::uint64_t, Pending> pending_;
 };
 
--- a/daisystream/limits/endpointpermits_test.cpp
+++ b/daisystream/limits/endpointpermits_test.cpp
@@ -201,5 +201,57 @@
     CHECK_FALSE(permits.lineFor(1, {EndpointId("unlimited")}));
 }
 
+/// @return the VM that issues the permits of `kEndpoint`.
+VmId issuerAmong(const std::vector<VmId> &vms, TimePoint now)
+{
+    for (const auto &vm : vms) {
+        EndpointPermits permits(vm);
+        permits.setVms(vms, now);
+        permits.limits().setColdLimits({{kEndpoint, 4}});
+        const auto actions = permits.ask(1, requestOf(1), now);
+        if (const auto *ask = std::get_if<AskForPermit>(&actions.front())) {
+            return ask->to;
+        }
+    }
+    return {};
+}
+
+// An endpoint that has just become cold is crashed by the requests of all VMs together. The entry reaches the VMs at different times,
+// and an issuer that lacked it granted every request.
+TEST_CASE("a cold endpoint without a stated limit gets no more than its limit from all VMs, also if the issuer does not know")
+{
+    ManualClock clock;
+    const auto vms = names(6);
+    const auto issuerId = issuerAmong(vms, clock.now());
+    EndpointPermits issuer(issuerId);
+    issuer.setVms(vms, clock.now());
+    const auto other = std::find_if(vms.begin(), vms.end(), [&](const VmId &vm) { return vm != issuerId; });
+    EndpointPermits asking(*other);
+    asking.setVms(vms, clock.now());
+    CHECK(isGranted(std::get<PermitDecided>(asking.ask(1, requestOf(1), clock.now()).front()).outcome)); // Not cold: nobody is asked.
+    asking.limits().setColdLimits({{kEndpoint, 4}});
+    std::vector<TimePoint> granted;
+    std::uint64_t number = 1;
+    for (const auto begin = clock.now(); clock.now() - begin < 3s; clock.advance(10ms)) {
+        ++number;
+        const auto actions = asking.ask(number, requestOf(number), clock.now());
+        const auto &ask = std::get<AskForPermit>(actions.front());
+        REQUIRE(ask.to == issuerId);
+        const auto reply = issuer.onAsk(ask.ask, clock.now());
+        CHECK(asking.onReply(issuerId, reply, clock.now()).size() == 1);
+        if (isGranted(reply.outcome)) {
+            granted.push_back(clock.now());
+        }
+    }
+    CHECK(granted.size() >= 9); // 4 a second for 3 s, less what ordinary requests leave for urgent ones.
+    for (auto first = granted.begin(); first != granted.end(); ++first) {
+        CHECK(std::upper_bound(first, granted.end(), *first + 1s) - first <= 4 * 1.5 + 5);
+    }
+    asking.limits().setColdLimits({});
+    clock.advance(3s); // The endpoint is no longer cold, and the issuer has not been told of it any more.
+    CHECK(isGranted(std::get<PermitDecided>(asking.ask(9999, requestOf(9999), clock.now()).front()).outcome));
+    CHECK(isGranted(std::get<PermitDecided>(issuer.ask(9998, requestOf(9998), clock.now()).front()).outcome));
+}
+
 } // namespace
 } // namespace daisystream
--- a/daisystream/limits/requestlimits.cpp
+++ b/daisystream/limits/requestlimits.cpp
@@ -60,11 +60,14 @@
 {
     const auto found = known_.find(endpoint);
     const auto stated = found == known_.end() || found->second.perSecond == 0 ? std::nullopt : std::optional(found->second.perSecond);
-    const auto cold = cold_.find(endpoint);
-    if (cold == cold_.end()) {
-        return stated;
-    }
-    return std::min(stated.value_or(cold->second), cold->second);
+    const auto cold = coldLimit(endpoint);
+    return stated && cold ? std::min(stated, cold) : stated ? stated : cold;
+}
+
+std::optional<double> RequestLimits::coldLimit(const EndpointId &endpoint) const
+{
+    const auto found = cold_.find(endpoint);
+    return found == cold_.end() ? std::nullopt : std::optional(found->second);
 }
 
 std::optional<LimitStatement> RequestLimits::statement(const EndpointId &endpoint, TimePoint now) const
--- a/daisystream/limits/requestlimits.h
+++ b/daisystream/limits/requestlimits.h
@@ -68,6 +68,9 @@
     ///     endpoint; nothing if it has neither.
     [[nodiscard]] std::optional<double> limit(const EndpointId &endpoint) const;
 
+    /// @return the limit that the endpoint has because it is cold, as far as this VM knows.
+    [[nodiscard]] std::optional<double> coldLimit(const EndpointId &endpoint) const;
+
     /// @return the latest statement of the endpoint; nothing if it never stated a limit. Limits of cold endpoints are not part of it.
     [[nodiscard]] std::optional<LimitStatement> statement(const EndpointId &endpoint, TimePoint now) const;
 
--- a/daisystream/limits/requestlimits_test.cpp
+++ b/daisystream/limits/requestlimits_test.cpp
@@ -69,6 +69,25 @@
     CHECK_FALSE(limits.statement(kEndpoint, clock.now()));
 }
 
+// Guards against a cold endpoint that gets more than it bears because it states a higher limit, or none.
+TEST_CASE("the smaller of the stated limit and that of a cold endpoint holds, until it is no longer cold")
+{
+    ManualClock clock;
+    RequestLimits limits;
+    limits.setColdLimits({{kEndpoint, 4}});
+    CHECK(limits.limit(kEndpoint) == 4);
+    CHECK(limits.coldLimit(kEndpoint) == 4);
+    CHECK_FALSE(limits.statement(kEndpoint, clock.now()));
+    limits.onAnswer(kEndpoint, 9, clock.now(), clock.now());
+    CHECK(limits.limit(kEndpoint) == 4);
+    CHECK(limits.statement(kEndpoint, clock.now())->perSecond == 9); // Other VMs are told what the endpoint stated.
+    limits.onAnswer(kEndpoint, 2, clock.now(), clock.now());
+    CHECK(limits.limit(kEndpoint) == 2);
+    limits.setColdLimits({});
+    CHECK(limits.limit(kEndpoint) == 2);
+    CHECK_FALSE(limits.coldLimit(kEndpoint));
+}
+
 TEST_CASE("a request rate is a finite positive decimal number")
 {
     CHECK(parseRequestRate("3.7") == 3.7);
