--- a/daemon/cells/celldispatcher_test.cpp
+++ b/daemon/cells/celldispatcher_test.cpp
@@ -250,6 +250,70 @@
     CHECK(fleet.at(vm).findEndpoint(EndpointId("e2")));
 }
 
+// Guards against new requests at an engine of a withdrawn zone, and against answers there that are taken for leaving.
+TEST_CASE("a withdrawn engine gets no new requests, keeps its running answers and is not leaving")
+{
+    Fleet fleet({"vm1"});
+    const VmId vm("vm1");
+    const EndpointId first("e1");
+    fleet.at(vm).setWithdrawn({first});
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        fleet.ask(vm, fleet.work(id));
+        REQUIRE(fleet.answers[RequestId(id)].size() == 1);
+        CHECK(std::get<Assign>(fleet.answers[RequestId(id)][0]).endpoint == EndpointId("e2"));
+        fleet.at(vm).onFirstToken(RequestId(id));
+    }
+    CHECK_FALSE(fleet.at(vm).isInService(first));
+    CHECK(fleet.at(vm).isWithdrawn(first));
+    CHECK_FALSE(fleet.at(vm).isLeaving(first));
+    fleet.at(vm).setWithdrawn({EndpointId("e2")}); // Both change at once.
+    CHECK(fleet.at(vm).running() == 20);
+    fleet.ask(vm, fleet.work("later"));
+    REQUIRE(fleet.answers[RequestId("later")].size() == 1);
+    CHECK(std::get<Assign>(fleet.answers[RequestId("later")][0]).endpoint == first);
+    fleet.at(vm).setDraining({EndpointId("e2")});
+    CHECK(fleet.at(vm).isLeaving(EndpointId("e2")));
+}
+
+// A request that waits for an engine of the zone would reach it after the withdrawal, and one that no engine is left for would wait
+// until its deadline instead of being refused while its caller can still try elsewhere.
+TEST_CASE("a waiting request goes to another engine when its zone is withdrawn, and is refused at once if no zone is left")
+{
+    Fleet fleet({"vm1"});
+    const VmId vm("vm1");
+    const auto large = [&](const std::string &id) {
+        auto request = fleet.work(id, milliseconds(600000)); // Long enough to read such a prompt.
+        request.promptTokens = 90000;
+        return request;
+    };
+    fleet.ask(vm, large("r1"));
+    fleet.ask(vm, large("r2"));
+    REQUIRE(fleet.answers[RequestId("r1")].size() == 1);
+    REQUIRE(fleet.answers[RequestId("r2")].size() == 1);
+    const auto ofFirst = std::get<Assign>(fleet.answers[RequestId("r1")][0]).endpoint;
+    const auto ofSecond = std::get<Assign>(fleet.answers[RequestId("r2")][0]).endpoint;
+    REQUIRE(ofFirst != ofSecond);
+    fleet.ask(vm, large("r3"));
+    fleet.ask(vm, large("r4"));
+    REQUIRE(fleet.answers[RequestId("r3")].empty());
+    fleet.at(vm).setWithdrawn({ofFirst});
+    fleet.at(vm).onFinished(RequestId("r1"), 10, FinishReason::Complete); // Its place must stay unused.
+    fleet.deliver();
+    CHECK(fleet.answers[RequestId("r3")].empty());
+    fleet.at(vm).onFinished(RequestId("r2"), 10, FinishReason::Complete);
+    fleet.deliver();
+    REQUIRE(fleet.answers[RequestId("r3")].size() == 1);
+    CHECK(std::get<Assign>(fleet.answers[RequestId("r3")][0]).endpoint == ofSecond);
+    fleet.at(vm).setWithdrawn({ofFirst, ofSecond});
+    fleet.deliver();
+    REQUIRE(fleet.answers[RequestId("r4")].size() == 1);
+    const auto *refusal = std::get_if<Error>(&fleet.answers[RequestId("r4")][0]);
+    REQUIRE(refusal != nullptr);
+    CHECK((refusal->code == ResultCode::NoEndpoint));
+    CHECK(refusal->retryAfter.value_or(milliseconds(0)) > milliseconds(0));
+}
+
 // Guards against a VM that stops serving when load reports of all engines are missing, for example after the VM was paused.
 TEST_CASE("routing continues when all load reports stop")
 {
