Fetch the next version of a document without delay, and check withdrawals in virtual time

A VM that had just fetched a document did not ask for a newer one for 500 ms. VmMonitor now takes the arrival as the end of a request and asks again for what was announced meanwhile. The contact of another VM no longer confirms a VM that is behind in the withdrawn zones, so that it stops serving at its contact limit.

--- a/daemon/cells/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -351,8 +351,16 @@
                 }
             }
             for (const auto &document : message.documents) {
-                if (message.relay && document.number > ownVersions[document.kind]) {
-                    documentsToForward.insert(document.kind); // Announced after it has arrived, so that the receivers can fetch it here.
+                if (document.number <= ownVersions[document.kind]) {
+                    continue;
+                }
+                if (auto &announced = announcedDocuments[document.kind]; document.number > announced.number) {
+                    announced = {.number = document.number, .from = from};
+                }
+                if (message.relay) {
+                    // Announced after it has arrived, so that the receivers can fetch it here.
+                    auto &forwarded = documentsToForward[document.kind];
+                    forwarded = std::max(forwarded, document.number);
                 }
             }
             fanout = viewChanged ? std::nullopt : std::move(fanout);
@@ -682,9 +690,19 @@
         if (parts.lists.offer(static_cast<DocumentKind>(message.kind), {.number = message.number, .changeId = message.changeId}, message.text)) {
             documentsFetched.add(1);
             bool forwards = false;
+            std::optional<VmId> holderOfNewer;
             {
                 const std::lock_guard lock(mutex);
-                forwards = documentsToForward.erase(message.kind) > 0;
+                requestedAt[message.kind] = {};
+                const auto forwarded = documentsToForward.find(message.kind);
+                forwards = forwarded != documentsToForward.end();
+                if (forwards && forwarded->second <= message.number) {
+                    documentsToForward.erase(forwarded);
+                }
+                const auto announced = announcedDocuments.find(message.kind);
+                if (announced != announcedDocuments.end() && announced->second.number > message.number) {
+                    holderOfNewer = announced->second.from; // Announced while this document was on its way.
+                }
             }
             if (forwards) {
                 NewsMessage notice;
@@ -692,6 +710,9 @@
                 notice.documents.push_back({.kind = message.kind, .number = message.number});
                 forwardToZone(std::move(notice));
             }
+            if (holderOfNewer) {
+                fetch(*holderOfNewer, {message.kind});
+            }
         }
         const std::lock_guard lock(mutex);
         table.onPeerList(message.vms, parts.clock.now());
@@ -722,6 +743,13 @@
     Counter &documentsFetched;
     std::atomic<bool> stopped{false};
 
+    /// A document that another VM has.
+    struct AnnouncedDocument
+    {
+        std::uint64_t number = 0;
+        VmId from{};
+    };
+
     std::mutex viewMutex;     // Locked before `mutex`.
     mutable std::mutex mutex; // Position 2 in the lock order.
     VmTable table;
@@ -731,11 +759,12 @@
     std::map<VmId, std::vector<std::uint64_t>> versions;
     FleetRing ring;
     bool usesRing = false;
-    std::map<VmId, ZoneId> zones;              ///< Zones of all VMs, including this one.
-    std::optional<Fanout> fanout;              ///< Reset when `zones` or the ring's states change, and then created again on use.
-    std::set<EndpointId> announcedLeaving;     ///< Leaving endpoints that were already passed on. Endpoint ids are not reused.
-    std::set<std::uint8_t> documentsToForward; ///< Kinds of documents that are announced to this zone once they arrive.
-    std::vector<VmId> contactOrder;            ///< Platform watchers first, then the contact relays, then the other VMs.
+    std::map<VmId, ZoneId> zones;                                 ///< Zones of all VMs, including this one.
+    std::optional<Fanout> fanout;                                 ///< Reset when `zones` or the ring's states change, and then created again on use.
+    std::set<EndpointId> announcedLeaving;                        ///< Leaving endpoints that were already passed on. Endpoint ids are not reused.
+    std::map<std::uint8_t, std::uint64_t> documentsToForward;     ///< Number of the documents, by kind, announced to this zone once they arrive.
+    std::map<std::uint8_t, AnnouncedDocument> announcedDocuments; ///< The newest announced to this VM, by kind.
+    std::vector<VmId> contactOrder;                               ///< Platform watchers first, then the contact relays, then the other VMs.
     std::vector<VmId> lastReachingPlatform;
     std::optional<VmId> currentContactRelay; ///< The VM that this one asks when the platform was last reached.
     std::size_t contactRelayOffset = 0;
@@ -853,9 +882,9 @@
     if (d_->currentContactRelay == from) {
         d_->contactRelayAckAt = std::max(d_->contactRelayAckAt, sentAt);
     }
-    // The other VM's contact with the platform also confirms this VM's data if this VM has the same version. Its age is counted from the
+    // The other VM's contact with the platform also confirms this VM's data if this VM has the same versions. Its age is counted from the
     // time at which this VM sent the heartbeat, since the other VM can have confirmed it at any time after that.
-    if (!d_->options.polls && view.contactAge && !isBehind(DocumentKind::Routes)) {
+    if (!d_->options.polls && view.contactAge && !isBehind(DocumentKind::Routes) && !isBehind(DocumentKind::Zones)) {
         d_->platformContactAt = std::max(d_->platformContactAt, sentAt - *view.contactAge);
         d_->freshness.onPlatformContact(sentAt - *view.contactAge);
     }
--- a/daemon/control/controlplane_test.cpp
+++ b/daemon/control/controlplane_test.cpp
@@ -9,6 +9,8 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
+
 namespace daisystream
 {
 namespace
@@ -269,5 +271,121 @@
     fixture.loop.stop();
 }
 
+// A VM that had just fetched a document did not ask for the next version before half a second had passed, so that a zone that was
+// withdrawn and restored in quick succession kept the wrong state for as long.
+TEST_CASE("versions of a document that follow each other quickly arrive without delay")
+{
+    Fixture fixture;
+    Vm first(fixture.loop, "vm1", fixture.platform.port());
+    Vm second(fixture.loop, "vm2", fixture.platform.port());
+    fixture.list(first, second);
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        REQUIRE(first.control.lists().offer(DocumentKind::Zones, {.number = number, .changeId = {}}, "[]"));
+        first.control.monitor().announceDocument(DocumentKind::Zones);
+        const auto begin = first.clock.now();
+        REQUIRE(TestLoop::waitUntil([&] { return second.version(DocumentKind::Zones) == number; }));
+        CHECK((number == 1 || first.clock.now() - begin < milliseconds(400))); // The connection is made before the first one.
+    }
+    fixture.loop.stop();
+}
+
+/// A control plane that watches endpoints and zones, which the test hands to it as documents of another VM.
+struct WatchingVm
+{
+    WatchingVm()
+        : control(loop.io, settings(), clock, options())
+    {
+        control.setEndpointHandler([this](const std::vector<EndpointId> &endpoints) { leaving += endpoints.size(); });
+        REQUIRE_FALSE(control.start());
+        REQUIRE(control.lists().offer(DocumentKind::Routes, {.number = 1, .changeId = {}}, "{}"));
+    }
+
+    ~WatchingVm()
+    {
+        control.stop();
+        loop.stop();
+    }
+
+    static Settings settings()
+    {
+        Settings settings;
+        settings.vm = VmId("vm1");
+        settings.listenPeers = SocketAddress{"127.0.0.1", 0};
+        settings.gateway = GatewaySettings{};
+        return settings;
+    }
+
+    static ControlOptions options()
+    {
+        ControlOptions options = Vm::options();
+        options.adapter.parseRoutes = [](std::string_view) -> Result<RouteTable> {
+            return RouteTable({.version = 1, .services = {{.id = ServiceId("desk"), .coldRequestsPerSecond = 4}}});
+        };
+        options.adapter.watch = WatchSource{.configTable = "c",
+                                            .configKey = "k",
+                                            .zonePrefix = "z/",
+                                            .endpointTable = "e",
+                                            .configVersion = [](std::string_view) { return std::optional<std::uint64_t>(1); },
+                                            .parseEndpoint =
+                                                [](const std::string &, std::string_view) {
+                                                    return std::optional<EndpointEntry>();
+                                                }};
+        return options;
+    }
+
+    static EndpointEntry entry(const std::string &name, const std::string &zone, milliseconds cold = milliseconds(0))
+    {
+        return {.name = name, .service = ServiceId("desk"), .address = "127.0.0.1:1", .zone = ZoneId(zone), .slots = 6, .startedAt = 1, .coldDuration = cold};
+    }
+
+    void offer(DocumentKind kind, std::uint64_t number, const std::string &text)
+    {
+        REQUIRE(control.lists().offer(kind, {.number = number, .changeId = {}}, text));
+    }
+
+    [[nodiscard]] std::size_t inService()
+    {
+        return control.dispatcher().serviceEndpoints(ServiceId("desk")).size();
+    }
+
+    TestLoop loop;
+    BootClock clock;
+    ControlPlane control;
+    std::atomic<std::size_t> leaving{0}; ///< Endpoints that were announced as leaving.
+};
+
+// Endpoints that are announced as leaving lose their answers to a move, through links that other moves need.
+TEST_CASE("endpoints of a withdrawn zone get no work, are not announced as leaving, and come back")
+{
+    WatchingVm vm;
+    vm.offer(DocumentKind::Endpoints, 5, encodeEndpoints({WatchingVm::entry("i-1", "a"), WatchingVm::entry("i-2", "b")}));
+    REQUIRE(TestLoop::waitUntil([&] { return vm.inService() == 2; }));
+    vm.offer(DocumentKind::Zones, 7, encodeZones({ZoneId("a"), ZoneId("unknown")}));
+    REQUIRE(TestLoop::waitUntil([&] { return vm.inService() == 1; }));
+    CHECK(vm.control.dispatcher().isWithdrawn(EndpointId("i-1@1")));
+    CHECK_FALSE(vm.control.dispatcher().isLeaving(EndpointId("i-1@1")));
+    CHECK(vm.control.status().at("withdrawnZones") == nlohmann::json{{"zones", {"a", "unknown"}}, {"revision", 7}});
+    vm.offer(DocumentKind::Endpoints, 9, encodeEndpoints({WatchingVm::entry("i-1", "a"), WatchingVm::entry("i-2", "b"), WatchingVm::entry("i-3", "a")}));
+    REQUIRE(TestLoop::waitUntil([&] { return vm.control.dispatcher().isWithdrawn(EndpointId("i-3@1")); }));
+    CHECK(vm.inService() == 1);
+    vm.offer(DocumentKind::Zones, 11, encodeZones({}));
+    CHECK(TestLoop::waitUntil([&] { return vm.inService() == 3; }));
+    CHECK(vm.leaving == 0);
+}
+
+// An entry that is not written again must not keep its endpoint cold, and a cold endpoint must be limited before it gets a request.
+TEST_CASE("an endpoint has the limit of a cold one from the arrival of its entry until its time is over")
+{
+    WatchingVm vm;
+    vm.offer(DocumentKind::Endpoints, 5, encodeEndpoints({WatchingVm::entry("i-1", "a", milliseconds(400)), WatchingVm::entry("i-2", "a")}));
+    REQUIRE(TestLoop::waitUntil([&] { return vm.inService() == 2; }));
+    const EndpointId cold("i-1@1");
+    CHECK(vm.control.permits().limit(cold) == 4);
+    CHECK(vm.control.dispatcher().findEndpoint(cold)->isCold);
+    CHECK_FALSE(vm.control.permits().limit(EndpointId("i-2@1")));
+    CHECK(TestLoop::waitUntil([&] { return !vm.control.permits().limit(cold); }));
+    CHECK_FALSE(vm.control.dispatcher().findEndpoint(cold)->isCold);
+}
+
 } // namespace
 } // namespace daisystream
--- a/schedules/main.cpp
+++ b/schedules/main.cpp
@@ -28,6 +28,9 @@
     for (Property &property : partProperties()) {
         properties.push_back(std::move(property));
     }
+    for (Property &property : zoneProperties()) {
+        properties.push_back(std::move(property));
+    }
     return properties;
 }
 
--- a/schedules/properties.h
+++ b/schedules/properties.h
@@ -3,6 +3,7 @@
 #include "daisystream/answer/sealer.h"
 #include "daisystream/answer/state.h"
 #include "daisystream/balancing/endpointcooldowns.h"
+#include "daisystream/endpoint/zonewithdrawals.h"
 #include "daisystream/lease/leaseholder.h"
 #include "daisystream/limits/endpointpermits.h"
 #include "daisystream/lists/endpointstates.h"
@@ -48,6 +49,8 @@
     internal::FleetRingFaults ring;
     internal::EndpointPermitFaults permits;
     internal::PartQuarantineFaults parts;
+    internal::ZoneWithdrawalFaults zones;
+    bool ignoresDocumentVersions = false; ///< Lost announcements of documents are not repaired by the versions in heartbeats.
 };
 
 struct Mutation
@@ -77,6 +80,9 @@
 /// Parts of prompts that crash engines, at several sizes of the fleet.
 [[nodiscard]] std::vector<Property> partProperties();
 
+/// Zones that are withdrawn and restored, at several sizes of the fleet.
+[[nodiscard]] std::vector<Property> zoneProperties();
+
 /// Who is live in large fleets, and how fast they learn of changes.
 [[nodiscard]] std::vector<Property> fleetProperties();
 
