--- a/cli/explain.cpp
+++ b/cli/explain.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <set>
 #include <sstream>
 
@@ -121,7 +122,7 @@
     for (const auto &line : lines_) {
         const auto event = line.field("event");
         const bool isVmEvent = event == "platform_lost" || event == "platform_regained" || event == "document_in_force" || event == "live_vms"
-            || event == "shutdown_begun" || event == "lines_left_out";
+            || event == "zone_withdrawn" || event == "zone_restored" || event == "shutdown_begun" || event == "lines_left_out";
         if (isVmEvent && vms.contains(line.field("vm")) && line.time >= begin && line.time <= end) {
             found.push_back(line);
         }
@@ -135,6 +136,29 @@
     return std::any_of(lines_.begin(), lines_.end(), [this](const LogLine &line) { return line.field("request") == request_; });
 }
 
+std::string Explanation::withdrawnZones(const LogLine &failure) const
+{
+    std::map<std::string, std::pair<std::string, bool>> latest; // Time and kind of the last change of each zone.
+    for (const auto &line : lines_) {
+        const bool isWithdrawal = line.field("event") == "zone_withdrawn";
+        const bool isChange = isWithdrawal || line.field("event") == "zone_restored";
+        if (!isChange || line.field("vm") != failure.field("vm") || line.time > failure.time) {
+            continue;
+        }
+        auto &change = latest[line.field("zone")];
+        if (line.time >= change.first) {
+            change = {line.time, isWithdrawal};
+        }
+    }
+    std::string zones;
+    for (const auto &[zone, change] : latest) {
+        if (change.second) {
+            zones += (zones.empty() ? "" : ", ") + zone;
+        }
+    }
+    return zones;
+}
+
 std::string Explanation::cause() const
 {
     const auto lines = history();
@@ -143,6 +167,9 @@
         const bool isOfRequest = line.field("request") == request_;
         if (isOfRequest && isFailure(line)) {
             cause = describeFailure(line);
+            if (const auto zones = withdrawnZones(line); line.field("reason") == "NoEndpoint" && !zones.empty()) {
+                cause += "; the operator had taken these zones out of service: " + zones;
+            }
             break;
         }
     }
--- a/cli/explain.h
+++ b/cli/explain.h
@@ -62,6 +62,8 @@
     [[nodiscard]] std::vector<LogLine> history() const;
     /// @return whether the line is about the request or an endpoint that it was sent to.
     [[nodiscard]] bool isRelevant(const LogLine &line) const;
+    /// @return the zones that the VM of a failed request knew to be out of service at that time, separated by commas.
+    [[nodiscard]] std::string withdrawnZones(const LogLine &failure) const;
 
     std::string request_;
     std::vector<std::string> workIds_;     ///< Ids that the owners of cells log for the request.
--- a/cli/explain_test.cpp
+++ b/cli/explain_test.cpp
@@ -51,6 +51,18 @@
     CHECK(explain("b", "time=1 vm=vm1 decision=refuse request=b reason=Isolated\n").find("no contact with the platform") != std::string::npos);
 }
 
+// An operator who has taken a zone out of service sees refusals without a hint that it was the cause.
+TEST_CASE("explain names the withdrawn zones as the cause of a refusal, unless they were back in service")
+{
+    const std::string withdrawn = "time=1 vm=vm1 event=zone_withdrawn zone=z-a revision=5\ntime=1 vm=vm2 event=zone_withdrawn zone=z-b revision=6\n";
+    const std::string restored = "time=2 vm=vm1 event=zone_restored zone=z-a revision=7\n";
+    const std::string refusal = "time=3 vm=vm1 decision=give_up request=a reason=NoEndpoint detail=none\n";
+    const std::string laterWithdrawal = "time=4 vm=vm1 event=zone_withdrawn zone=z-c revision=9\n";
+    CHECK(explain("a", withdrawn + refusal + laterWithdrawal).find("cause: NoEndpoint: none; the operator had taken these zones out of service: z-a\n")
+          != std::string::npos);
+    CHECK(explain("a", withdrawn + restored + refusal).find("out of service") == std::string::npos);
+}
+
 TEST_CASE("explain reports an answered request, an unknown request and a missing log")
 {
     CHECK(explain("a", "time=1 vm=vm1 decision=send request=a outcome=200\n").find("was answered") != std::string::npos);
