--- a/bench/decisioncost/main.cpp
+++ b/bench/decisioncost/main.cpp
@@ -21,11 +21,26 @@
 DEFINE_uint32(rounds, 3, "measurements of each size; the fastest counts, since other load on the machine only adds time");
 DEFINE_uint32(requests, 20000, "requests of each measurement");
 
+DEFINE_bool(forecast, false, "choose by the least added time, with promised paces and engines that are slow at times");
+DEFINE_bool(misses, true, "with --forecast: count expected answers that miss their pace");
+
 namespace daisystream
 {
 namespace
 {
 
+// Options of the measured scheduler.
+SchedulerOptions schedulerOptions()
+{
+    SchedulerOptions options;
+    if (FLAGS_forecast) {
+        options.placement = Placement::LeastAddedTime;
+        options.reservesEndpoints = false;
+        options.forecastsMissedPace = FLAGS_misses;
+    }
+    return options;
+}
+
 struct Size
 {
     std::uint32_t endpoints;
@@ -37,6 +52,8 @@
 constexpr std::uint32_t kAnswersPerEndpoint = 24;
 constexpr std::uint32_t kQueuedPerTeam = 4;
 constexpr std::uint32_t kAnswerTokens = 200;
+constexpr double kPace = 22;
+constexpr double kSlowness = 2.5;
 
 struct Cost
 {
@@ -51,7 +68,7 @@
 public:
     explicit Fleet(const Size &size)
         : size_(size)
-        , scheduler_(SchedulerOptions{}, Random(1))
+        , scheduler_(schedulerOptions(), Random(1))
     {
         std::vector<EndpointInfo> infos(size.endpoints);
         for (std::uint32_t i = 0; i < size.endpoints; ++i) {
@@ -103,6 +120,7 @@
         work.rank = next_ % size_.teams % 2 == 0 ? Rank::Urgent : Rank::Ordinary;
         work.model = ModelId("assistant");
         work.promptTokens = 100;
+        work.paceTokensPerSecond = FLAGS_forecast ? kPace : 0;
         work.arrival = clock_.now();
         work.firstTokenDeadline = clock_.now() + std::chrono::hours(1); // Nothing is refused, so the queues stay full.
         ++next_;
@@ -112,6 +130,9 @@
         deciding_ += std::chrono::steady_clock::now() - begin;
         for (const Action &action : actions) {
             if (const auto *assign = std::get_if<Assign>(&action)) {
+                if (FLAGS_forecast) {
+                    scheduler_.onSlowness(assign->request, next_ % 7 == 0 ? kSlowness : 1.0, clock_.now());
+                }
                 scheduler_.onFirstToken(assign->request, clock_.now());
                 running_.push_back(assign->request);
                 ++assigned_;
