Improve the forecast of answers that miss their pace

Causes and changes: - The measured pace includes slow periods, and the distribution added them again; the step is divided by the mean slowness. - The risk of an answer's own place was capped at that of one prompt; it now grows with the number of prompts during the answer. - A slow period may begin during the prefill. - Short answers took fast engines, which long ones need: a request without a promised pace now pays for what it displaces. - An engine of unknown pace counted as typical; the risk is averaged over the quartiles of measured paces. - An engine just below the bound counted as safe; the risk is averaged over errors of the measured pace. The forecast is computed last and only for endpoints that admit the request, since it takes longest.

--- a/daisystream/endpoint/endpointload.cpp
+++ b/daisystream/endpoint/endpointload.cpp
@@ -156,6 +156,12 @@
     return stepMilliseconds(1, promptTokens) + promptDelayMilliseconds(std::min<double>(promptTokens, info_.stepCost.prefillTokensPerStep));
 }
 
+double EndpointLoad::prefillSeconds(double promptTokens) const
+{
+    const double steps = std::ceil(promptTokens / std::max(1U, info_.stepCost.prefillTokensPerStep));
+    return (steps * stepMilliseconds(1, promptTokens) + promptDelayMilliseconds(promptTokens)) / kMillisecondsPerSecond;
+}
+
 const std::map<double, std::uint32_t> &EndpointLoad::streamingByPace() const
 {
     return streaming_;
--- a/daisystream/endpoint/endpointload.h
+++ b/daisystream/endpoint/endpointload.h
@@ -87,6 +87,9 @@
     /// @return the expected duration of a decode step in which the engine also prefills a prompt, with one more answer.
     [[nodiscard]] double prefillStepMilliseconds(double promptTokens) const;
 
+    /// @return the expected duration of the prefill of a prompt beside the present answers, without what waits before it.
+    [[nodiscard]] double prefillSeconds(double promptTokens) const;
+
     /// @return the answers of this scheduler that have their first token, by their promised tokens per second; 0: without a promise.
     [[nodiscard]] const std::map<double, std::uint32_t> &streamingByPace() const;
 
--- a/daisystream/scheduler/pauseforecast.cpp
+++ b/daisystream/scheduler/pauseforecast.cpp
@@ -1,6 +1,7 @@
 #include "daisystream/scheduler/pauseforecast.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisystream
 {
@@ -9,26 +10,57 @@
 {
 
 constexpr double kMillisecondsPerSecond = 1000.0;
+// Usual length of a slow period, which determines how often one begins. Engines state the fraction of slow periods only.
+constexpr double kSlowPeriodSeconds = 0.6;
 
 } // namespace
 
 void SlownessDistribution::add(double slowness)
 {
-    samples_[count_ % kSamples] = static_cast<float>(slowness);
-    ++count_;
+    const auto added = static_cast<float>(slowness);
+    if (samples_.size() == kSamples) {
+        const float oldest = samples_.front();
+        samples_.pop_front();
+        ascending_.erase(std::lower_bound(ascending_.begin(), ascending_.end(), oldest));
+        sum_ -= oldest;
+    }
+    samples_.push_back(added);
+    ascending_.insert(std::upper_bound(ascending_.begin(), ascending_.end(), added), added);
+    sum_ += added;
+}
+
+double SlownessDistribution::mean() const
+{
+    return ascending_.empty() ? 1.0 : sum_ / static_cast<double>(ascending_.size());
 }
 
 double SlownessDistribution::fractionAtLeast(double slowness) const
 {
-    const auto known = static_cast<std::ptrdiff_t>(std::min(count_, kSamples));
-    if (known == 0) {
+    if (ascending_.empty()) {
         return 0;
     }
-    const auto slow = std::count_if(samples_.begin(), samples_.begin() + known, [slowness](float sample) { return sample >= slowness; });
-    return static_cast<double>(slow) / static_cast<double>(known);
+    const auto slow = ascending_.end() - std::lower_bound(ascending_.begin(), ascending_.end(), static_cast<float>(slowness));
+    return static_cast<double>(slow) / static_cast<double>(ascending_.size());
+}
+
+void PaceDistribution::add(double pace)
+{
+    samples_[count_ % kSamples] = static_cast<float>(pace);
+    ++count_;
+    const std::size_t known = std::min(count_, kSamples);
+    auto sorted = samples_;
+    std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(known));
+    for (std::size_t i = 0; i < quartiles_.size(); ++i) {
+        quartiles_[i] = sorted[(2 * i + 1) * known / (2 * quartiles_.size())];
+    }
 }
 
-double missProbability(double stepMilliseconds, double pace, const SlownessDistribution &slowness, std::optional<double> current)
+const std::array<float, 4> &PaceDistribution::quartiles() const
+{
+    return quartiles_;
+}
+
+double missProbability(double stepMilliseconds, double pace, double prefillSeconds, const SlownessDistribution &slowness, std::optional<double> current)
 {
     if (pace <= 0 || stepMilliseconds <= 0) {
         return 0;
@@ -37,14 +69,19 @@
     if (tolerated <= 1 || (current && *current >= tolerated)) {
         return 1;
     }
-    return slowness.fractionAtLeast(tolerated);
+    const double slow = slowness.fractionAtLeast(tolerated);
+    if (slow <= 0 || slow >= 1) {
+        return slow;
+    }
+    const double beginsPerSecond = slow / (1 - slow) / kSlowPeriodSeconds;
+    return 1 - (current ? 1.0 : 1 - slow) * std::exp(-prefillSeconds * beginsPerSecond);
 }
 
 double expectedMisses(const PrefillLoad &load, const SlownessDistribution &slowness, std::optional<double> current)
 {
     double misses = 0;
     for (const auto &[pace, answers] : load.answersByPace) {
-        misses += answers * missProbability(load.stepMilliseconds, pace, slowness, current);
+        misses += answers * missProbability(load.stepMilliseconds, pace, load.prefillSeconds, slowness, current);
     }
     return misses;
 }
--- a/daisystream/scheduler/pauseforecast.h
+++ b/daisystream/scheduler/pauseforecast.h
@@ -5,8 +5,11 @@
 #include <array>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 /// @file
 /// Forecasts how many running answers of an engine miss the promised time between their events because the engine prefills the prompt of
@@ -19,7 +22,7 @@
 /// @code
 ///   SlownessDistribution slowness;
 ///   slowness.add(2.5);
-///   const double missed = expectedMisses({.stepMilliseconds = 18.5, .answersByPace = load.streamingByPace()}, slowness, current);
+///   const double missed = expectedMisses({.stepMilliseconds = 18.5, .prefillSeconds = 0.5, .answersByPace = load.streamingByPace()}, slowness, current);
 /// @endcode
 
 namespace daisystream
@@ -33,6 +36,9 @@
     /// @param slowness 1 is the usual pace, 2 half of it.
     void add(double slowness);
 
+    /// @return the mean of the latest samples; 1 without samples.
+    [[nodiscard]] double mean() const;
+
     /// @return the fraction of the latest samples that are at least `slowness`; 0 without samples.
     [[nodiscard]] double fractionAtLeast(double slowness) const;
 
@@ -40,7 +46,27 @@
     // Some seconds of a busy fleet. More would follow changes too slowly, fewer make the fraction of rare slow periods unreliable.
     static constexpr std::size_t kSamples = 256;
 
+    std::deque<float> samples_;    // In the order of their arrival.
+    std::vector<float> ascending_; // The same in ascending order.
+    double sum_ = 0;
+};
+
+/// The paces of the engines of a model as they were measured, for engines whose own pace is not known yet.
+class PaceDistribution
+{
+public:
+    /// Adds a measured pace: duration of a step relative to the cost model.
+    void add(double pace);
+
+    /// @return a value from the middle of each quarter of the latest samples in ascending order; 1 without samples.
+    [[nodiscard]] const std::array<float, 4> &quartiles() const;
+
+private:
+    // About a second of a fleet of 64 engines. The quartiles are computed at each sample, so it has to be short.
+    static constexpr std::size_t kSamples = 64;
+
     std::array<float, kSamples> samples_{};
+    std::array<float, 4> quartiles_{1, 1, 1, 1};
     std::size_t count_ = 0; ///< Of all samples ever added.
 };
 
@@ -48,13 +74,16 @@
 struct PrefillLoad
 {
     double stepMilliseconds = 0;                          ///< Duration of a decode step with prefill at the engine's usual pace.
+    double prefillSeconds = 0;                            ///< Duration of the prefill.
     const std::map<double, std::uint32_t> &answersByPace; ///< Number of running answers by the promised tokens per second; 0: no promise.
 };
 
 /// @param pace promised tokens per second; 0 without a promise.
+/// @param prefillSeconds duration of the prefill, in which a slow period may begin.
 /// @param current the engine's present slowness, if it is known.
 /// @return the probability that an answer misses its pace while the engine prefills a prompt.
-[[nodiscard]] double missProbability(double stepMilliseconds, double pace, const SlownessDistribution &slowness, std::optional<double> current);
+[[nodiscard]] double
+missProbability(double stepMilliseconds, double pace, double prefillSeconds, const SlownessDistribution &slowness, std::optional<double> current);
 
 /// @return the expected number of running answers that miss their pace while the engine prefills a further prompt.
 [[nodiscard]] double expectedMisses(const PrefillLoad &load, const SlownessDistribution &slowness, std::optional<double> current);
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -114,7 +114,8 @@
         TimePoint windowBegin{};
         double windowSeconds = 0;
         double windowModelSeconds = 0;
-        std::uint32_t paceWindows = 0; // Number of measuring windows that have ended.
+        std::uint32_t paceWindows = 0;  // Number of measuring windows that have ended.
+        bool isPaceKnown = false;       // Whether its calibration was measured.
         std::optional<double> slowness; // As the endpoint stated it last.
         TimePoint slownessAt{};
 
@@ -124,6 +125,14 @@
 
     using LateItem = std::tuple<Rank, TimePoint, Slot>; // Ordered by rank (urgent first), then by arrival.
 
+    /// What determines whether an answer misses its pace.
+    struct PacedWork
+    {
+        double pace = 0; ///< Promised tokens per second; 0 without a promise.
+        std::uint32_t promptTokens = 0;
+        double expectedTokens = 0; ///< Expected length of the answer.
+    };
+
     struct Choice
     {
         EndpointIndex endpoint = 0;
@@ -189,8 +198,11 @@
     [[nodiscard]] bool
     admits(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, bool ordinaryBelowFloor, TimePoint now) const;
     [[nodiscard]] double
-    addedMilliseconds(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens, TimePoint now) const;
+    addedMilliseconds(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens) const;
     [[nodiscard]] double expectedMissedPaces(const Endpoint &endpoint, const Request &request, double expectedTokens, TimePoint now) const;
+    [[nodiscard]] double ownMissProbability(const Endpoint &endpoint, const PacedWork &work) const;
+    [[nodiscard]] static PacedWork pacedWork(const Request &request, double expectedTokens);
+    void recordOwnMisses(const Endpoint &endpoint, const Request &request, double expectedTokens);
     void countPrompt(TimePoint now);
     [[nodiscard]] bool keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool ordinaryBelowFloor, TimePoint now) const;
     [[nodiscard]] bool keepsUrgentFirstToken(const Endpoint &endpoint, const WorkRequest &work) const;
@@ -235,6 +247,9 @@
     std::size_t frozenEndpoints_ = 0;
     double typicalCalibration_ = 1.0;
     SlownessDistribution slowness_;
+    PaceDistribution knownPaces_;
+    PacedWork latestPaced_;       // The latest assigned request with a promised pace.
+    double ownMisses_ = 0;        // Moving average of the probability with which such requests miss it where they are assigned.
     double promptsPerSecond_ = 0; // Assigned prompts, as a moving average.
     TimePoint promptsUpdatedAt_{};
     std::uint64_t calibrationReports_ = 0;
--- a/daisystream/scheduler/pooldecisions.cpp
+++ b/daisystream/scheduler/pooldecisions.cpp
@@ -2,6 +2,7 @@
 #include "daisystream/scheduler/poolinternal.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cmath>
 
@@ -29,6 +30,12 @@
 constexpr double kPreemptionCostMilliseconds = 10000;
 // Cost of an answer that misses its pace: it loses most of its value to its caller, somewhat less than one that is preempted.
 constexpr double kMissedPaceCostMilliseconds = 8000;
+// Answers with a promised pace that a request without one displaces at an endpoint that keeps the pace. Lower values leave long answers to
+// slow engines for the sake of short ones that would be in time there too.
+constexpr double kDisplacedShare = 2.0;
+// Relative errors of a measured pace that are taken as equally likely. Without them, an engine just below the bound would count as safe.
+constexpr std::array kPaceErrors{0.95, 1.1, 1.25};
+constexpr double kOwnMissesGain = 0.02;  // Weight of one assignment in the average of expected misses.
 constexpr double kPromptRateSeconds = 5; // Time constant of the average rate of prompts.
 constexpr int kMaxCancelCandidates = 4;  // Ordinary assignments that are considered for cancelling, the latest first.
 // An endpoint with a cached prefix is preferred if its score is at most this much above that of the endpoint chosen without it.
@@ -259,13 +266,21 @@
     const bool compares = options_.placement == Placement::LeastAddedTime;
     for (auto candidate = index.begin(); candidate != index.end() && tried < (compares ? kMaxComparedCandidates : kMaxCandidates); ++candidate, ++tried) {
         const Endpoint &endpoint = *endpoints_[candidate->second];
-        const double added = compares ? addedMilliseconds(endpoint, request, memory, expectedTokens, now) : 0;
-        if ((!best || added < least) && admits(endpoint, request, memory, ordinaryBelowFloor, now)) {
+        if (!admits(endpoint, request, memory, ordinaryBelowFloor, now)) {
+            continue;
+        }
+        if (!compares) {
+            return candidate->second;
+        }
+        double added = addedMilliseconds(endpoint, request, memory, expectedTokens);
+        if (best && added >= least) {
+            continue;
+        }
+        // Added last, since it takes longest to compute and cannot be negative.
+        added += kMissedPaceCostMilliseconds * expectedMissedPaces(endpoint, request, expectedTokens, now);
+        if (!best || added < least) {
             best = candidate->second;
             least = added;
-            if (!compares) {
-                break;
-            }
         }
     }
     return best;
@@ -273,32 +288,80 @@
 
 // Returns the sum of the time that the answer takes at an endpoint, of the delay that it causes to each answer that runs
 // there, and of the expected cost of preemptions.
-double Pool::addedMilliseconds(
-    const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens, TimePoint now) const
+double Pool::addedMilliseconds(const Endpoint &endpoint, const Request &request, const MemoryForecast::Contribution &memory, double expectedTokens) const
 {
     const EndpointLoad &load = endpoint.load;
     const std::uint32_t tokensToPrefill = prefillTokens(request.work);
     const double own = load.firstTokenMilliseconds(tokensToPrefill) + expectedTokens * load.stepMilliseconds(1, request.work.promptTokens);
     const double others = load.running() * (load.promptDelayMilliseconds(tokensToPrefill) + expectedTokens * load.answerDelayMilliseconds());
-    return own + others + kPreemptionCostMilliseconds * load.overflowProbability(memory)
-        + kMissedPaceCostMilliseconds * expectedMissedPaces(endpoint, request, expectedTokens, now);
+    return own + others + kPreemptionCostMilliseconds * load.overflowProbability(memory);
 }
 
-// Returns the expected number of answers that miss their pace because of a request: those that run at the endpoint while it prefills the prompt, and the request's own
-// answer while the endpoint prefills later prompts.
+// Returns the expected number of answers that miss their pace because of a request: those that run at the endpoint while it prefills the prompt, and the
+// request's own answer while the endpoint prefills later prompts.
 double Pool::expectedMissedPaces(const Endpoint &endpoint, const Request &request, double expectedTokens, TimePoint now) const
 {
     if (!options_.forecastsMissedPace) {
         return 0;
     }
     const std::uint32_t prompt = prefillTokens(request.work);
-    const double step = endpoint.load.prefillStepMilliseconds(std::max(prompt, request.work.promptTokens));
+    // The measured pace of an endpoint includes its slow periods, which the distribution adds again.
+    const double step = endpoint.load.prefillStepMilliseconds(request.work.promptTokens) / slowness_.mean();
     const auto current = endpoint.currentSlowness(now);
-    const double others = prompt == 0 ? 0.0 : expectedMisses({.stepMilliseconds = step, .answersByPace = endpoint.load.streamingByPace()}, slowness_, current);
-    const double seconds = expectedTokens * endpoint.load.stepMilliseconds(1, request.work.promptTokens) / 1000.0;
+    const double prefillSeconds = endpoint.load.prefillSeconds(prompt);
+    double others = 0;
+    for (const double error : kPaceErrors) {
+        const PrefillLoad prefill{.stepMilliseconds = error * step, .prefillSeconds = error * prefillSeconds, .answersByPace = endpoint.load.streamingByPace()};
+        others += prompt == 0 ? 0.0 : expectedMisses(prefill, slowness_, current) / static_cast<double>(kPaceErrors.size());
+    }
+    // A request without a promised pace takes the place of one that has a promise and might keep it here more likely than elsewhere.
+    const bool displaces = request.work.paceTokensPerSecond <= 0 && ownMisses_ > 0;
+    const double displaced = displaces ? kDisplacedShare * std::max(0.0, ownMisses_ - ownMissProbability(endpoint, latestPaced_)) : 0.0;
+    return others + ownMissProbability(endpoint, pacedWork(request, expectedTokens)) + displaced;
+}
+
+Pool::PacedWork Pool::pacedWork(const Request &request, double expectedTokens)
+{
+    return {.pace = request.work.paceTokensPerSecond, .promptTokens = request.work.promptTokens, .expectedTokens = expectedTokens};
+}
+
+// Returns the probability that an answer misses its pace while the endpoint prefills later prompts. An endpoint whose pace is not known may
+// have that of any known one.
+double Pool::ownMissProbability(const Endpoint &endpoint, const PacedWork &work) const
+{
+    if (work.pace <= 0) {
+        return 0;
+    }
+    const EndpointLoad &load = endpoint.load;
+    const double step = load.prefillStepMilliseconds(work.promptTokens) / slowness_.mean();
+    const double prefillSeconds = load.prefillSeconds(work.promptTokens);
+    const double seconds = work.expectedTokens * load.stepMilliseconds(1, work.promptTokens) / 1000.0;
     const double prompts = promptsPerSecond_ * seconds / static_cast<double>(std::max<std::size_t>(1, endpointIndex_.size()));
-    const double own = std::min(1.0, prompts) * missProbability(step, request.work.paceTokensPerSecond, slowness_, std::nullopt);
-    return others + own;
+    const auto missAt = [&](double factor) {
+        const double miss = missProbability(factor * step, work.pace, factor * prefillSeconds, slowness_, std::nullopt);
+        return miss <= 0 || miss >= 1 ? miss : 1.0 - std::pow(1.0 - miss, factor * prompts);
+    };
+    if (endpoint.isPaceKnown) {
+        double sum = 0;
+        for (const double error : kPaceErrors) {
+            sum += missAt(error);
+        }
+        return sum / static_cast<double>(kPaceErrors.size());
+    }
+    double sum = 0;
+    for (const float pace : knownPaces_.quartiles()) {
+        sum += missAt(pace / load.calibration());
+    }
+    return sum / static_cast<double>(knownPaces_.quartiles().size());
+}
+
+// Averages the probability with which answers with a promised pace miss it at the endpoints that are chosen for them.
+void Pool::recordOwnMisses(const Endpoint &endpoint, const Request &request, double expectedTokens)
+{
+    if (request.work.paceTokensPerSecond > 0) {
+        latestPaced_ = pacedWork(request, expectedTokens);
+        ownMisses_ += kOwnMissesGain * (ownMissProbability(endpoint, latestPaced_) - ownMisses_);
+    }
 }
 
 void Pool::countPrompt(TimePoint now)
@@ -385,6 +448,7 @@
     figures.prefixCached = choice.prefixCached;
     figures.expectedTokens = lengths_.expectedRemaining(request.profile, 0, lengthLimit(request.work));
     if (options_.placement == Placement::LeastAddedTime) {
+        recordOwnMisses(*endpoints_[choice.endpoint], request, figures.expectedTokens);
         figures.expectedMisses = expectedMissedPaces(*endpoints_[choice.endpoint], request, figures.expectedTokens, now);
     }
     figures.calibration = load.calibration();
--- a/daisystream/scheduler/poolendpoints.cpp
+++ b/daisystream/scheduler/poolendpoints.cpp
@@ -240,13 +240,16 @@
     if (request.work.movesFrom || endpoint.paceWindows > 0 || endpoint.health.hasReported() || request.modelFirstTokenSeconds <= 0) {
         return;
     }
-    const double slowness = endpoint.currentSlowness(now).value_or(1.0);
-    const double ratio = secondsOf(now - request.assignedAt) / request.modelFirstTokenSeconds / slowness;
+    // The calibration includes slow periods on average, as the token rate does.
+    const double mean = slowness_.mean();
+    const double slowness = endpoint.currentSlowness(now).value_or(mean);
+    const double ratio = secondsOf(now - request.assignedAt) / request.modelFirstTokenSeconds * mean / slowness;
     if (ratio < kMinPlausibleFirstToken * typicalCalibration_) {
         return;
     }
     const double own = endpoint.load.calibration() + kFirstTokenPaceGain * (ratio - endpoint.load.calibration());
     endpoint.load.setCalibration(std::clamp(own, 0.5 * typicalCalibration_, 2.0 * typicalCalibration_));
+    endpoint.isPaceKnown = true;
 }
 
 // Compares the token rate of own answers with the cost model, about once per second. If the endpoint sends no load reports, the
@@ -271,6 +274,10 @@
         const double gain = std::max(kMinPaceGain, 1.0 / (1.0 + endpoint.paceWindows));
         const double own = endpoint.load.calibration() + gain * (ratio - endpoint.load.calibration());
         endpoint.load.setCalibration(std::clamp(own, 0.5 * typicalCalibration_, 2.0 * typicalCalibration_));
+        endpoint.isPaceKnown = true;
+        if (endpoint.paceWindows == 1) {
+            knownPaces_.add(endpoint.load.calibration()); // Once per endpoint: fast ones run more answers and would outweigh the others.
+        }
         typicalCalibration_ += kTypicalCalibrationGain * (std::min(ratio, 2.0 * typicalCalibration_) - typicalCalibration_);
     }
 }
