--- a/daisystream/balancing/servicebalancer.cpp
+++ b/daisystream/balancing/servicebalancer.cpp
@@ -15,8 +15,8 @@
 constexpr double kTieBreakCost = 0.01;   // Bound of a random term, so that VMs choose different idle endpoints.
 constexpr double kFailureCost = 1.0;     // An endpoint that fails half of its calls costs as much as a half full one.
 constexpr std::uint32_t kMinSamples = 4; // Finished calls from which on the failure rate of an endpoint is used for ejection.
-// Bound of the random term while endpoints differ in speed, relative to the fastest one: VMs that learn of a change at the same moment do not all choose the same
-// endpoint, and an endpoint that recovers gets calls gradually.
+// Bound of the random term while endpoints differ in speed, relative to the fastest one: VMs that learn of a change at the same moment do not all choose the
+// same endpoint, and an endpoint that recovers gets calls gradually.
 constexpr double kUnevenTieBreakCost = 0.3;
 constexpr double kOverloadCost = 2.0;    // Per slot beyond the load limit, as a part of all slots: a further call slows down the others too.
 constexpr double kAverageLoadGain = 0.2; // Weight of the latest report in the average load: about the last ten reports.
@@ -94,8 +94,8 @@
     for (std::size_t i = 0; i < candidates.size() && level.value_or(1) != 1; ++i) {
         candidateSpeeds_[i] = speeds_.speed(candidates[i].id, now, *level);
     }
-    const bool isUneven = std::any_of(
-        candidateSpeeds_.begin(), candidateSpeeds_.end(), [&](const auto &speed) { return speed.factor() != candidateSpeeds_.front().factor(); });
+    const bool isUneven
+        = std::any_of(candidateSpeeds_.begin(), candidateSpeeds_.end(), [&](const auto &speed) { return speed.factor() != candidateSpeeds_.front().factor(); });
     double tieBreakCost = kTieBreakCost;
     if (isUneven) {
         const auto fastest = std::min_element(
--- a/daisystream/balancing/speedload_test.cpp
+++ b/daisystream/balancing/speedload_test.cpp
@@ -42,8 +42,8 @@
     std::size_t vms = 75;
     std::uint64_t seed = 1;
     bool usesSpeed = true;
-    bool shares = true;                                 ///< Whether the VMs share reported slowness.
-    double slowShare = 0.15;                            ///< Share of the time in which an endpoint is slow.
+    bool shares = true;      ///< Whether the VMs share reported slowness.
+    double slowShare = 0.15; ///< Share of the time in which an endpoint is slow.
     double slowFactor = 2.5;
     double slowPeriodMs = 600;
     std::vector<double> base{1, 1, 1, 1};               ///< Base speeds.
@@ -270,16 +270,20 @@
         vm.balancer.onEnded(id, CallResult::Answered, now_);
         vm.balancer.onReportedLoad(id, load, now_);
         const auto relative = vm.balancer.onSpeedSample(id,
-                                  {.service = ServiceId("s"),
-                                   .route = RouteName("r"),
-                                   .took = took,
-                                   .goal = kTarget,
-                                   .calls = load.running + load.waiting,
-                                   .slots = load.slots,
-                                   .slownessPercent = load.slownessPercent},
-                                  now_);
+                                                        {.service = ServiceId("s"),
+                                                         .route = RouteName("r"),
+                                                         .took = took,
+                                                         .goal = kTarget,
+                                                         .calls = load.running + load.waiting,
+                                                         .slots = load.slots,
+                                                         .slownessPercent = load.slownessPercent},
+                                                        now_);
         if (load.slownessPercent && options_.shares) {
-            report(call.vm, {.endpoint = id, .percent = *load.slownessPercent, .at = now_, .relativePercent = relative ? std::optional<std::uint32_t>(std::lround(100 * *relative)) : std::nullopt});
+            report(call.vm,
+                   {.endpoint = id,
+                    .percent = *load.slownessPercent,
+                    .at = now_,
+                    .relativePercent = relative ? std::optional<std::uint32_t>(std::lround(100 * *relative)) : std::nullopt});
         }
     }
 
@@ -305,7 +309,8 @@
             after(kNewsDelay.count(), [this, report] {
                 for (auto &vm : vms_) {
                     vm.collector.onNews(report, now_);
-                    vm.balancer.onSlowness(report.endpoint, report.percent, report.at, report.gainPercent ? std::optional(*report.gainPercent / 100.0) : std::nullopt);
+                    vm.balancer.onSlowness(
+                        report.endpoint, report.percent, report.at, report.gainPercent ? std::optional(*report.gainPercent / 100.0) : std::nullopt);
                 }
             });
         }
@@ -370,9 +375,18 @@
 Comparison compare(const char *name, const LoadOptions &options)
 {
     Comparison result{.with = runLoad(options), .without = runWithoutSpeed(options)};
-    MESSAGE(std::string(name), ", ", options.vms, " VMs: ", 100 * result.with.lateShare(), "% late; without speeds ", 100 * result.without.lateShare(),
-            "%; ", static_cast<double>(result.with.reports) / (kSeeds * options.seconds), " reports/s; ",
-            static_cast<double>(result.with.news) / (kSeeds * options.seconds), " announcements/s");
+    MESSAGE(std::string(name),
+            ", ",
+            options.vms,
+            " VMs: ",
+            100 * result.with.lateShare(),
+            "% late; without speeds ",
+            100 * result.without.lateShare(),
+            "%; ",
+            static_cast<double>(result.with.reports) / (kSeeds * options.seconds),
+            " reports/s; ",
+            static_cast<double>(result.with.news) / (kSeeds * options.seconds),
+            " announcements/s");
     return result;
 }
 
--- a/daisystream/speed/slownesscollector.cpp
+++ b/daisystream/speed/slownesscollector.cpp
@@ -23,8 +23,8 @@
     std::optional<TimePoint> announcedAt;    ///< When this VM last announced a report.
     double gainNumerator = 0;                ///< Regression of the logarithm of the durations on that of the slowness.
     double gainDenominator = 0;
-    TimePoint gainAt{};                      ///< When both were last decayed.
-    mutable std::optional<VmId> collector;   ///< Computed when needed, since a rendezvous hash is expensive.
+    TimePoint gainAt{};                    ///< When both were last decayed.
+    mutable std::optional<VmId> collector; ///< Computed when needed, since a rendezvous hash is expensive.
 };
 
 } // namespace
@@ -191,8 +191,7 @@
 
 void SlownessCollector::retain(const std::vector<EndpointId> &endpoints)
 {
-    std::erase_if(d_->entries,
-                  [&](const auto &entry) { return std::find(endpoints.begin(), endpoints.end(), entry.first) == endpoints.end(); });
+    std::erase_if(d_->entries, [&](const auto &entry) { return std::find(endpoints.begin(), endpoints.end(), entry.first) == endpoints.end(); });
 }
 
 } // namespace daisystream
--- a/daisystream/speed/slownesscollector.h
+++ b/daisystream/speed/slownesscollector.h
@@ -39,9 +39,9 @@
 
 struct SlownessCollectorOptions
 {
-    double minChange = 0.25;                    ///< Relative change from which on a report is sent.
+    double minChange = 0.25;                     ///< Relative change from which on a report is sent.
     std::chrono::milliseconds newsInterval{100}; ///< Minimum time between two announcements of an endpoint.
-    std::chrono::milliseconds maxAge{600};      ///< Older reports are dropped; they have no effect any more.
+    std::chrono::milliseconds maxAge{600};       ///< Older reports are dropped; they have no effect any more.
 
     friend auto operator<=>(const SlownessCollectorOptions &, const SlownessCollectorOptions &) = default;
 };
--- a/daisystream/speed/speedtable.cpp
+++ b/daisystream/speed/speedtable.cpp
@@ -260,8 +260,7 @@
 
 void SpeedTable::retain(const std::vector<EndpointId> &endpoints)
 {
-    std::erase_if(d_->entries,
-                  [&](const auto &entry) { return std::find(endpoints.begin(), endpoints.end(), entry.first) == endpoints.end(); });
+    std::erase_if(d_->entries, [&](const auto &entry) { return std::find(endpoints.begin(), endpoints.end(), entry.first) == endpoints.end(); });
 }
 
 } // namespace daisystream
--- a/daisystream/speed/speedtable.h
+++ b/daisystream/speed/speedtable.h
@@ -45,13 +45,13 @@
 /// Estimated speed of an endpoint. Factors multiply the duration of a call; 1 is the usual duration.
 struct EndpointSpeed
 {
-    double base = 1;                    ///< Base speed: factor of an idle endpoint that reports no slowness.
-    double slowness = 1;                ///< Factor of the current slowness, by its gain and age.
-    double reported = 1;                ///< Reported slowness by its age, whether or not it is true.
-    double gain = 0;                    ///< Part of the reported slowness that calls have confirmed, 0 to 1.
-    std::optional<Duration> age{};      ///< Age of the reported slowness; not set if there is none or it has expired.
-    bool isStale = false;               ///< The endpoint was slow and has not reported since, so that its slowness is uncertain.
-    std::optional<double> loadLimit{};  ///< Concurrency up to which calls stay fast; not set while no lower limit than the slots is known.
+    double base = 1;                   ///< Base speed: factor of an idle endpoint that reports no slowness.
+    double slowness = 1;               ///< Factor of the current slowness, by its gain and age.
+    double reported = 1;               ///< Reported slowness by its age, whether or not it is true.
+    double gain = 0;                   ///< Part of the reported slowness that calls have confirmed, 0 to 1.
+    std::optional<Duration> age{};     ///< Age of the reported slowness; not set if there is none or it has expired.
+    bool isStale = false;              ///< The endpoint was slow and has not reported since, so that its slowness is uncertain.
+    std::optional<double> loadLimit{}; ///< Concurrency up to which calls stay fast; not set while no lower limit than the slots is known.
 
     /// @return the factor of a call that needs no slot to become free.
     [[nodiscard]] double factor() const
@@ -64,15 +64,15 @@
 
 struct SpeedTableOptions
 {
-    std::chrono::milliseconds freshTime{300};   ///< Age up to which a reported slowness counts in full: half of a usual slow period.
-    std::chrono::milliseconds expiryTime{600};  ///< Age at which it counts no more; in between it decays linearly.
-    std::chrono::seconds staleTime{5};          ///< Age from which on it is forgotten, so that the endpoint counts as usual.
-    std::chrono::seconds halfLife{60};          ///< Half-life of the weight of calls in the base speed and in the gain.
-    double priorCalls = 8;                      ///< Weight of the prior of the base speed, in calls.
-    double priorGain = 0.5;                     ///< Gain of an endpoint whose reports no call has tested.
-    double sharedGainWeight = 4;                ///< Weight of a gain that calls of all VMs have confirmed.
-    double priorGainWeight = 2;                 ///< Weight of `priorGain`; a call at 250% has the weight 0.84.
-    double significance = 2.5;                  ///< Standard errors within which a base speed does not differ from the usual.
+    std::chrono::milliseconds freshTime{300};  ///< Age up to which a reported slowness counts in full: half of a usual slow period.
+    std::chrono::milliseconds expiryTime{600}; ///< Age at which it counts no more; in between it decays linearly.
+    std::chrono::seconds staleTime{5};         ///< Age from which on it is forgotten, so that the endpoint counts as usual.
+    std::chrono::seconds halfLife{60};         ///< Half-life of the weight of calls in the base speed and in the gain.
+    double priorCalls = 8;                     ///< Weight of the prior of the base speed, in calls.
+    double priorGain = 0.5;                    ///< Gain of an endpoint whose reports no call has tested.
+    double sharedGainWeight = 4;               ///< Weight of a gain that calls of all VMs have confirmed.
+    double priorGainWeight = 2;                ///< Weight of `priorGain`; a call at 250% has the weight 0.84.
+    double significance = 2.5;                 ///< Standard errors within which a base speed does not differ from the usual.
 
     friend auto operator<=>(const SpeedTableOptions &, const SpeedTableOptions &) = default;
 };
--- a/daisystream/speed/speedtable_test.cpp
+++ b/daisystream/speed/speedtable_test.cpp
@@ -111,9 +111,7 @@
 {
     SpeedTable table;
     Calls calls(2, 4);
-    calls.run(table, 100, [](std::size_t endpoint) {
-        return std::pair(endpoint == 0 ? 3.0 : 1.0, SpeedSample{.calls = endpoint == 0 ? 9U : 1U});
-    });
+    calls.run(table, 100, [](std::size_t endpoint) { return std::pair(endpoint == 0 ? 3.0 : 1.0, SpeedSample{.calls = endpoint == 0 ? 9U : 1U}); });
     CHECK(table.speed(kEndpoint, calls.now).base == 1);
     calls.run(table, 100, [](std::size_t endpoint) {
         return std::pair(endpoint == 0 ? 2.5 : 1.0, SpeedSample{.calls = 1, .slownessPercent = endpoint == 0 ? 250U : 100U});
