Add messages about the slowness of endpoints to the peer protocol

Slowness goes from a VM to the collector of an endpoint and contains the reported figure, its age and the relative duration of the call; the list slowness of News goes to all VMs and contains the measured gain instead. The protocol version rises from 3 to 4.

The encoding test covers both messages and bounds their size.

--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -31,6 +31,7 @@
     news @20 :News;
     permitAsk @21 :PermitAsk;
     permitReply @22 :PermitReply;
+    slowness @23 :Slowness;       # To the collector of the endpoint.
   }
 }
 
@@ -182,6 +183,7 @@
   crashes @8 :List(EngineCrash);
   begun @9 :List(PartSighting);   # Requests with these parts began.
   trials @10 :List(PartSighting); # Requests with these blocked parts were let through.
+  slowness @11 :List(Slowness);   # Of endpoints of plain services.
 }
 
 # A request that was at an engine and had not begun when the engine crashed.
@@ -197,6 +199,15 @@
   age @1 :Int64;
 }
 
+# How long work took on the host of an endpoint, as the endpoint reported it in a response.
+struct Slowness {
+  endpoint @0 :Text;
+  percent @1 :UInt32;             # Of the usual duration.
+  age @2 :Int64;                  # Since the response was received.
+  relativePercent @3 :UInt32;     # Duration of the call, of the usual; 0: not known.
+  gainPercent @4 :UInt8 = 255;    # Part of the slowness that calls confirmed; 255: not known.
+}
+
 # A limit of requests a second that an endpoint stated for all VMs together.
 struct LimitStatement {
   endpoint @0 :Text;
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -37,6 +37,7 @@
 CAPNP_DECLARE_SCHEMA(b81435d6e66e9c9a);
 CAPNP_DECLARE_SCHEMA(ed9703a442969244);
 CAPNP_DECLARE_SCHEMA(a78a5b9e5127eabb);
+CAPNP_DECLARE_SCHEMA(ba6397b884bcc9ce);
 CAPNP_DECLARE_SCHEMA(d34958f5f6c2d3f7);
 CAPNP_DECLARE_SCHEMA(9361cac015d2008d);
 CAPNP_DECLARE_SCHEMA(a1aad34f185e3a0e);
@@ -84,6 +85,7 @@
     NEWS,
     PERMIT_ASK,
     PERMIT_REPLY,
+    SLOWNESS,
   };
 
   struct _capnpPrivate {
@@ -357,7 +359,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b81435d6e66e9c9a, 1, 10)
+    CAPNP_DECLARE_STRUCT_HEADER(b81435d6e66e9c9a, 1, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -394,6 +396,21 @@
   };
 };
 
+struct Slowness {
+  Slowness() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ba6397b884bcc9ce, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LimitStatement {
   LimitStatement() = delete;
 
@@ -654,6 +671,10 @@
   inline bool hasPermitReply() const;
   inline  ::daisystream::wire::PermitReply::Reader getPermitReply() const;
 
+  inline bool isSlowness() const;
+  inline bool hasSlowness() const;
+  inline  ::daisystream::wire::Slowness::Reader getSlowness() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -859,6 +880,14 @@
   inline void adoptPermitReply(::capnp::Orphan< ::daisystream::wire::PermitReply>&& value);
   inline ::capnp::Orphan< ::daisystream::wire::PermitReply> disownPermitReply();
 
+  inline bool isSlowness();
+  inline bool hasSlowness();
+  inline  ::daisystream::wire::Slowness::Builder getSlowness();
+  inline void setSlowness( ::daisystream::wire::Slowness::Reader value);
+  inline  ::daisystream::wire::Slowness::Builder initSlowness();
+  inline void adoptSlowness(::capnp::Orphan< ::daisystream::wire::Slowness>&& value);
+  inline ::capnp::Orphan< ::daisystream::wire::Slowness> disownSlowness();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2788,6 +2817,9 @@
   inline bool hasTrials() const;
   inline  ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>::Reader getTrials() const;
 
+  inline bool hasSlowness() const;
+  inline  ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>::Reader getSlowness() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2890,6 +2922,13 @@
   inline void adoptTrials(::capnp::Orphan< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::PartSighting,  ::capnp::Kind::STRUCT>> disownTrials();
 
+  inline bool hasSlowness();
+  inline  ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>::Builder getSlowness();
+  inline void setSlowness( ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>::Builder initSlowness(unsigned int size);
+  inline void adoptSlowness(::capnp::Orphan< ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>> disownSlowness();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3100,6 +3139,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class Slowness::Reader {
+public:
+  typedef Slowness Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline  ::uint32_t getPercent() const;
+
+  inline  ::int64_t getAge() const;
+
+  inline  ::uint32_t getRelativePercent() const;
+
+  inline  ::uint8_t getGainPercent() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Slowness::Builder {
+public:
+  typedef Slowness Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline  ::uint32_t getPercent();
+  inline void setPercent( ::uint32_t value);
+
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
+
+  inline  ::uint32_t getRelativePercent();
+  inline void setRelativePercent( ::uint32_t value);
+
+  inline  ::uint8_t getGainPercent();
+  inline void setGainPercent( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Slowness::Pipeline {
+public:
+  typedef Slowness Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LimitStatement::Reader {
 public:
   typedef LimitStatement Reads;
@@ -5399,6 +5539,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isSlowness() const {
+  return which() == Message::SLOWNESS;
+}
+inline bool Message::Builder::isSlowness() {
+  return which() == Message::SLOWNESS;
+}
+inline bool Message::Reader::hasSlowness() const {
+  if (which() != Message::SLOWNESS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasSlowness() {
+  if (which() != Message::SLOWNESS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::daisystream::wire::Slowness::Reader Message::Reader::getSlowness() const {
+  KJ_IREQUIRE((which() == Message::SLOWNESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Slowness>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::daisystream::wire::Slowness::Builder Message::Builder::getSlowness() {
+  KJ_IREQUIRE((which() == Message::SLOWNESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Slowness>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setSlowness( ::daisystream::wire::Slowness::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SLOWNESS);
+  ::capnp::_::PointerHelpers< ::daisystream::wire::Slowness>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::daisystream::wire::Slowness::Builder Message::Builder::initSlowness() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SLOWNESS);
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Slowness>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptSlowness(
+    ::capnp::Orphan< ::daisystream::wire::Slowness>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::SLOWNESS);
+  ::capnp::_::PointerHelpers< ::daisystream::wire::Slowness>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::daisystream::wire::Slowness> Message::Builder::disownSlowness() {
+  KJ_IREQUIRE((which() == Message::SLOWNESS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Slowness>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Hello::Reader::getProtocolVersion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7841,6 +8035,40 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool News::Reader::hasSlowness() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool News::Builder::hasSlowness() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>::Reader News::Reader::getSlowness() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>::Builder News::Builder::getSlowness() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void News::Builder::setSlowness( ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>::Builder News::Builder::initSlowness(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void News::Builder::adoptSlowness(
+    ::capnp::Orphan< ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>> News::Builder::disownSlowness() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::daisystream::wire::Slowness,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
 inline bool EngineCrash::Reader::hasEngine() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7969,6 +8197,96 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Slowness::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Slowness::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Slowness::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Slowness::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Slowness::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Slowness::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Slowness::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Slowness::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Slowness::Reader::getPercent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Slowness::Builder::getPercent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Slowness::Builder::setPercent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Slowness::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Slowness::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Slowness::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Slowness::Reader::getRelativePercent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Slowness::Builder::getRelativePercent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Slowness::Builder::setRelativePercent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Slowness::Reader::getGainPercent() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, 255u);
+}
+
+inline  ::uint8_t Slowness::Builder::getGainPercent() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, 255u);
+}
+inline void Slowness::Builder::setGainPercent( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value, 255u);
+}
+
 inline bool LimitStatement::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -31,6 +31,8 @@
     return std::chrono::duration_cast<microseconds>(duration);
 }
 
+constexpr std::uint32_t kMaxPercent = 100; // Of a part of something.
+
 Duration readDuration(std::int64_t count)
 {
     return std::clamp(microseconds(count), -kLongestDuration, kLongestDuration);
@@ -83,6 +85,17 @@
     out.setAge(toMicroseconds(statement.age).count());
 }
 
+void write(wire::Slowness::Builder out, const SlownessReport &report, TimePoint now)
+{
+    out.setEndpoint(text(report.endpoint.value()));
+    out.setPercent(report.percent);
+    out.setAge(toMicroseconds(now - report.at).count());
+    out.setRelativePercent(report.relativePercent.value_or(0));
+    if (report.gainPercent) {
+        out.setGainPercent(static_cast<std::uint8_t>(std::min(*report.gainPercent, kMaxPercent)));
+    }
+}
+
 void write(capnp::List<wire::PartSighting>::Builder out, const std::vector<PartSighting> &sightings)
 {
     for (unsigned i = 0; i < sightings.size(); ++i) {
@@ -506,6 +519,15 @@
             write(limits[i], message.limits[i]);
         }
         write(out, message.quarantine);
+        auto slowness = out.initSlowness(static_cast<unsigned>(message.slowness.size()));
+        for (unsigned i = 0; i < message.slowness.size(); ++i) {
+            write(slowness[i], message.slowness[i], now_);
+        }
+    }
+
+    void operator()(const SlownessMessage &message)
+    {
+        write(root_.initSlowness(), message.report, now_);
     }
 
     void operator()(const PermitAskMessage &message)
@@ -677,7 +699,20 @@
     return news;
 }
 
-NewsMessage read(wire::News::Reader in)
+SlownessReport read(wire::Slowness::Reader in, TimePoint now)
+{
+    SlownessReport report{
+        .endpoint = EndpointId(string(in.getEndpoint())), .percent = in.getPercent(), .at = now - std::max(readDuration(in.getAge()), Duration::zero())};
+    if (in.getRelativePercent() > 0) {
+        report.relativePercent = in.getRelativePercent();
+    }
+    if (in.getGainPercent() <= kMaxPercent) {
+        report.gainPercent = in.getGainPercent();
+    }
+    return report;
+}
+
+NewsMessage read(wire::News::Reader in, TimePoint now)
 {
     NewsMessage message{.origin = VmId(string(in.getOrigin())), .relay = in.getRelay()};
     for (const auto report : in.getReports()) {
@@ -702,6 +737,9 @@
         message.limits.push_back(read(statement));
     }
     message.quarantine = readQuarantine(in);
+    for (const auto report : in.getSlowness()) {
+        message.slowness.push_back(read(report, now));
+    }
     return message;
 }
 
@@ -807,11 +845,13 @@
     case wire::Message::ORDER_REPLY:
         return read(in.getOrderReply());
     case wire::Message::NEWS:
-        return read(in.getNews());
+        return read(in.getNews(), now);
     case wire::Message::PERMIT_ASK:
         return read(in.getPermitAsk());
     case wire::Message::PERMIT_REPLY:
         return read(in.getPermitReply());
+    case wire::Message::SLOWNESS:
+        return SlownessMessage{read(in.getSlowness(), now)};
     }
     kj::throwFatalException(KJ_EXCEPTION(FAILED, "unknown kind of message"));
 }
@@ -822,7 +862,7 @@
 {
     static constexpr std::array<const char *, std::variant_size_v<PeerMessage>> kNames{
         "hello",      "heartbeat", "ack",  "ping",   "documentRequest", "document",   "ask",   "queued",     "assign", "refuse",    "withdraw",    "cancel",
-        "firstToken", "progress",  "done", "resync", "shareRequest",    "shareGrant", "order", "orderReply", "news",   "permitAsk", "permitReply",
+        "firstToken", "progress",  "done", "resync", "shareRequest",    "shareGrant", "order", "orderReply", "news",   "permitAsk", "permitReply", "slowness",
     };
     return kNames[message.index()];
 }
--- a/daemon/peers/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -7,6 +7,7 @@
 #include "daisystream/membership/fleetring.h"
 #include "daisystream/quarantine/partquarantine.h"
 #include "daisystream/scheduler/scheduler.h"
+#include "daisystream/speed/slownesscollector.h"
 
 #include <array>
 #include <chrono>
@@ -30,7 +31,7 @@
 {
 
 /// Both ends of a connection must speak the same version.
-constexpr std::uint32_t kPeerProtocolVersion = 3;
+constexpr std::uint32_t kPeerProtocolVersion = 4;
 
 /// A longer message closes the connection. A whole list of 1,300 teams takes less than 1 MiB.
 constexpr std::uint32_t kMaxPeerMessageBytes = 16U << 20U;
@@ -285,6 +286,7 @@
     std::vector<CellDigest> cells{};   ///< Owned by the origin.
     std::vector<LimitStatement> limits{};
     QuarantineNews quarantine{}; ///< Of prompt parts that may crash engines.
+    std::vector<SlownessReport> slowness{};
 
     friend auto operator<=>(const NewsMessage &, const NewsMessage &) = default;
 };
@@ -303,6 +305,14 @@
     friend auto operator<=>(const PermitReplyMessage &, const PermitReplyMessage &) = default;
 };
 
+/// A slowness that an endpoint reported, sent to the VM that collects the reports of the endpoint.
+struct SlownessMessage
+{
+    SlownessReport report;
+
+    friend auto operator<=>(const SlownessMessage &, const SlownessMessage &) = default;
+};
+
 using PeerMessage = std::variant<HelloMessage,
                                  HeartbeatMessage,
                                  AckMessage,
@@ -325,7 +335,8 @@
                                  OrderReplyMessage,
                                  NewsMessage,
                                  PermitAskMessage,
-                                 PermitReplyMessage>;
+                                 PermitReplyMessage,
+                                 SlownessMessage>;
 
 /// @return the name of the message's kind, as in the schema.
 [[nodiscard]] const char *kindOf(const PeerMessage &message);
--- a/daemon/peers/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -110,6 +110,9 @@
                                                 .crashAge = std::chrono::milliseconds(20)}},
                                    .begun = {{.part = 8, .age = std::chrono::milliseconds(30)}},
                                    .trials = {{.part = 9, .age = std::chrono::milliseconds(40)}}}},
+        NewsMessage{.origin = VmId("vm1"),
+                    .slowness = {{.endpoint = EndpointId("e4"), .percent = 250, .at = now - std::chrono::milliseconds(50), .gainPercent = 70}}},
+        SlownessMessage{{.endpoint = EndpointId("e4"), .percent = 40, .at = now - std::chrono::milliseconds(60), .relativePercent = 130}},
     };
 }
 
@@ -126,6 +129,20 @@
     }
 }
 
+// At 420 VMs with 28 endpoints of plain services (4 in each of 7 zones), some 14 announcements a second reach each VM; they must leave
+// most of the 3 KB/s of control traffic to other messages.
+TEST_CASE("messages about slowness are small")
+{
+    const TimePoint now = ManualClock().now();
+    const EndpointId endpoint("i-987e258391@1775572138842");
+    const SlownessReport report{.endpoint = endpoint, .percent = 250, .at = now - std::chrono::milliseconds(50), .relativePercent = 240};
+    CHECK(encodeMessage(SlownessMessage{report}, now).size() < 80);
+    SlownessReport announced{.endpoint = endpoint, .percent = 250, .at = now - std::chrono::milliseconds(50), .gainPercent = 80};
+    const auto size = encodeMessage(NewsMessage{.origin = VmId("edge-watzmann-1"), .relay = true, .slowness = {announced}}, now).size();
+    MESSAGE("an announcement has ", size, " bytes");
+    CHECK(size < 110);
+}
+
 // Guards against input that crashes the process or is taken for a message: truncated and altered bytes must either
 // decode to some message or be reported as malformed.
 TEST_CASE("altered bytes never do more than fail to decode")
