Feed the speed estimates from calls and share reported slowness

The gateway passes the duration of each successful call, by route, and the load and slowness that its response states to the balancer. The slowness also goes to the collector of the endpoint, whose announcements reach the balancers of all VMs through VmMonitor::broadcast, with one relay for each zone.

A call whose deadline cannot be met because every endpoint reported a load beyond its limit is refused at once. decision=send shows the speed, slowness, its age and the load limit; daisystream_endpoint_speed shows them for each endpoint. Endpoints that left five minutes ago are removed from the balancer, whose state grew with every replaced endpoint before.

--- a/daemon/cells/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -337,7 +337,7 @@
         const auto now = parts.clock.now();
         // The message is forwarded before its changes are processed here, which takes time.
         const bool hasChanges = message.endpoints && message.endpoints->upTo > ownVersions[static_cast<std::size_t>(DocumentKind::Endpoints)];
-        bool hasNews = hasChanges || !message.cells.empty() || !message.limits.empty() || !message.quarantine.empty();
+        bool hasNews = hasChanges || !message.cells.empty() || !message.limits.empty() || !message.quarantine.empty() || !message.slowness.empty();
         bool viewChanged = false;
         std::vector<EndpointId> leaving;
         {
@@ -373,6 +373,9 @@
         if (!message.limits.empty() && handlers.onLimits) {
             handlers.onLimits(message.limits);
         }
+        if (!message.slowness.empty() && handlers.onSlowness) {
+            handlers.onSlowness(message.slowness);
+        }
         if (!message.quarantine.empty() && handlers.onQuarantine) {
             handlers.onQuarantine(message.quarantine);
         }
@@ -876,9 +879,9 @@
     d_->announce(kind);
 }
 
-void VmMonitor::broadcast(NewsMessage news, const std::string &topic)
+void VmMonitor::broadcast(NewsMessage news, const std::string &topic, std::optional<std::size_t> relays)
 {
-    d_->broadcast(std::move(news), topic);
+    d_->broadcast(std::move(news), topic, relays.value_or(kRelaysPerZone));
 }
 
 void VmMonitor::setNewsHandlers(NewsHandlers handlers)
--- a/daemon/cells/vmmonitor.h
+++ b/daemon/cells/vmmonitor.h
@@ -49,6 +49,8 @@
     std::function<void(const EndpointId &)> onLeaving{};
     /// Handles the request limits that endpoints stated to other VMs.
     std::function<void(const std::vector<LimitStatement> &)> onLimits{};
+    /// Handles the slowness that endpoints reported to other VMs.
+    std::function<void(const std::vector<SlownessReport> &)> onSlowness{};
     /// Handles what other VMs saw of prompt parts that may crash engines.
     std::function<void(const QuarantineNews &)> onQuarantine{};
 };
@@ -119,7 +121,8 @@
 
     /// Sends a message to the whole fleet.
     /// @param topic selects the VMs that forward the message, so that the load of forwarding is shared between VMs.
-    void broadcast(NewsMessage news, const std::string &topic);
+    /// @param relays number of VMs in each other zone that forward the message, if it differs from the usual one.
+    void broadcast(NewsMessage news, const std::string &topic, std::optional<std::size_t> relays = {});
 
     /// Sets the handlers of messages that other VMs send to the whole fleet. Call it before `start`.
     void setNewsHandlers(NewsHandlers handlers);
--- a/daemon/control/controlplane.cpp
+++ b/daemon/control/controlplane.cpp
@@ -101,6 +101,7 @@
                   monitorOptions(options.monitor, daemonSettings))
         , permits(io, daemonSettings.vm, clock, metrics, [this](const VmId &to, const PeerMessage &message) { return peers.send(to, message); })
         , promptGuard(io, daemonSettings.vm, clock, metrics, options.adapter.load.target, options.seed)
+        , slowness(io, daemonSettings.vm, clock, metrics, [this](const VmId &to, const PeerMessage &message) { return peers.send(to, message); })
         , load(io, dispatcher, clock, metrics, loadOptions(options))
     {
         promptGuard.setAnnouncer([this](const QuarantineNews &quarantine) {
@@ -108,6 +109,12 @@
             news.quarantine = quarantine;
             monitor.broadcast(std::move(news), "parts");
         });
+        slowness.setAnnouncer([this](const std::vector<SlownessReport> &reports) {
+            NewsMessage news;
+            news.slowness = reports;
+            // A lost announcement costs little, since its effect ends within a second anyway; further copies would cost most of the traffic.
+            monitor.broadcast(std::move(news), "slowness/" + reports.front().endpoint.value(), 1);
+        });
         permits.setAnnouncer([this](const std::vector<LimitStatement> &statements) {
             NewsMessage news;
             news.limits = statements;
@@ -208,6 +215,7 @@
         std::vector<EndpointId> ids;
         std::transform(endpoints.begin(), endpoints.end(), std::back_inserter(ids), [](const auto &endpoint) { return endpoint.id; });
         permits.setEndpoints(ids);
+        slowness.setEndpoints(ids);
         if (!leaving.empty() && endpointHandler) {
             endpointHandler(leaving);
         }
@@ -265,6 +273,7 @@
     VmMonitor monitor;
     PermitClient permits;
     PromptGuard promptGuard;
+    SlownessShare slowness;
     LoadPoller load;
     std::optional<StoreWatch> watch;
     std::function<void(const std::vector<EndpointId> &)> endpointHandler;
@@ -318,6 +327,7 @@
         d_->monitor.onMessage(from, incarnation, message);
         d_->dispatcher.onMessage(from, message);
         d_->permits.onMessage(from, message);
+        d_->slowness.onMessage(message);
     });
     d_->peers.setAckHandler([this](const VmId &from, TimePoint sentAt, const PeerView &view) {
         d_->monitor.onAck(from, sentAt, view);
@@ -331,6 +341,7 @@
     d_->monitor.setLiveHandler([this](const std::vector<VmId> &live) {
         d_->permits.setVms(live);
         d_->promptGuard.setVms(live);
+        d_->slowness.setVms(live);
     });
     NewsHandlers news{.onLimits = [this](const std::vector<LimitStatement> &statements) {
         d_->permits.onStatements(statements);
@@ -338,6 +349,9 @@
     news.onQuarantine = [this](const QuarantineNews &quarantine) {
         d_->promptGuard.onNews(quarantine);
     };
+    news.onSlowness = [this](const std::vector<SlownessReport> &reports) {
+        d_->slowness.onNews(reports);
+    };
     if (d_->watch) {
         news.onChanges = [this](const EndpointChanges &changes, std::function<void()> onGap) {
             d_->watch->onChanges(changes, std::move(onGap));
@@ -418,6 +432,11 @@
     return d_->promptGuard;
 }
 
+SlownessShare &ControlPlane::slowness()
+{
+    return d_->slowness;
+}
+
 Metrics &ControlPlane::metrics()
 {
     return d_->metrics;
--- a/daemon/control/controlplane.h
+++ b/daemon/control/controlplane.h
@@ -7,6 +7,7 @@
 #include "daemon/endpoints/loadpoller.h"
 #include "daemon/endpoints/permitclient.h"
 #include "daemon/endpoints/promptguard.h"
+#include "daemon/endpoints/slownessshare.h"
 #include "daemon/peers/peerlink.h"
 #include "daemon/status/metrics.h"
 #include "daemon/store/listtable.h"
@@ -86,6 +87,7 @@
     [[nodiscard]] VmMonitor &monitor();
     [[nodiscard]] PermitClient &permits();
     [[nodiscard]] PromptGuard &promptGuard();
+    [[nodiscard]] SlownessShare &slowness();
     [[nodiscard]] Metrics &metrics();
 
     /// @return the state of this VM as JSON, which the command `daisystream status` shows.
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisystream
 {
@@ -32,6 +33,12 @@
 // Retry time for callers when every endpoint is full: the duration of a few calls.
 constexpr std::chrono::milliseconds kRetryAfterFull{200};
 
+/// @return a factor in percent, for the log.
+std::string percentText(double factor)
+{
+    return std::to_string(std::lround(100 * factor));
+}
+
 /// Forwards a single call, with its retries.
 class Call : public std::enable_shared_from_this<Call>
 {
@@ -121,7 +128,15 @@
     {
         const bool isUrgent = rankOf(request_) == Rank::Urgent;
         auto excluded = tried_;
-        while (auto endpoint = gateway_.startCall(request_.service, excluded, isUrgent)) {
+        for (;;) {
+            auto [endpoint, overloadedFor] = gateway_.startCall(request_, excluded, isUrgent);
+            if (overloadedFor) {
+                failure_ = Error{ResultCode::NoEndpoint, "every endpoint of the service is overloaded", *overloadedFor};
+                return std::nullopt;
+            }
+            if (!endpoint) {
+                break;
+            }
             const auto denied = gateway_.frontend.parts.permits.acquire(
                 {.endpoint = endpoint->id, .attempt = attemptHash_, .request = requestHash_, .isUrgent = isUrgent}, yield);
             if (!denied && !callerLeft_) {
@@ -183,6 +198,7 @@
         const auto left = gateway_.timeUntil(request_.deadline);
         const auto timeLimit = attemptTimeLimit(left);
         sentAt_ = gateway_.now();
+        speed_ = gateway_.speed(endpoint.id);
         exchange_.emplace(connection_.executor(), endpoint.address);
         auto fault = exchange_->open(gateway_.dialect.toEndpoint(request_.http, {.endpointName = endpoint.name, .timeLeft = left, .team = request_.team}),
                                      {.connect = std::min(left, kConnectTimeout), .header = timeLimit},
@@ -237,6 +253,10 @@
         } else if (end == AttemptEnd::Answered) {
             guard().onBegun(request_.head.sharedParts, sentAt_);
             gateway_.onCallTime(request_, gateway_.now() - sentAt_);
+            // Errors and redirections may take less time than the work of a call.
+            if (response.result_int() < 300) {
+                gateway_.onSpeedSample(request_, endpoint, head.load, gateway_.now() - sentAt_);
+            }
         }
         if (!fault && end == AttemptEnd::MayHaveRun) {
             failure_
@@ -257,6 +277,10 @@
             .field("choice", endpoint.id.value())
             .field("attempt", std::to_string(state_.sent()))
             .field("limit", gateway_.limitText(endpoint.id))
+            .field("speed", percentText(speed_.base))
+            .field("slowness", percentText(speed_.slowness))
+            .field("slowness_ms", speed_.age ? std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*speed_.age).count()) : "")
+            .field("load_limit", speed_.loadLimit ? std::to_string(std::lround(*speed_.loadLimit)) : "")
             .field("outcome",
                    fault                   ? toString(fault->kind)
                        : isForOtherRequest ? "foreign"
@@ -298,6 +322,7 @@
     std::vector<EndpointId> tried_;      ///< Endpoints that were already attempted.
     std::optional<HttpResponse> answer_; ///< Latest response that an endpoint gave to this call.
     std::optional<Error> failure_;       ///< Error of the first failed attempt, or of the latest refused attempt.
+    EndpointSpeed speed_;                ///< Of the endpoint of the latest attempt, when it began.
     TimePoint sentAt_{};                 ///< When the latest attempt began.
     std::size_t unreachableCount_ = 0;   ///< Attempts of which no byte was sent.
     bool answered_ = false;              ///< `answer_` is final.
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -8,7 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
+#include <unordered_map>
 
 namespace daisystream
 {
@@ -21,6 +23,8 @@
 constexpr std::chrono::milliseconds kHandoverTime{2500};
 constexpr std::chrono::milliseconds kReviewInterval{50};
 constexpr std::size_t kMinPrune = 64;
+// Endpoints whose speed is shown in the metrics; names of endpoints that are replaced would otherwise add up.
+constexpr std::size_t kMaxSpeedSeries = 64;
 // Subtracted from the time for which a leaving endpoint still accepts requests. That time starts when the endpoint tells
 // the store that it is leaving; this VM learns of it later, and a request takes time to reach the endpoint.
 constexpr std::chrono::milliseconds kDrainMargin{500};
@@ -112,8 +116,38 @@
             "daisystream_first_event_seconds", "Time from the arrival of a request to the first event of its answer.", {{"kind", kindName(kind)}});
     }
 
+    /// Shows the speed of an endpoint. The caller holds the lock of the context.
+    void showSpeed(const EndpointSettings &endpoint, const EndpointSpeed &speed)
+    {
+        const auto &name = endpoint.name.empty() ? endpoint.id.value() : endpoint.name;
+        auto found = speeds_.find(name);
+        if (found == speeds_.end()) {
+            if (speeds_.size() >= kMaxSpeedSeries) {
+                return;
+            }
+            const auto gauge = [&](const char *figure) {
+                return &metrics_.gauge(
+                    "daisystream_endpoint_speed", "Estimated speed of an endpoint of a plain service.", {{"endpoint", name}, {"figure", figure}});
+            };
+            found = speeds_.emplace(name, SpeedGauges{gauge("base"), gauge("slowness"), gauge("gain"), gauge("load_limit")}).first;
+        }
+        found->second.base->set(speed.base);
+        found->second.slowness->set(speed.slowness);
+        found->second.gain->set(speed.gain);
+        found->second.loadLimit->set(speed.loadLimit.value_or(endpoint.slots));
+    }
+
 private:
+    struct SpeedGauges
+    {
+        Gauge *base;
+        Gauge *slowness;
+        Gauge *gain;
+        Gauge *loadLimit;
+    };
+
     Metrics &metrics_;
+    std::unordered_map<std::string, SpeedGauges> speeds_; ///< By name of the endpoint.
 
 public:
     Histogram &gap;
@@ -191,9 +225,9 @@
     return std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now()));
 }
 
-std::optional<EndpointSettings> GatewayContext::startCall(const ServiceId &service, const std::vector<EndpointId> &tried, bool isUrgent)
+StartedCall GatewayContext::startCall(const RoutedRequest &request, const std::vector<EndpointId> &tried, bool isUrgent)
 {
-    const auto endpoints = dispatcher.serviceEndpoints(service);
+    const auto endpoints = dispatcher.serviceEndpoints(request.service);
     std::vector<ServiceCandidate> candidates;
     candidates.reserve(endpoints.size());
     const auto excluded = unavailable(isUrgent);
@@ -205,12 +239,15 @@
     }
     const auto at = now();
     const std::lock_guard lock(mutex_);
+    if (const auto wait = balancer_.timeUntilCapacity(candidates, request.route->name, request.deadline - at, at); wait && tried.empty()) {
+        return {.endpoint = {}, .overloadedFor = std::chrono::ceil<std::chrono::milliseconds>(*wait)};
+    }
     const auto chosen = balancer_.choose(candidates, tried, random_, at);
     if (!chosen) {
-        return std::nullopt;
+        return {};
     }
     balancer_.onStarted(*chosen, at);
-    return *std::find_if(endpoints.begin(), endpoints.end(), [&](const auto &endpoint) { return endpoint.id == *chosen; });
+    return {.endpoint = *std::find_if(endpoints.begin(), endpoints.end(), [&](const auto &endpoint) { return endpoint.id == *chosen; })};
 }
 
 void GatewayContext::startCallAt(const EndpointId &endpoint)
@@ -344,7 +381,13 @@
     const auto at = now();
     {
         const std::lock_guard lock(mutex_);
-        std::erase_if(leavingSince_, [&](const auto &entry) { return at - entry.second > kLeavingRetention; });
+        std::erase_if(leavingSince_, [&](const auto &entry) {
+            const bool isGone = at - entry.second > kLeavingRetention;
+            if (isGone) {
+                balancer_.remove(entry.first);
+            }
+            return isGone;
+        });
         for (const auto &endpoint : endpoints) {
             leavingSince_.emplace(endpoint, at);
             const auto [begin, end] = watches_.equal_range(endpoint);
@@ -460,6 +503,50 @@
     shutdownAdmission_.onCall(request.route->name, took);
 }
 
+void GatewayContext::onSpeedSample(const RoutedRequest &request, const EndpointSettings &endpoint, const std::optional<ReportedLoad> &load, Duration took)
+{
+    const auto at = now();
+    SpeedSample sample{.service = request.service, .route = request.route->name, .took = took, .goal = request.route->goal, .slots = endpoint.slots};
+    if (load) {
+        sample.calls = load->running + load->waiting;
+        sample.slots = load->slots > 0 ? load->slots : endpoint.slots;
+        sample.slownessPercent = load->slownessPercent;
+    }
+    std::optional<double> relative;
+    EndpointSpeed speed;
+    {
+        const std::lock_guard lock(mutex_);
+        relative = balancer_.onSpeedSample(endpoint.id, sample, at);
+        speed = balancer_.speed(endpoint.id, at);
+        series_->showSpeed(endpoint, speed);
+    }
+    if (sample.slownessPercent && slownessHandler_) {
+        SlownessReport report{.endpoint = endpoint.id, .percent = *sample.slownessPercent, .at = at};
+        if (relative) {
+            report.relativePercent = static_cast<std::uint32_t>(std::lround(100 * *relative));
+        }
+        slownessHandler_(report);
+    }
+}
+
+void GatewayContext::onSlowness(const SlownessReport &report)
+{
+    const std::lock_guard lock(mutex_);
+    balancer_.onSlowness(report.endpoint, report.percent, report.at, report.gainPercent ? std::optional(*report.gainPercent / 100.0) : std::nullopt);
+}
+
+void GatewayContext::setSlownessHandler(std::function<void(const SlownessReport &)> handler)
+{
+    slownessHandler_ = std::move(handler);
+}
+
+EndpointSpeed GatewayContext::speed(const EndpointId &endpoint)
+{
+    const auto at = now();
+    const std::lock_guard lock(mutex_);
+    return balancer_.speed(endpoint, at);
+}
+
 void GatewayContext::onAnswerTime(const RoutedRequest &request, Duration untilFirst, Duration gap)
 {
     const std::lock_guard lock(mutex_);
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -11,6 +11,7 @@
 #include "daisystream/retry/servicebudget.h"
 #include "daisystream/routes/routetable.h"
 #include "daisystream/shutdown/shutdownadmission.h"
+#include "daisystream/speed/slownesscollector.h"
 
 #include <atomic>
 #include <functional>
@@ -77,6 +78,14 @@
     CallerLeft,     ///< The caller disconnected.
 };
 
+/// Where a call to a plain service was started.
+struct StartedCall
+{
+    std::optional<EndpointSettings> endpoint{};               ///< Not set if the call was not started.
+    std::optional<std::chrono::milliseconds> overloadedFor{}; ///< Set if the call cannot complete in time because all endpoints are
+                                                              ///< overloaded: the time until one is expected to have capacity.
+};
+
 /// Shared by all requests that the gateway forwards. Thread-safe. Its mutex has level 7 (connections) in the lock order, and no
 /// callback is called while it is held.
 class GatewayContext
@@ -127,8 +136,8 @@
     /// Chooses an endpoint of a plain service for a call and counts the call as running there until `onCallEnded`.
     /// @param tried endpoints that are not chosen again.
     /// @param isUrgent whether the call may use permits that ordinary ones leave.
-    /// @return the endpoint, or nothing if no untried endpoint takes a request now.
-    [[nodiscard]] std::optional<EndpointSettings> startCall(const ServiceId &service, const std::vector<EndpointId> &tried, bool isUrgent);
+    /// @return the endpoint; none if no untried endpoint takes a request now.
+    [[nodiscard]] StartedCall startCall(const RoutedRequest &request, const std::vector<EndpointId> &tried, bool isUrgent);
 
     /// Counts a call as running at an endpoint that was chosen otherwise.
     void startCallAt(const EndpointId &endpoint);
@@ -209,6 +218,19 @@
     /// Records how long a call took at its endpoint.
     void onCallTime(const RoutedRequest &request, Duration took);
 
+    /// Handles a successful call for the estimate of the endpoint's speed, and passes the slowness that the response reported to the
+    /// handler for other VMs.
+    void onSpeedSample(const RoutedRequest &request, const EndpointSettings &endpoint, const std::optional<ReportedLoad> &load, Duration took);
+
+    /// Handles a slowness that an endpoint reported to another VM.
+    void onSlowness(const SlownessReport &report);
+
+    /// Sets the handler of the slowness that endpoints report to this VM. It is called without locks. Call it before the first request.
+    void setSlownessHandler(std::function<void(const SlownessReport &)> handler);
+
+    /// @return the estimated speed of an endpoint of a plain service.
+    [[nodiscard]] EndpointSpeed speed(const EndpointId &endpoint);
+
     /// Records how long an answer took at its engine.
     /// @param untilFirst time from the sending to the first event.
     /// @param gap average time between two events.
@@ -250,6 +272,7 @@
     bool isCutting_ = false;
     std::function<std::optional<std::chrono::milliseconds>()> contactAge_;
     std::function<void(const EndpointId &)> leavingHandler_;
+    std::function<void(const SlownessReport &)> slownessHandler_;
     std::unique_ptr<Series> series_;
 };
 
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -152,6 +152,8 @@
                                              gateway->onEndpointHeaders(engine, gateway->dialect.readEndpoint(response), TimePoint::min());
                                          });
             gateway->setContactAge([this] { return control_.monitor().view().contactAge; });
+            gateway->setSlownessHandler([this](const SlownessReport &report) { control_.slowness().onRead(report); });
+            control_.slowness().setHandler([gateway](const SlownessReport &report) { gateway->onSlowness(report); });
             control_.setVmHandler([gateway](std::size_t count) { gateway->setVms(count); });
         }
     }
