--- a/cli/explain.cpp
+++ b/cli/explain.cpp
@@ -135,6 +135,31 @@
     return std::any_of(lines_.begin(), lines_.end(), [this](const LogLine &line) { return line.field("request") == request_; });
 }
 
+std::string Explanation::speedText(const std::vector<LogLine> &lines) const
+{
+    std::string text;
+    const auto differs = [](const std::string &percent) {
+        return !percent.empty() && percent != "100";
+    };
+    for (const auto &line : lines) {
+        if (line.field("request") != request_ || line.field("decision") != "send") {
+            continue;
+        }
+        // A later attempt replaces an earlier one, since its endpoint gave the answer.
+        text.clear();
+        if (differs(line.field("speed"))) {
+            text += "; calls there take " + line.field("speed") + "% of the usual time";
+        }
+        if (differs(line.field("slowness"))) {
+            text += "; it reported slowness " + line.field("slowness_ms") + " ms before, expected to take " + line.field("slowness") + "% of its usual time";
+        }
+        if (const auto limit = line.field("load_limit"); !limit.empty()) {
+            text += "; it is slow beyond " + limit + " concurrent calls";
+        }
+    }
+    return text;
+}
+
 std::string Explanation::cause() const
 {
     const auto lines = history();
@@ -151,7 +176,7 @@
             const bool isAnswer = line.field("decision") == "send" || line.field("outcome") == "complete";
             return line.field("request") == request_ && isAnswer;
         });
-        return answered ? "the request was answered by its endpoint" : "the logs do not show how the request ended";
+        return answered ? "the request was answered by its endpoint" + speedText(lines) : "the logs do not show how the request ended";
     }
     for (const auto &line : lines) {
         const bool hasLeft = line.field("event") == "endpoint" && (line.field("state") == "gone" || line.field("state") == "draining");
--- a/cli/explain.h
+++ b/cli/explain.h
@@ -61,6 +61,8 @@
     /// @return the relevant lines and the events of the VMs that logged them, ordered by time.
     [[nodiscard]] std::vector<LogLine> history() const;
     /// @return whether the line is about the request or an endpoint that it was sent to.
+    /// @return what the VM knew of the speed of the endpoint that answered the request, if it differed from the usual; else empty.
+    [[nodiscard]] std::string speedText(const std::vector<LogLine> &lines) const;
     [[nodiscard]] bool isRelevant(const LogLine &line) const;
 
     std::string request_;
--- a/cli/explain_test.cpp
+++ b/cli/explain_test.cpp
@@ -51,6 +51,16 @@
     CHECK(explain("b", "time=1 vm=vm1 decision=refuse request=b reason=Isolated\n").find("no contact with the platform") != std::string::npos);
 }
 
+TEST_CASE("explain shows the speed of an endpoint if it differed from the usual")
+{
+    const auto slow = explain("a", "time=1 vm=vm1 decision=send request=a choice=e1 speed=120 slowness=220 slowness_ms=40 load_limit=3 outcome=200\n");
+    CHECK(slow.find("calls there take 120% of the usual time") != std::string::npos);
+    CHECK(slow.find("reported slowness 40 ms before, expected to take 220%") != std::string::npos);
+    CHECK(slow.find("slow beyond 3 concurrent calls") != std::string::npos);
+    const auto usual = explain("a", "time=1 vm=vm1 decision=send request=a choice=e1 speed=100 slowness=100 slowness_ms= load_limit= outcome=200\n");
+    CHECK(usual.find("was answered by its endpoint\n") != std::string::npos);
+}
+
 TEST_CASE("explain reports an answered request, an unknown request and a missing log")
 {
     CHECK(explain("a", "time=1 vm=vm1 decision=send request=a outcome=200\n").find("was answered") != std::string::npos);
