--- a/daisystream/balancing/servicebalancer_test.cpp
+++ b/daisystream/balancing/servicebalancer_test.cpp
@@ -108,5 +108,62 @@
     CHECK(*later == EndpointId("e0"));
 }
 
+/// Makes `e0` an endpoint that is slow beyond about two concurrent calls.
+void learnLimit(ServiceBalancer &balancer)
+{
+    for (int i = 0; i < 60; ++i) {
+        const bool isLoaded = i >= 20;
+        for (int endpoint = 0; endpoint < 3; ++endpoint) {
+            const bool isSlow = endpoint == 0 && isLoaded;
+            balancer.onSpeedSample(EndpointId("e" + std::to_string(endpoint)),
+                                   {.service = ServiceId("s"),
+                                    .route = RouteName("r"),
+                                    .took = milliseconds(isSlow ? 120 : 30),
+                                    .goal = milliseconds(100),
+                                    .calls = isSlow ? 3 : 1,
+                                    .slots = 6},
+                                   kNow);
+        }
+    }
+}
+
+// Guards against a second attempt that meets the same overload as the first one.
+TEST_CASE("a second attempt does not go to an endpoint beyond its load limit unless there is no other")
+{
+    ServiceBalancer balancer;
+    learnLimit(balancer);
+    REQUIRE(balancer.speed(EndpointId("e0"), kNow).loadLimit);
+    balancer.onReportedLoad(EndpointId("e0"), {.running = 5, .waiting = 0, .slots = 6}, kNow);
+    balancer.onReportedLoad(EndpointId("e1"), {.running = 6, .waiting = 60, .slots = 6}, kNow);
+    Random random(1);
+    CHECK(balancer.choose(candidates(2), {}, random, kNow) == EndpointId("e0"));
+    CHECK(balancer.choose(candidates(3), {EndpointId("e2")}, random, kNow) == EndpointId("e1"));
+    CHECK(balancer.choose(candidates(2), {EndpointId("e1")}, random, kNow) == EndpointId("e0"));
+}
+
+// Guards against calls that wait in vain for their deadline, and against refusals for which there was no reason.
+TEST_CASE("a call is refused only if every endpoint reported an overload in which it cannot complete in time")
+{
+    ServiceBalancer balancer;
+    const RouteName route("r");
+    CHECK_FALSE(balancer.timeUntilCapacity(candidates(2), route, milliseconds(1), kNow));
+    for (int i = 0; i < 20; ++i) {
+        balancer.onSpeedSample(
+            EndpointId("e0"), {.service = ServiceId("s"), .route = route, .took = milliseconds(30), .goal = milliseconds(100), .calls = 1, .slots = 6}, kNow);
+    }
+    CHECK_FALSE(balancer.timeUntilCapacity(candidates(2), route, milliseconds(1), kNow));
+    const ReportedLoad full{.running = 6, .waiting = 120, .slots = 6};
+    balancer.onReportedLoad(EndpointId("e0"), full, kNow);
+    CHECK_FALSE(balancer.timeUntilCapacity(candidates(2), route, milliseconds(500), kNow));
+    balancer.onReportedLoad(EndpointId("e1"), full, kNow);
+    const auto wait = balancer.timeUntilCapacity(candidates(2), route, milliseconds(500), kNow);
+    REQUIRE(wait);
+    CHECK(*wait > milliseconds(500));
+    CHECK(*wait < milliseconds(700));
+    CHECK_FALSE(balancer.timeUntilCapacity(candidates(2), route, milliseconds(2500), kNow));
+    CHECK_FALSE(balancer.timeUntilCapacity(candidates(2), route, milliseconds(500), kNow + milliseconds(600)));
+    CHECK_FALSE(balancer.timeUntilCapacity({}, route, milliseconds(500), kNow));
+}
+
 } // namespace
 } // namespace daisystream
