Withdraw zones in the soak

Endpoints are in two zones in turn; the operator takes a zone out of service and back, and no new request may reach it later than 5 s after the store took the row, from VMs and to endpoints that were calm.

--- a/deploy/standins/fleetconfiguration.cpp
+++ b/deploy/standins/fleetconfiguration.cpp
@@ -73,4 +73,13 @@
     return json{{"table", names::kConfigTable}, {"key", names::kConfigKey}, {"text", configurationText(configuration)}}.dump();
 }
 
+std::string zoneRow(const std::string &zone, bool isWithdrawn)
+{
+    json row{{"table", names::kConfigTable}, {"key", names::kZonePrefix + zone}, {"text", "{}"}};
+    if (!isWithdrawn) {
+        row["remove"] = true;
+    }
+    return row.dump();
+}
+
 } // namespace daisystream::standins
--- a/deploy/standins/fleetconfiguration.h
+++ b/deploy/standins/fleetconfiguration.h
@@ -19,4 +19,7 @@
 /// @return the body by which a test has the stand-in of the store take a configuration.
 [[nodiscard]] std::string configurationRow(const soak::Configuration &configuration);
 
+/// @return the body by which a test has the stand-in of the store take a zone out of service, or back.
+[[nodiscard]] std::string zoneRow(const std::string &zone, bool isWithdrawn);
+
 } // namespace daisystream::standins
--- a/deploy/standins/fleetendpoint.cpp
+++ b/deploy/standins/fleetendpoint.cpp
@@ -127,7 +127,7 @@
         const auto port = options_.advertisedPort == 0 ? server_.port() : options_.advertisedPort;
         const json entry{{"service", options_.service},
                          {"address", "127.0.0.1:" + std::to_string(port)},
-                         {"zone", "a"},
+                         {"zone", options_.zone},
                          {"version", "1"},
                          {"slots", slots()},
                          {"state", isLeaving_ ? "draining" : "ready"},
--- a/deploy/standins/fleetendpoint.h
+++ b/deploy/standins/fleetendpoint.h
@@ -29,6 +29,7 @@
 {
     std::string name;
     std::string service;
+    std::string zone = "a";
     bool isEngine = false;
     std::uint16_t port = 0;
     std::uint16_t advertisedPort = 0; ///< The port that it registers; 0: its own.
--- a/deploy/standins/main.cpp
+++ b/deploy/standins/main.cpp
@@ -13,6 +13,7 @@
 DEFINE_string(role, "", "store, engine, service or callers");
 DEFINE_string(name, "", "name of an endpoint");
 DEFINE_string(service, "", "service of an endpoint");
+DEFINE_string(zone, "a", "zone of an endpoint");
 DEFINE_uint32(port, 0, "port to listen on");
 DEFINE_uint32(advertised_port, 0, "port that an endpoint registers");
 DEFINE_uint32(store_port, 0, "port of the store");
@@ -54,6 +55,7 @@
         standins::FleetEndpoint endpoint(io,
                                          {.name = FLAGS_name,
                                           .service = FLAGS_service,
+                                          .zone = FLAGS_zone,
                                           .isEngine = FLAGS_role == "engine",
                                           .port = static_cast<std::uint16_t>(FLAGS_port),
                                           .advertisedPort = static_cast<std::uint16_t>(FLAGS_advertised_port),
--- a/soak/checks.cpp
+++ b/soak/checks.cpp
@@ -1,5 +1,7 @@
 #include "soak/checks.h"
 
+#include "soak/plan.h"
+
 #include <algorithm>
 #include <deque>
 #include <map>
@@ -68,6 +70,7 @@
         for (const auto &run : record_.started) {
             checkOrigin(run);
             checkDrain(run);
+            checkWithdrawal(run);
         }
         checkOverlaps();
         checkLoss();
@@ -270,6 +273,22 @@
         }
     }
 
+    void checkWithdrawal(const RunStarted &run)
+    {
+        const auto exchange = exchangeOf_.find(run.attempt);
+        for (const auto &zone : record_.withdrawals) {
+            const auto from = zone.acknowledgedAt;
+            // A run that moves with its memory is not a new request.
+            const bool isLate = zoneOfEndpoint(run.endpoint) == zone.zone && run.at > from + bounds_.withdrawal && run.at < zone.restoredAt;
+            if (!isLate || run.continuesMemory || exchange == exchangeOf_.end()) {
+                continue;
+            }
+            if (isInTouch(exchange->second->vm, from, run.at) && record_.timeline.isCalmButPlanned(run.endpoint, from, run.at)) {
+                report("zone", run.segment + " got " + run.attempt + " " + std::to_string((run.at - from).count()) + " ms after its zone was withdrawn");
+            }
+        }
+    }
+
     void checkOverlaps()
     {
         std::unordered_map<std::string, std::vector<const RunStarted *>> segments;
--- a/soak/checks.h
+++ b/soak/checks.h
@@ -31,6 +31,16 @@
     friend bool operator==(const ConfigurationInForce &, const ConfigurationInForce &) = default;
 };
 
+/// The operator took a zone out of service.
+struct ZoneWithdrawn
+{
+    std::string zone;
+    Moment acknowledgedAt{};           ///< The store took it.
+    Moment restoredAt = Moment::max(); ///< The operator began to take it back.
+
+    friend bool operator==(const ZoneWithdrawn &, const ZoneWithdrawn &) = default;
+};
+
 /// Everything that was seen of one soak.
 struct Record
 {
@@ -42,7 +52,8 @@
     std::vector<LimitTold> limitsTold;                ///< In the order of their times.
     std::vector<EngineCrashed> crashes;               ///< In the order of their times.
     std::vector<ConfigurationInForce> configurations; ///< In the order of their versions.
-    std::vector<std::string> unexpectedEnds;          ///< Processes that ended by themselves or did not end when told to.
+    std::vector<ZoneWithdrawn> withdrawals;
+    std::vector<std::string> unexpectedEnds; ///< Processes that ended by themselves or did not end when told to.
     Timeline timeline;
     Moment calmSince{}; ///< From here on nothing was disturbed.
 };
@@ -54,6 +65,7 @@
     std::chrono::milliseconds applyConfig{2000}; ///< A configuration is in force everywhere.
     std::chrono::milliseconds revocation{5000};  ///< A key that was taken away is refused, whatever fails.
     std::chrono::milliseconds drain{2000};       ///< No request reaches an endpoint that leaves.
+    std::chrono::milliseconds withdrawal{5000};  ///< No request reaches an endpoint of a zone that is out of service.
     std::chrono::milliseconds leftWork{500};     ///< Work for a caller that has left ends.
     std::chrono::milliseconds overlap{400};      ///< Two endpoints at work on one run.
     std::chrono::milliseconds answerSlack{500};  ///< Beyond a route's limit.
--- a/soak/checks_test.cpp
+++ b/soak/checks_test.cpp
@@ -218,6 +218,21 @@
     CHECK(scene.broken().empty());
 }
 
+TEST_CASE("a request that reaches a withdrawn zone after the bound is found, one after its return is not")
+{
+    Scene scene; // Its endpoints are of zone a.
+    scene.record.withdrawals.push_back({.zone = "a", .acknowledgedAt = at(-4900)});
+    CHECK(scene.broken().empty());
+    scene.record.withdrawals.front().acknowledgedAt = at(-5500);
+    CHECK(scene.broken() == Promises{"zone", "zone", "zone", "zone"});
+    scene.record.started.front().continuesMemory = true;
+    CHECK(scene.broken() == Promises{"zone", "zone", "zone"});
+    scene.record.withdrawals.front().restoredAt = at(-100);
+    CHECK(scene.broken().empty());
+    scene.record.withdrawals.front() = {.zone = "b", .acknowledgedAt = at(-5500)};
+    CHECK(scene.broken().empty());
+}
+
 TEST_CASE("a planned stop that cuts a request is found")
 {
     Scene scene;
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -17,6 +17,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -407,6 +408,39 @@
         }
     }
 
+    /// Two withdrawals of one zone at the same time count as one.
+    void begin(const WithdrawZone &action)
+    {
+        if (!withdrawnZones.insert(action.zone).second) {
+            return;
+        }
+        zoneChanges.push_back({action.zone, true});
+        tasks.push_back({now() + action.length, [this, zone = action.zone] {
+                             zoneChanges.push_back({zone, false});
+                         }});
+    }
+
+    /// As with the configuration, the operator repeats a write until the store acknowledges it.
+    void writeZones()
+    {
+        while (!zoneChanges.empty()) {
+            const auto [zone, isWithdrawn] = zoneChanges.front();
+            const auto known = std::find_if(withdrawals.rbegin(), withdrawals.rend(), [&, &name = zone](const auto &entry) { return entry.zone == name; });
+            if (!isWithdrawn && known->restoredAt == Moment::max()) {
+                known->restoredAt = now();
+            }
+            if (post(storePort, "/standin/row", standins::zoneRow(zone, isWithdrawn)) != 200) {
+                return;
+            }
+            if (isWithdrawn) {
+                withdrawals.push_back({.zone = zone, .acknowledgedAt = now()});
+            } else {
+                withdrawnZones.erase(zone);
+            }
+            zoneChanges.pop_front();
+        }
+    }
+
     // Start and end.
 
     void addEndpoint(const std::string &name, const char *role, const char *service)
@@ -421,6 +455,8 @@
                                          name,
                                          "--service",
                                          service,
+                                         "--zone",
+                                         zoneOfEndpoint(name),
                                          "--port",
                                          std::to_string(port),
                                          "--advertised_port",
@@ -533,6 +569,7 @@
         }
         watchProcesses();
         writeConfigurations();
+        writeZones();
         pauseAndNoticeStall();
     }
 
@@ -581,6 +618,9 @@
     std::vector<Task> tasks;
     std::deque<Configuration> waiting;
     std::vector<ConfigurationInForce> configurations;
+    std::deque<std::pair<std::string, bool>> zoneChanges; ///< Zones that the operator takes out of service, or back.
+    std::set<std::string> withdrawnZones;
+    std::vector<ZoneWithdrawn> withdrawals;
     std::vector<std::string> unexpectedEnds;
     Timeline timeline;
     bool isEnding = false;
@@ -612,7 +652,7 @@
 {
     const bool allRun
         = std::all_of(d_->processes.begin(), d_->processes.end(), [](const auto &entry) { return entry.second.state == Managed::State::Running; });
-    return d_->tasks.empty() && d_->waiting.empty() && allRun;
+    return d_->tasks.empty() && d_->waiting.empty() && d_->zoneChanges.empty() && allRun;
 }
 
 void Deployment::stop()
@@ -625,6 +665,7 @@
 {
     Record record;
     record.configurations = d_->configurations;
+    record.withdrawals = d_->withdrawals;
     record.unexpectedEnds = d_->unexpectedEnds;
     record.timeline = d_->timeline;
     for (const auto &[name, managed] : d_->processes) {
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -20,6 +20,7 @@
 DEFINE_uint32(services, 3, "endpoints of the plain service");
 DEFINE_uint32(steps, 14, "disturbances of a plan");
 DEFINE_uint32(limits, 3, "times that endpoints state limits of requests a second");
+DEFINE_uint32(withdrawals, 1, "times that a zone is taken out of service");
 DEFINE_double(deadly, 0, "share of the answers whose prompts have a part that crashes engines");
 DEFINE_uint32(deadlyparts, 1, "different parts that crash engines");
 DEFINE_uint32(seconds, 14, "time within which disturbances begin");
@@ -47,6 +48,7 @@
             .services = FLAGS_services,
             .steps = FLAGS_steps,
             .limits = FLAGS_limits,
+            .withdrawals = FLAGS_withdrawals,
             .length = milliseconds(1000 * FLAGS_seconds),
             .deadlyShare = FLAGS_deadly,
             .deadlyParts = FLAGS_deadlyparts};
@@ -56,8 +58,8 @@
 {
     std::ostringstream command;
     command << "soak --seed " << seed << " --vms " << FLAGS_vms << " --engines " << FLAGS_engines << " --services " << FLAGS_services << " --steps "
-            << FLAGS_steps << " --limits " << FLAGS_limits << " --deadly " << FLAGS_deadly << " --deadlyparts " << FLAGS_deadlyparts << " --seconds "
-            << FLAGS_seconds << " --callers " << FLAGS_callers << " --connections " << FLAGS_connections;
+            << FLAGS_steps << " --limits " << FLAGS_limits << " --withdrawals " << FLAGS_withdrawals << " --deadly " << FLAGS_deadly << " --deadlyparts "
+            << FLAGS_deadlyparts << " --seconds " << FLAGS_seconds << " --callers " << FLAGS_callers << " --connections " << FLAGS_connections;
     return command.str();
 }
 
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -17,6 +17,8 @@
 // Actions may begin together; this is how often one follows another at once.
 constexpr double kBurstShare = 0.3;
 constexpr milliseconds kBurstGap{200};
+constexpr const char *kFirstZone = "a";
+constexpr const char *kSecondZone = "b";
 
 class Planner
 {
@@ -40,6 +42,9 @@
         for (unsigned i = 0; i < size_.limits; ++i) {
             plan_.steps.push_back({upTo(size_.length), limit()});
         }
+        for (unsigned i = 0; i < size_.withdrawals; ++i) {
+            plan_.steps.push_back({upTo(size_.length), withdrawal()});
+        }
         sortSteps();
         return std::move(plan_);
     }
@@ -120,6 +125,15 @@
         return LimitEndpoint{endpoint(), kRates.at(random_.below(kRates.size())), kShortestLimit + upTo(kLongestLimit - kShortestLimit)};
     }
 
+    /// @return a withdrawal of a zone. Drawn after all other steps, as limits are.
+    Action withdrawal()
+    {
+        // Longer than a VM is given to learn of it.
+        constexpr milliseconds kShortestWithdrawal{7000};
+        constexpr milliseconds kLongestWithdrawal{12000};
+        return WithdrawZone{random_.below(2) == 0 ? kFirstZone : kSecondZone, kShortestWithdrawal + upTo(kLongestWithdrawal - kShortestWithdrawal)};
+    }
+
     /// Fills the changes in, once their order in time is known.
     void writeConfigurations()
     {
@@ -240,6 +254,12 @@
     return "service" + std::to_string(number);
 }
 
+std::string zoneOfEndpoint(const std::string &name)
+{
+    const bool isOdd = !name.empty() && (name.back() - '0') % 2 == 1;
+    return isOdd ? kFirstZone : kSecondZone;
+}
+
 Plan makePlan(std::uint64_t seed, const PlanSize &size)
 {
     return Planner(seed, size).make();
@@ -261,6 +281,7 @@
             [](const LimitEndpoint &action) {
                 return action.process + " takes " + std::to_string(action.perSecond) + " requests a second" + lengthText(action.length);
             },
+            [](const WithdrawZone &action) { return "zone " + action.zone + " is out of service" + lengthText(action.length); },
             [](const ChangeConfiguration &action) { return "configuration " + std::to_string(action.next.version); },
         },
         step.action);
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -120,8 +120,25 @@
     friend bool operator==(const LimitEndpoint &, const LimitEndpoint &) = default;
 };
 
-using Action
-    = std::variant<FreezeProcess, KillProcess, StopProcess, ReloadProcess, DisturbLink, DisturbStore, DisturbEndpoint, ChangeConfiguration, LimitEndpoint>;
+/// The operator takes a zone out of service for a while. It is not a disturbance.
+struct WithdrawZone
+{
+    std::string zone;
+    milliseconds length{};
+
+    friend bool operator==(const WithdrawZone &, const WithdrawZone &) = default;
+};
+
+using Action = std::variant<FreezeProcess,
+                            KillProcess,
+                            StopProcess,
+                            ReloadProcess,
+                            DisturbLink,
+                            DisturbStore,
+                            DisturbEndpoint,
+                            ChangeConfiguration,
+                            LimitEndpoint,
+                            WithdrawZone>;
 
 struct Step
 {
@@ -139,6 +156,7 @@
     unsigned services = 3;
     unsigned steps = 14;
     unsigned limits = 3;        ///< Times that an endpoint states a limit.
+    unsigned withdrawals = 1;   ///< Times that a zone is taken out of service.
     milliseconds length{14000}; ///< Within which steps begin.
     double deadlyShare = 0;     ///< As `CallerPlan::deadlyShare`.
     unsigned deadlyParts = 1;   ///< As `CallerPlan::deadlyParts`.
@@ -165,6 +183,9 @@
 [[nodiscard]] std::string engineName(unsigned number);
 [[nodiscard]] std::string serviceName(unsigned number);
 
+/// @return the zone of an endpoint by its name. Endpoints of a service are in two zones in turn.
+[[nodiscard]] std::string zoneOfEndpoint(const std::string &name);
+
 [[nodiscard]] Plan makePlan(std::uint64_t seed, const PlanSize &size);
 
 /// @return one line that says what a step does.
--- a/soak/plan_test.cpp
+++ b/soak/plan_test.cpp
@@ -22,7 +22,7 @@
     for (std::uint64_t seed = 1; seed <= 50; ++seed) {
         const PlanSize size;
         const auto plan = makePlan(seed, size);
-        CHECK(plan.steps.size() == size.steps + size.limits);
+        CHECK(plan.steps.size() == size.steps + size.limits + size.withdrawals);
         CHECK(std::is_sorted(plan.steps.begin(), plan.steps.end(), [](const Step &a, const Step &b) { return a.at < b.at; }));
         CHECK(plan.steps.back().at <= size.length);
         for (std::size_t i = 1; i < plan.configurations.size(); ++i) {
