--- a/daisystream/forwarding/bytebudget.h
+++ b/daisystream/forwarding/bytebudget.h
@@ -5,7 +5,7 @@
 #include <utility>
 
 /// @file
-/// Limits the total memory of several buffers, such as the response bodies that are read completely before they are forwarded.
+/// Limits the total memory of several buffers, such as the bodies of requests and the responses that clients make a VM hold.
 ///
 /// Example:
 /// @code
@@ -21,10 +21,26 @@
 class ByteBudget
 {
 public:
+    /// Largest lease that may use the reserve.
+    static constexpr std::uint64_t kSmallLease = 65'536;
+
     /// @param limit maximum number of bytes of all leases together.
-    explicit ByteBudget(std::uint64_t limit)
+    /// @param reserve bytes of the limit that only leases of up to `kSmallLease` may use, so that large ones never shut small ones out.
+    explicit ByteBudget(std::uint64_t limit, std::uint64_t reserve = 0)
         : limit_(limit)
+        , reserve_(reserve)
+    {
+    }
+
+    [[nodiscard]] std::uint64_t limit() const
+    {
+        return limit_;
+    }
+
+    /// @return whether large leases have used up their part.
+    [[nodiscard]] bool isCrowded() const
     {
+        return held_ + reserve_ >= limit_;
     }
 
     /// @return the number of bytes of all leases together.
@@ -37,6 +53,7 @@
     friend class ByteLease;
 
     const std::uint64_t limit_;
+    const std::uint64_t reserve_;
     std::atomic<std::uint64_t> held_{0};
 };
 
@@ -84,7 +101,8 @@
             return true;
         }
         const auto more = bytes - bytes_;
-        if (budget_->held_.fetch_add(more) + more > budget_->limit_) {
+        const auto keptFree = bytes > ByteBudget::kSmallLease ? budget_->reserve_ : 0;
+        if (budget_->held_.fetch_add(more) + more + keptFree > budget_->limit_) {
             budget_->held_ -= more;
             return false;
         }
@@ -92,6 +110,21 @@
         return true;
     }
 
+    /// Lowers the size of the lease to `bytes`; a larger value changes nothing.
+    void shrink(std::uint64_t bytes)
+    {
+        if (budget_ != nullptr && bytes < bytes_) {
+            budget_->held_ -= bytes_ - bytes;
+            bytes_ = bytes;
+        }
+    }
+
+    /// @return the size of the lease; 0 without a budget.
+    [[nodiscard]] std::uint64_t bytes() const
+    {
+        return bytes_;
+    }
+
 private:
     void release()
     {
