Limit the memory and the connections that clients make a VM hold

Bodies that stop partway, headers of very many fields, slow clients and unread responses made the daemon hold several times the memory of a small VM. One budget now counts connections, headers, bodies, their copies and buffered responses before they are allocated; it follows from the memory of the VM (memoryMb, descriptors). Without room, a body waits, stalled connections are closed and then the request is refused as not run. Requests without a destination are answered before their body is read; bodies need a minimum rate, headers have at most 256 fields. The operator and readiness ports close stalled connections when all are in use.

--- a/crowd/site.cpp
+++ b/crowd/site.cpp
@@ -74,6 +74,9 @@
                             {"workers", 1},
                             {"platform", address(storePort)},
                             {"platformProtocol", "fleet"},
+                            // 12 MB for clients, half of what the test allows, and 512 connections.
+                            {"memoryMb", 55},
+                            {"descriptors", 1024},
                             {"gateway", json::object()}};
         const std::string path = scratch + "/vm1.json";
         std::ofstream(path) << settings.dump(2);
--- a/daemon/control/settings.cpp
+++ b/daemon/control/settings.cpp
@@ -276,6 +276,10 @@
     fields.number("headerBytes", bounds.headerBytes, 1024, kMaxBytes);
     fields.number("bodyBytes", bounds.bodyBytes, 1024, kMaxBytes);
     fields.number("connections", bounds.connections, 1, 1000000);
+    fields.number("fields", bounds.fields, 16, 65536);
+    fields.number("receiveBufferBytes", bounds.receiveBufferBytes, 0, kMaxBytes);
+    fields.number("bodyBytesPerSecond", bounds.bodyBytesPerSecond, 0, kMaxBytes);
+    fields.milliseconds("bodyStallMs", bounds.bodyStallTime);
     fields.milliseconds("headerMs", bounds.headerTime);
     fields.milliseconds("bodyMs", bounds.bodyTime);
     fields.milliseconds("idleMs", bounds.idleTime);
@@ -433,6 +437,8 @@
     settings.peerTls = readTls(fields, "peerTls", true, errors);
     readListFiles(fields, settings.listFiles, errors);
     readCallerBounds(fields, settings.callers, errors);
+    fields.number("memoryMb", settings.memoryMegabytes, 0, 1U << 20U);
+    fields.number("descriptors", settings.descriptors, 0, 1U << 20U);
     fields.reportUnknownFields();
     checkCrossFieldRules(settings, errors);
     if (!errors.text().empty()) {
@@ -441,6 +447,27 @@
     return settings;
 }
 
+TotalCallerLimits totalCallerLimits(const Settings &settings, const MachineLimits &machine)
+{
+    constexpr std::uint64_t kMegabyte = 1'000'000;
+    // For the program, its lists and the traffic between VMs.
+    constexpr std::uint64_t kProgramBytes = 40 * kMegabyte;
+    // A body of 4 MB, twice because it is forwarded, and the reserve for small requests.
+    constexpr std::uint64_t kMinBytes = 12 * kMegabyte;
+    // For endpoints, other VMs, the store, operators, readiness checks and files.
+    constexpr std::uint64_t kInternalDescriptors = 256;
+    constexpr std::uint64_t kMinConnections = 16;
+    const auto memory = settings.memoryMegabytes > 0 ? settings.memoryMegabytes * kMegabyte : machine.memoryBytes;
+    const auto descriptors = settings.descriptors > 0 ? settings.descriptors : machine.descriptors;
+    TotalCallerLimits limits;
+    // A fifth is left to the allocator and to what the kernel has received.
+    limits.memoryBytes = std::max(kMinBytes, memory > kProgramBytes ? (memory - kProgramBytes) / 5 * 4 : 0);
+    // Half as many again are left to the connections to endpoints of requests that run.
+    const auto connections = descriptors > kInternalDescriptors ? (descriptors - kInternalDescriptors) / 3 * 2 : 0;
+    limits.connections = std::min<std::uint64_t>(settings.callers.connections, std::max(kMinConnections, connections));
+    return limits;
+}
+
 Result<Settings> readSettings(const std::string &path)
 {
     std::ifstream file(path);
--- a/daemon/control/settings.h
+++ b/daemon/control/settings.h
@@ -100,6 +100,10 @@
     std::uint32_t headerBytes = 16384;
     std::uint32_t bodyBytes = 4U << 20U;
     std::uint32_t connections = 20000;             ///< Limit for open connections of all callers.
+    std::uint32_t fields = 256;                    ///< Limit for the fields of a header.
+    std::uint32_t receiveBufferBytes = 65536;      ///< Receive buffer of a connection in the kernel; 0 leaves the system's.
+    std::uint32_t bodyBytesPerSecond = 1024;       ///< Slower bodies are refused after `bodyStallTime`.
+    std::chrono::milliseconds bodyStallTime{5000}; ///< Limit between two parts of a body.
     std::chrono::milliseconds headerTime{10000};   ///< Limit for receiving a whole header.
     std::chrono::milliseconds bodyTime{30000};     ///< Limit for receiving a whole body.
     std::chrono::milliseconds idleTime{60000};     ///< Limit between two requests on one connection.
@@ -147,6 +151,8 @@
     std::optional<TlsSettings> callerTls;
     std::optional<TlsSettings> peerTls;
     CallerResourceLimits callers;
+    std::uint32_t memoryMegabytes = 0; ///< Memory of the VM; 0: that of the machine.
+    std::uint32_t descriptors = 0;     ///< Descriptors that the process may have open; 0: its limit at the start.
 
     friend auto operator<=>(const Settings &, const Settings &) = default;
 };
@@ -162,4 +168,26 @@
 /// @return the same as `readSettings`.
 [[nodiscard]] Result<Settings> parseSettings(const std::string &text, const std::string &fileName);
 
+/// What the machine gives the process.
+struct MachineLimits
+{
+    std::uint64_t memoryBytes = 0;
+    std::uint64_t descriptors = 0;
+
+    friend auto operator<=>(const MachineLimits &, const MachineLimits &) = default;
+};
+
+/// Limits for all callers together.
+struct TotalCallerLimits
+{
+    std::uint64_t memoryBytes = 0;
+    std::size_t connections = 0;
+
+    friend auto operator<=>(const TotalCallerLimits &, const TotalCallerLimits &) = default;
+};
+
+/// @param machine used where the settings state nothing.
+/// @return the limits that follow from the memory and the descriptors of the VM.
+[[nodiscard]] TotalCallerLimits totalCallerLimits(const Settings &settings, const MachineLimits &machine);
+
 } // namespace daisystream
--- a/daemon/control/settings_test.cpp
+++ b/daemon/control/settings_test.cpp
@@ -14,6 +14,19 @@
     return error == nullptr ? "" : error->detail;
 }
 
+// Guards against limits that do not fit into the VM, and against ones that refuse a lone request of the largest size.
+TEST_CASE("the limits for callers follow from the memory and the descriptors of the VM")
+{
+    Settings settings;
+    CHECK(totalCallerLimits(settings, {.memoryBytes = 88'000'000, .descriptors = 3'075}) == TotalCallerLimits{.memoryBytes = 38'400'000, .connections = 1'878});
+    settings.memoryMegabytes = 20;
+    settings.descriptors = 100;
+    CHECK(totalCallerLimits(settings, {.memoryBytes = 88'000'000, .descriptors = 3'075}) == TotalCallerLimits{.memoryBytes = 12'000'000, .connections = 16});
+    settings.descriptors = 1'000'000;
+    settings.callers.connections = 500;
+    CHECK(totalCallerLimits(settings, {}).connections == 500);
+}
+
 // Guards against a parser that stops at the first error, so that an operator would need one start of the daemon for each error.
 TEST_CASE("all errors are reported at once with file name and field path")
 {
--- a/daemon/endpoints/endpointexchange.cpp
+++ b/daemon/endpoints/endpointexchange.cpp
@@ -186,6 +186,11 @@
     return d->faultOf(error, "body");
 }
 
+ByteLease EndpointExchange::takeLease()
+{
+    return std::move(d_->lease);
+}
+
 bool EndpointExchange::isComplete() const
 {
     return d_->reader->isDone();
--- a/daemon/endpoints/endpointexchange.h
+++ b/daemon/endpoints/endpointexchange.h
@@ -94,6 +94,9 @@
     [[nodiscard]] std::optional<ExchangeFault>
     readAll(std::chrono::milliseconds time, std::uint64_t limitBytes, boost::asio::yield_context yield, ByteBudget *budget = nullptr);
 
+    /// @return the share of the budget that the body read by `readAll` uses, for a copy of the body that outlives the exchange.
+    [[nodiscard]] ByteLease takeLease();
+
     /// @return whether the response was read completely.
     [[nodiscard]] bool isComplete() const;
 
--- a/daemon/frontend/frontendcontext.cpp
+++ b/daemon/frontend/frontendcontext.cpp
@@ -128,6 +128,7 @@
     : io(io)
     , options(options)
     , parts(parts)
+    , clients({.bytes = options.memoryBytes, .connections = options.maxConnections}, parts.clock)
     , random_(parts.seed)
     , idPrefix_(hex(random_.bits()))
     , retries_(kRetryOptions)
--- a/daemon/frontend/frontendcontext.h
+++ b/daemon/frontend/frontendcontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/frontend/clientmemory.h"
 #include "daemon/frontend/httpfrontend.h"
 #include "daisystream/answer/sealer.h"
 #include "daisystream/orders/orderledger.h"
@@ -47,6 +48,7 @@
     boost::asio::io_context &io;
     const FrontendOptions options;
     const FrontendParts parts;
+    ClientMemory clients; ///< All that callers make this VM hold.
 
     /// @return an id that no other request of any VM has.
     [[nodiscard]] RequestId newRequestId();
--- a/daemon/frontend/httpconnection.cpp
+++ b/daemon/frontend/httpconnection.cpp
@@ -1,6 +1,7 @@
 #include "daemon/frontend/httpconnection.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <glog/logging.h>
@@ -9,9 +10,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <cstring>
+#include <iterator>
 
 namespace daisystream
 {
@@ -30,6 +34,21 @@
 // connection and the caller might never see the refusal.
 constexpr auto kLingerTimeout = std::chrono::seconds(1);
 constexpr std::size_t kLingerBytes = 8'388'608;
+// Measured with 2,000 connections over TCP: 18.6 kB each, most of it the stack of the coroutine.
+constexpr std::uint64_t kConnectionBytes = 20'000;
+// Added by TLS: two buffers for records of 16 KB, the state of the library and of the handshake.
+constexpr std::uint64_t kTlsBytes = 60'000;
+// Memory that a header takes for each of its fields beside their bytes.
+constexpr std::uint64_t kFieldBytes = 100;
+// A connection that waits for a request has a small buffer; headers rarely need more.
+constexpr std::size_t kFirstRead = 2'048;
+constexpr std::size_t kBodyRead = 32'768;
+// Up to this length the rest of a refused request is dropped and the connection kept; a client may still be sending it.
+constexpr std::uint64_t kMaxDropped = 65'536;
+// How long a body without room in memory waits before it is refused, and how often it tries.
+constexpr unsigned kRoomAttempts = 20;
+constexpr auto kRoomPause = std::chrono::milliseconds(50);
+constexpr auto kRetryAfterRoom = std::chrono::milliseconds(1'000);
 constexpr unsigned kHttp11 = 11;
 constexpr std::string_view kEventsHeader = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n";
 
@@ -55,6 +74,23 @@
     ::setsockopt(tcp().socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
 }
 
+std::uint64_t HttpConnection::baseBytes(bool withTls)
+{
+    return withTls ? kConnectionBytes + kTlsBytes : kConnectionBytes;
+}
+
+void HttpConnection::setAccount(std::shared_ptr<ClientAccount> account)
+{
+    account_ = std::move(account);
+}
+
+void HttpConnection::setPhase(ClientPhase phase)
+{
+    if (account_) {
+        account_->setPhase(phase);
+    }
+}
+
 HttpConnection::Plain &HttpConnection::tcp()
 {
     if (auto *plain = std::get_if<Plain>(&stream_)) {
@@ -92,63 +128,271 @@
 
 bool HttpConnection::waitForRequest(asio::yield_context yield)
 {
+    if (!dropBody(yield)) {
+        return false;
+    }
+    releaseBuffers();
     if (buffer_.size() > 0) {
         return true;
     }
-    error_code error;
+    setPhase(ClientPhase::Idle);
     tcp().expires_after(options_.idleTimeout);
-    const std::size_t count = with([&](auto &stream) { return stream.async_read_some(buffer_.prepare(options_.headerLimitBytes), yield[error]); });
+    return !readMore(std::min(kFirstRead, options_.headerLimitBytes), yield);
+}
+
+error_code HttpConnection::readMore(std::size_t most, asio::yield_context yield)
+{
+    error_code error;
+    const std::size_t count = with([&](auto &stream) { return stream.async_read_some(buffer_.prepare(most), yield[error]); });
     buffer_.commit(count);
-    return !error;
+    return error == asio::error::eof ? http::make_error_code(http::error::partial_message) : error;
 }
 
-std::optional<HttpRequest> HttpConnection::read(asio::yield_context yield)
+bool HttpConnection::dropBody(asio::yield_context yield)
 {
-    if (broken_ || !keepAlive_ || !waitForRequest(yield)) {
-        return std::nullopt;
+    tcp().expires_after(options_.bodyTimeout);
+    while (toDrop_ > 0) {
+        const auto count = std::min<std::uint64_t>(toDrop_, buffer_.size());
+        buffer_.consume(count);
+        toDrop_ -= count;
+        if (toDrop_ > 0 && readMore(kFirstRead, yield)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void HttpConnection::releaseBuffers()
+{
+    if (buffer_.size() == 0 && buffer_.capacity() > kFirstRead) {
+        buffer_.shrink_to_fit();
     }
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(options_.headerLimitBytes));
-    parser.body_limit(options_.bodyLimitBytes);
+    if (account_) {
+        (void)account_->charge(buffer_.capacity());
+    }
+}
+
+std::optional<HttpRequest> HttpConnection::read(const EarlyRefusal &refusal, asio::yield_context yield)
+{
+    while (!broken_ && keepAlive_ && waitForRequest(yield)) {
+        if (auto request = readOne(refusal, yield)) {
+            return request;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<HttpRequest> HttpConnection::readOne(const EarlyRefusal &refusal, asio::yield_context yield)
+{
+    setPhase(ClientPhase::Receiving);
+    HeaderParser head;
+    head.header_limit(static_cast<std::uint32_t>(options_.headerLimitBytes));
+    head.body_limit(options_.bodyLimitBytes);
     error_code error;
     isHead_ = false;
-    tcp().expires_after(options_.headerTimeout);
-    with([&](auto &stream) { return http::async_read_header(stream, buffer_, parser, yield[error]); });
+    if (const auto fault = readHeader(head, error, yield)) {
+        refuse(*fault, yield);
+        return std::nullopt;
+    }
     if (error) {
         refuse(error, yield);
         return std::nullopt;
     }
-    const auto &header = parser.get().base();
+    const auto &header = head.get().base();
     version_ = header.version();
     isHead_ = header.method() == http::verb::head;
     if (const auto fault = checkFraming(header)) {
         refuse(*fault, yield);
         return std::nullopt;
     }
+    BodyParser parser(std::move(head));
     if (!parser.is_done()) {
-        // The parser adds trailers to the header, where they would count like fields that the caller sent before the body.
-        std::optional<RequestHeader> withoutTrailers;
-        if (parser.chunked()) {
-            withoutTrailers = header;
+        keepAlive_ = parser.get().keep_alive();
+        if (auto refused = refusal ? refusal(parser.get()) : std::nullopt) {
+            refuseEarly(std::move(*refused), parser, yield);
+            return std::nullopt;
         }
-        if (version_ == kHttp11 && beast::iequals(header[http::field::expect], "100-continue")) {
-            writeRaw("HTTP/1.1 100 Continue\r\n\r\n", {}, {}, yield);
+        const auto fault = readBody(parser, error, yield);
+        if (fault) {
+            refuse(*fault, yield);
+            return std::nullopt;
         }
-        tcp().expires_after(options_.bodyTimeout);
-        with([&](auto &stream) { return http::async_read(stream, buffer_, parser, yield[error]); });
         if (error) {
             refuse(error, yield);
             return std::nullopt;
         }
-        if (withoutTrailers) {
-            parser.get().base() = *withoutTrailers;
-        }
     }
+    setPhase(ClientPhase::Serving);
     auto request = parser.release();
     keepAlive_ = request.keep_alive();
     return request;
 }
 
+std::optional<Error> HttpConnection::readHeader(HeaderParser &parser, error_code &error, asio::yield_context yield)
+{
+    const Error tooManyFields{ResultCode::HeaderTooLarge, "the header has more than " + std::to_string(options_.fieldLimit) + " fields", {}};
+    tcp().expires_after(options_.headerTimeout);
+    std::size_t lineBegin = 0; // In the buffer, of the line that has not ended.
+    std::size_t lines = 0;
+    bool hasEnded = false;
+    for (;;) {
+        // Lines are counted before they are parsed, because a parsed field takes several times its bytes.
+        const auto *bytes = static_cast<const char *>(buffer_.data().data());
+        while (!hasEnded && lineBegin < buffer_.size()) {
+            const auto *end = static_cast<const char *>(std::memchr(bytes + lineBegin, '\n', buffer_.size() - lineBegin));
+            if (end == nullptr) {
+                break;
+            }
+            const auto next = static_cast<std::size_t>(end - bytes) + 1;
+            hasEnded = lines > 0 && next - lineBegin <= 2;
+            lineBegin = next;
+            ++lines;
+        }
+        // Beside the fields there are the request line and the empty line.
+        if (lines > options_.fieldLimit + 2) {
+            return tooManyFields;
+        }
+        if (account_ && !account_->charge(buffer_.capacity() + lines * kFieldBytes)) {
+            account_->makeRoom(options_.headerLimitBytes);
+            return Error{ResultCode::NoMemory, "there is no memory for the header of the request", kRetryAfterRoom};
+        }
+        const auto consumed = parser.put(buffer_.data(), error);
+        buffer_.consume(consumed);
+        lineBegin -= std::min(consumed, lineBegin);
+        if (error != http::error::need_more) {
+            return std::nullopt;
+        }
+        if (buffer_.size() > options_.headerLimitBytes) {
+            error = http::error::header_limit;
+            return std::nullopt;
+        }
+        error = readMore(std::max(kFirstRead, std::min(buffer_.size(), options_.headerLimitBytes)), yield);
+        if (error) {
+            return std::nullopt;
+        }
+    }
+}
+
+bool HttpConnection::chargeBody(std::uint64_t bytes, asio::yield_context yield)
+{
+    if (!account_) {
+        return true;
+    }
+    if (account_->charge(bytes)) {
+        return true;
+    }
+    // While it waits for this VM, the connection is not one of those that are closed to make room.
+    setPhase(ClientPhase::Serving);
+    asio::steady_timer timer(tcp().get_executor());
+    for (unsigned i = 0; !account_->charge(bytes); ++i) {
+        if (i >= kRoomAttempts || broken_) {
+            return false;
+        }
+        account_->makeRoom(bytes);
+        error_code ignored;
+        timer.expires_after(kRoomPause);
+        timer.async_wait(yield[ignored]);
+    }
+    setPhase(ClientPhase::Receiving);
+    return true;
+}
+
+std::optional<Error> HttpConnection::readBody(BodyParser &parser, error_code &error, asio::yield_context yield)
+{
+    const Error noRoom{ResultCode::NoMemory, "there is no memory for the body of the request", kRetryAfterRoom};
+    const auto length = parser.content_length();
+    // A body of known length is charged at once: several that each wait for the room of the others would never end.
+    if (!chargeBody(kBodyRead + length.value_or(0), yield)) {
+        return noRoom;
+    }
+    // The parser adds trailers to the header, where they would count like fields that the caller sent before the body.
+    std::optional<RequestHeader> withoutTrailers;
+    if (parser.chunked()) {
+        withoutTrailers = parser.get().base();
+    }
+    if (version_ == kHttp11 && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        writeRaw("HTTP/1.1 100 Continue\r\n\r\n", {}, {}, yield);
+    }
+    using Steady = std::chrono::steady_clock;
+    const auto begin = Steady::now();
+    std::uint64_t received = 0;
+    std::uint64_t progressAt = kBodyRead;
+    parser.eager(true);
+    auto &body = parser.get().body();
+    for (;;) {
+        if (const auto needed = body.size() + buffer_.size(); !length && needed > body.capacity()) {
+            // Both blocks exist while the content moves to the larger one.
+            const auto larger = std::min<std::uint64_t>(std::max<std::uint64_t>(needed, 2 * body.capacity()), options_.bodyLimitBytes + kBodyRead);
+            if (!chargeBody(kBodyRead + body.capacity() + larger, yield)) {
+                return noRoom;
+            }
+            body.reserve(larger);
+            (void)chargeBody(kBodyRead + body.capacity(), yield);
+        }
+        if (buffer_.size() > 0) {
+            const auto consumed = parser.put(buffer_.data(), error);
+            buffer_.consume(consumed);
+            received += consumed;
+            if (!error && parser.is_done()) {
+                break;
+            }
+            if (error && error != http::error::need_more) {
+                return std::nullopt;
+            }
+            if (buffer_.size() > options_.headerLimitBytes) {
+                error = http::error::header_limit; // A chunk's extension or a trailer without end.
+                return std::nullopt;
+            }
+            const auto fields = parser.chunked() ? std::distance(parser.get().begin(), parser.get().end()) : 0;
+            if (static_cast<std::size_t>(fields) > 2 * options_.fieldLimit) {
+                return Error{ResultCode::HeaderTooLarge, "the request has too many trailers", {}};
+            }
+        }
+        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(Steady::now() - begin);
+        const auto needed = static_cast<std::uint64_t>(elapsed.count()) * options_.bodyBytesPerSecond / 1'000;
+        if (elapsed > options_.bodyStallTimeout && received < needed) {
+            return Error{ResultCode::CallerTooSlow, "the body of the request comes too slowly", {}};
+        }
+        const auto left = options_.bodyTimeout - elapsed;
+        tcp().expires_after(std::clamp(left, std::chrono::milliseconds(1), options_.bodyStallTimeout));
+        error = readMore(kBodyRead, yield);
+        if (error) {
+            return std::nullopt;
+        }
+        // Few bytes are no progress: clients that send slowly are the first to be closed.
+        if (received >= progressAt) {
+            setPhase(ClientPhase::Receiving);
+            progressAt = received + kBodyRead;
+        }
+    }
+    // Requests that are forwarded exist twice.
+    if (!chargeBody(kBodyRead + 2 * body.size(), yield)) {
+        return noRoom;
+    }
+    if (withoutTrailers) {
+        parser.get().base() = *withoutTrailers;
+    }
+    return std::nullopt;
+}
+
+void HttpConnection::refuseEarly(HttpResponse response, const BodyParser &parser, asio::yield_context yield)
+{
+    const auto length = parser.content_length();
+    const bool isWaiting = beast::iequals(parser.get()[http::field::expect], "100-continue");
+    const bool isShort = length && *length <= kMaxDropped && !isWaiting;
+    keepAlive_ = keepAlive_ && isShort;
+    write(std::move(response), yield);
+    toDrop_ = isShort ? *length : 0;
+}
+
+void HttpConnection::refuse(const Error &refusal, asio::yield_context yield)
+{
+    keepAlive_ = false;
+    auto response = errorReply(refusal, FinalState::NotRun);
+    LOG(INFO) << "event=request_malformed status=" << response.result_int() << " reason=\"" << refusal.detail << '"';
+    write(std::move(response), yield);
+}
+
 void HttpConnection::refuse(const FramingFault &fault, asio::yield_context yield)
 {
     keepAlive_ = false;
@@ -171,9 +415,7 @@
     } else if (error == http::error::body_limit) {
         refusal = {ResultCode::RequestTooLarge, "the body is larger than " + std::to_string(options_.bodyLimitBytes) + " bytes", {}};
     }
-    auto response = errorReply(refusal, FinalState::NotRun);
-    LOG(INFO) << "event=request_malformed status=" << response.result_int() << " reason=\"" << error.message() << '"';
-    write(std::move(response), yield);
+    refuse(refusal, yield);
 }
 
 bool HttpConnection::write(HttpResponse response, asio::yield_context yield)
@@ -194,6 +436,7 @@
         response.content_length(boost::none);
     }
     error_code error;
+    setPhase(ClientPhase::Sending);
     tcp().expires_after(options_.writeTimeout);
     if (isHeaderOnly) {
         http::response_serializer<http::string_body> serializer(response);
@@ -201,6 +444,7 @@
     } else {
         with([&](auto &stream) { return http::async_write(stream, response, yield[error]); });
     }
+    setPhase(ClientPhase::Serving);
     broken_ = static_cast<bool>(error);
     return !broken_;
 }
@@ -212,8 +456,10 @@
     }
     const std::array<asio::const_buffer, 3> parts = {asio::buffer(first), asio::buffer(second), asio::buffer(third)};
     error_code error;
+    setPhase(ClientPhase::Sending);
     tcp().expires_after(options_.writeTimeout);
     with([&](auto &stream) { return asio::async_write(stream, parts, yield[error]); });
+    setPhase(ClientPhase::Serving);
     broken_ = static_cast<bool>(error);
     return !broken_;
 }
@@ -335,7 +581,8 @@
             tls->async_shutdown(yield[error]);
         }
         tcp().socket().shutdown(Socket::shutdown_send, error);
-        std::array<char, 16384> dropped{};
+        // Small, because it lies on the stack of the coroutine.
+        std::array<char, 2048> dropped{};
         for (std::size_t total = 0; !error && total < kLingerBytes;) {
             total += tcp().async_read_some(asio::buffer(dropped), yield[error]);
         }
--- a/daemon/frontend/httpconnection.h
+++ b/daemon/frontend/httpconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/frontend/clientmemory.h"
 #include "daemon/frontend/frontendoptions.h"
 #include "daemon/frontend/httpreply.h"
 #include "daemon/http/messageframing.h"
@@ -9,6 +10,8 @@
 #include <boost/asio/ssl/context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/ssl/ssl_stream.hpp>
 
 #include <functional>
@@ -22,8 +25,8 @@
 ///
 /// Example:
 /// @code
-///   HttpConnection connection(std::move(socket), nullptr, options);
-///   while (const auto request = connection.read(yield)) { connection.write(reply(*request), yield); }
+///   HttpConnection connection(std::move(socket), nullptr, options, account);
+///   while (const auto request = connection.read(refusal, yield)) { connection.write(reply(*request), yield); }
 /// @endcode
 
 namespace daisystream
@@ -35,18 +38,29 @@
 public:
     using Socket = boost::asio::ip::tcp::socket;
 
+    /// Decides on a request before its body is read.
+    /// @return the refusal, nothing if the body is to be read.
+    using EarlyRefusal = std::function<std::optional<HttpResponse>(const HttpRequest &withoutBody)>;
+
+    /// @return the memory that a connection needs before it has read anything.
+    [[nodiscard]] static std::uint64_t baseBytes(bool withTls);
+
     /// @param tls null for plain TCP.
     /// @param isStopping whether the VM shuts down, so that each response that begins is the last one on its connection; may be empty.
     HttpConnection(Socket socket, std::shared_ptr<boost::asio::ssl::context> tls, const FrontendOptions &options, std::function<bool()> isStopping = {});
 
+    /// Sets the account that all memory of the connection is charged to; not null. Call it before any other function.
+    void setAccount(std::shared_ptr<ClientAccount> account);
+
     /// Performs the TLS handshake, if there is one.
     /// @return false if the connection is of no use.
     [[nodiscard]] bool handshake(boost::asio::yield_context yield);
 
-    /// Reads the next request. Requests that are malformed, too large or too slow are answered here, and so are those whose end is not
-    /// clear. Trailers are dropped.
+    /// Reads the next request. Requests that are malformed, too large, too slow or without room in memory are answered here, and so are
+    /// those whose end is not clear. Trailers are dropped.
+    /// @param refusal asked for requests with a body before it is read; the rest of a refused request is dropped. May be empty.
     /// @return the request, or nothing when the connection is at its end.
-    [[nodiscard]] std::optional<HttpRequest> read(boost::asio::yield_context yield);
+    [[nodiscard]] std::optional<HttpRequest> read(const EarlyRefusal &refusal, boost::asio::yield_context yield);
 
     /// Writes a whole response. If the request is a HEAD request, the body is left out; a length that the response states stays.
     /// @return false if the caller has gone away.
@@ -94,7 +108,27 @@
     [[nodiscard]] Plain &tcp();
     template<class Function>
     auto with(Function &&function);
+    using HeaderParser = boost::beast::http::request_parser<boost::beast::http::empty_body>;
+    using BodyParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    /// @return nothing if the request was refused.
+    [[nodiscard]] std::optional<HttpRequest> readOne(const EarlyRefusal &refusal, boost::asio::yield_context yield);
     [[nodiscard]] bool waitForRequest(boost::asio::yield_context yield);
+    /// Drops the rest of the body of a refused request.
+    /// @return false if it does not come.
+    [[nodiscard]] bool dropBody(boost::asio::yield_context yield);
+    /// Reads further bytes into the buffer.
+    [[nodiscard]] boost::system::error_code readMore(std::size_t most, boost::asio::yield_context yield);
+    [[nodiscard]] std::optional<Error> readHeader(HeaderParser &parser, boost::system::error_code &error, boost::asio::yield_context yield);
+    [[nodiscard]] std::optional<Error> readBody(BodyParser &parser, boost::system::error_code &error, boost::asio::yield_context yield);
+    /// Refuses a request whose body has not been read.
+    void refuseEarly(HttpResponse response, const BodyParser &parser, boost::asio::yield_context yield);
+    /// Waits a short time for room, during which nothing is read.
+    /// @return false if there is none.
+    [[nodiscard]] bool chargeBody(std::uint64_t bytes, boost::asio::yield_context yield);
+    void releaseBuffers();
+    void setPhase(ClientPhase phase);
+    void refuse(const Error &refusal, boost::asio::yield_context yield);
     void refuse(const boost::system::error_code &error, boost::asio::yield_context yield);
     void refuse(const FramingFault &fault, boost::asio::yield_context yield);
     /// Determines how a streamed response ends.
@@ -104,10 +138,12 @@
     bool writeRaw(std::string_view first, std::string_view second, std::string_view third, boost::asio::yield_context yield);
 
     FrontendOptions options_;
+    std::shared_ptr<ClientAccount> account_;
     std::shared_ptr<boost::asio::ssl::context> tls_;
     std::function<bool()> isStopping_;
     std::variant<Plain, Tls> stream_;
     boost::beast::flat_buffer buffer_;
+    std::uint64_t toDrop_ = 0; ///< Rest of the body of a refused request.
     unsigned version_ = 11;
     bool keepAlive_ = true;
     bool isHead_ = false;                          ///< The request is a HEAD request, whose response has no body.
--- a/daemon/frontend/httpfrontend.cpp
+++ b/daemon/frontend/httpfrontend.cpp
@@ -28,6 +28,8 @@
 
 // Pause after a failed accept: without file descriptors the failure would repeat at once.
 constexpr auto kAcceptPause = std::chrono::milliseconds(100);
+// Time for the coroutines of closed connections to end.
+constexpr auto kRoomPause = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -40,6 +42,10 @@
         , orders_(std::make_shared<OrderRouter>(context_))
         , handler_(context_, *orders_)
         , acceptor_(asio::make_strand(io))
+        , clientBytes_(parts.metrics.gauge("daisystream_client_bytes", "Memory that callers made this VM hold when the last connection came."))
+        , clientConnections_(parts.metrics.gauge("daisystream_client_connections", "Connections of callers when the last one came."))
+        , clientsEvicted_(parts.metrics.counter("daisystream_clients_evicted_total", "Connections closed to make room for others."))
+        , clientsRefused_(parts.metrics.counter("daisystream_clients_refused_total", "New connections closed for lack of room."))
     {
         if (parts.gateway) {
             gateway_
@@ -63,24 +69,54 @@
                 timer.async_wait(yield[error]);
                 continue;
             }
-            if (connections_ >= context_.options.maxConnections) {
-                continue; // Closes the socket.
-            }
-            startConnection(std::move(socket));
+            startConnection(std::move(socket), yield);
         }
     }
 
-    void startConnection(tcp::socket socket)
+    /// Closes the connection instead if there is no room for it.
+    void startConnection(tcp::socket socket, asio::yield_context yield)
     {
         auto executor = socket.get_executor();
         auto tls = std::atomic_load(&tls_);
+        const auto bytes = HttpConnection::baseBytes(tls != nullptr);
         auto connection
             = std::make_shared<HttpConnection>(std::move(socket), std::move(tls), optionsNow(), [&lists = context_.parts.lists] { return lists.isStopping(); });
-        // Counts the connection until its coroutine ends, also by an exception.
-        ++connections_;
-        auto counted = std::shared_ptr<Private>(this, [self = shared_from_this()](Private *frontend) { --frontend->connections_; });
+        const auto evict = [executor, weak = std::weak_ptr(connection)] {
+            asio::post(executor, [weak] {
+                if (const auto evicted = weak.lock()) {
+                    evicted->abort();
+                }
+            });
+        };
+        auto account = context_.clients.open(bytes, evict);
+        if (!account) {
+            // Connections that were closed to make room return it when their coroutines have run.
+            error_code ignored;
+            asio::steady_timer timer(yield.get_executor(), kRoomPause);
+            timer.async_wait(yield[ignored]);
+            account = context_.clients.open(bytes, evict);
+        }
+        clientBytes_.set(static_cast<double>(context_.clients.budget().held()));
+        clientConnections_.set(static_cast<double>(context_.clients.connections()));
+        clientsEvicted_.add(context_.clients.evicted() - clientsEvicted_.value());
+        if (!account) {
+            countRefusedConnection();
+            return;
+        }
+        connection->setAccount(std::move(account));
         asio::spawn(
-            executor, [self = std::move(counted), connection](asio::yield_context yield) { self->serve(*connection, yield); }, asio::detached);
+            executor, [self = shared_from_this(), connection](asio::yield_context yield) { self->serve(*connection, yield); }, asio::detached);
+    }
+
+    /// Logs the 1st, 2nd, 4th, 8th, ... refused connection, so that a flood of them does not fill the log.
+    void countRefusedConnection()
+    {
+        clientsRefused_.add(1);
+        const auto count = clientsRefused_.value();
+        if ((count & (count - 1)) == 0) {
+            LOG(WARNING) << "event=client_refused connections=" << context_.clients.connections() << " held=" << context_.clients.budget().held()
+                         << " refused=" << count;
+        }
     }
 
     /// @return the bounds of the settings or, where they set some, of the routes in force.
@@ -102,7 +138,10 @@
         if (!connection.handshake(yield)) {
             return;
         }
-        while (const auto request = connection.read(yield)) {
+        const HttpConnection::EarlyRefusal refusal = [this](const HttpRequest &request) {
+            return forwarder_ ? forwarder_->refuseEarly(request) : handler_.refuseEarly(request);
+        };
+        while (const auto request = connection.read(refusal, yield)) {
             if (forwarder_) {
                 forwarder_->serve(connection, *request, yield);
             } else {
@@ -120,7 +159,11 @@
     std::unique_ptr<GatewayHandler> forwarder_;
     tcp::acceptor acceptor_;
     std::shared_ptr<asio::ssl::context> tls_;
-    std::atomic<std::size_t> connections_{0};
+    // Written by the coroutine that accepts connections.
+    Gauge &clientBytes_;
+    Gauge &clientConnections_;
+    Counter &clientsEvicted_;
+    Counter &clientsRefused_;
     std::uint16_t port_ = 0;
 };
 
@@ -149,6 +192,10 @@
     }
     if (!error) {
         acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        // Accepted sockets inherit it. What the kernel has received counts towards the memory of this process.
+        if (const int bytes = d_->context_.options.receiveBufferBytes; bytes > 0) {
+            acceptor.set_option(asio::socket_base::receive_buffer_size(bytes), error);
+        }
         acceptor.bind(address, error);
     }
     if (!error) {
--- a/daemon/frontend/requesthandler.cpp
+++ b/daemon/frontend/requesthandler.cpp
@@ -68,6 +68,33 @@
     return textReply(http::status::ok, "ready\n");
 }
 
+std::optional<HttpResponse> RequestHandler::refuseEarly(const HttpRequest &withoutBody) const
+{
+    const auto route = routeOf({withoutBody.target().data(), withoutBody.target().size()});
+    if (std::holds_alternative<HealthRoute>(route)) {
+        return textReply(http::status::ok, "ok\n");
+    }
+    if (std::holds_alternative<ReadyRoute>(route)) {
+        return readiness();
+    }
+    if (std::holds_alternative<MetricsRoute>(route)) {
+        return textReply(http::status::ok, context_.parts.metrics.text());
+    }
+    if (std::holds_alternative<UnknownRoute>(route)) {
+        return errorReply({ResultCode::UnknownPath, "there is nothing at this path", {}}, FinalState::NotRun);
+    }
+    const auto grant = authorize(context_.parts.lists, withoutBody);
+    if (const auto *error = std::get_if<Error>(&grant)) {
+        return errorReply(*error, FinalState::NotRun);
+    }
+    if (const auto *service = serviceOf(route)) {
+        if (const auto refusal = checkService(std::get<CallerGrant>(grant), *service)) {
+            return errorReply(*refusal, FinalState::NotRun);
+        }
+    }
+    return std::nullopt;
+}
+
 void RequestHandler::serve(HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield)
 {
     const auto route = routeOf({request.target().data(), request.target().size()});
--- a/daemon/frontend/requesthandler.h
+++ b/daemon/frontend/requesthandler.h
@@ -28,6 +28,10 @@
     /// All parameters must outlive the event loop.
     RequestHandler(FrontendContext &context, OrderRouter &orders);
 
+    /// Decides on a request with a body before that is read.
+    /// @return the refusal or the whole response, nothing if the body is needed.
+    [[nodiscard]] std::optional<HttpResponse> refuseEarly(const HttpRequest &withoutBody) const;
+
     /// Serves the request and writes its response.
     void serve(HttpConnection &connection, const HttpRequest &request, boost::asio::yield_context yield);
 
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -192,9 +192,11 @@
             gateway_.onSent(endpoint.id);
         }
         if (!fault) {
-            fault = exchange_->readAll(timeLimit, kMaxResponseBytes, yield, &gateway_.responseBytes);
+            fault = exchange_->readAll(timeLimit, kMaxResponseBytes, yield, &gateway_.frontend.clients.budget());
         }
         recordAttempt(endpoint, fault);
+        // The response is in memory until the caller has read it.
+        answerBytes_ = exchange_->takeLease();
         exchange_.reset();
     }
 
@@ -296,6 +298,7 @@
     const std::uint64_t requestHash_; ///< As PermitRequest::request.
     std::optional<EndpointExchange> exchange_;
     std::vector<EndpointId> tried_;      ///< Endpoints that were already attempted.
+    ByteLease answerBytes_;              ///< For `answer_`.
     std::optional<HttpResponse> answer_; ///< Latest response that an endpoint gave to this call.
     std::optional<Error> failure_;       ///< Error of the first failed attempt, or of the latest refused attempt.
     TimePoint sentAt_{};                 ///< When the latest attempt began.
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -26,9 +26,6 @@
 constexpr std::chrono::milliseconds kDrainMargin{500};
 // How long a leaving endpoint is remembered. It is gone well before this time is over, and its id is never reused.
 constexpr std::chrono::minutes kLeavingRetention{5};
-// Limit for response bodies that are buffered whole: an eighth of the memory of the smallest VMs (88 MB). Each body briefly
-// exists twice in memory.
-constexpr std::uint64_t kMaxBufferedResponseBytes = 11U << 20U;
 // Number of route priorities that are distinguished within one team priority. Engines support ten priority levels in total.
 constexpr std::uint32_t kRoutePriorityLevels = 3;
 
@@ -129,7 +126,6 @@
     , dispatcher(dispatcher)
     , dialect(dialect)
     , settings(settings)
-    , responseBytes(kMaxBufferedResponseBytes)
     , zone_(zone)
     , random_(frontend.parts.seed)
     , budget_({.ratio = settings.retryRatio, .allowance = settings.retryAllowance, .window = settings.retryWindow})
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -95,8 +95,6 @@
     const GatewayDialect &dialect;
     const GatewaySettings settings;
 
-    ByteBudget responseBytes; ///< Limits the memory for response bodies that are buffered whole.
-
     [[nodiscard]] TimePoint now() const;
 
     /// @param decision name of the decision.
--- a/daemon/gateway/gatewayhandler.cpp
+++ b/daemon/gateway/gatewayhandler.cpp
@@ -34,16 +34,7 @@
     const RunningGuard guard(gateway_.frontend);
     const auto admitted = admit(request);
     if (const auto *error = std::get_if<Error>(&admitted)) {
-        const auto table = gateway_.frontend.parts.lists.routes();
-        DecisionLine("refuse")
-            .field("request", gateway_.dialect.readCaller(request).attempt)
-            .field("target", {request.target().data(), request.target().size()})
-            .field("reason", toString(error->code))
-            .field("routes", table ? std::to_string(table->version()) : "none")
-            .field("retry_ms", error->retryAfter ? std::to_string(error->retryAfter->count()) : "")
-            .field("detail", error->detail)
-            .write();
-        connection.write(gatewayReply(gateway_.dialect, *error, FailureOutcome::NotRun), yield);
+        connection.write(refuse(request, *error), yield);
         return;
     }
     const auto &routed = std::get<RoutedRequest>(admitted);
@@ -54,29 +45,65 @@
     }
 }
 
-Result<RoutedRequest> GatewayHandler::admit(const HttpRequest &request) const
+std::optional<HttpResponse> GatewayHandler::refuseEarly(const HttpRequest &withoutBody) const
+{
+    const auto destination = findDestination(withoutBody);
+    const auto *error = std::get_if<Error>(&destination);
+    return error != nullptr ? std::optional(refuse(withoutBody, *error)) : std::nullopt;
+}
+
+HttpResponse GatewayHandler::refuse(const HttpRequest &request, const Error &error) const
+{
+    const auto table = gateway_.frontend.parts.lists.routes();
+    DecisionLine("refuse")
+        .field("request", gateway_.dialect.readCaller(request).attempt)
+        .field("target", {request.target().data(), request.target().size()})
+        .field("reason", toString(error.code))
+        .field("routes", table ? std::to_string(table->version()) : "none")
+        .field("retry_ms", error.retryAfter ? std::to_string(error.retryAfter->count()) : "")
+        .field("detail", error.detail)
+        .write();
+    return gatewayReply(gateway_.dialect, error, FailureOutcome::NotRun);
+}
+
+Result<GatewayHandler::Destination> GatewayHandler::findDestination(const HttpRequest &request) const
 {
     // The request can be refused by the routes only while this VM knows that its route table is current.
     if (const auto refusal = gateway_.frontend.parts.lists.routeAdmission()) {
         return *refusal;
     }
-    const auto arrival = gateway_.now();
-    const auto table = gateway_.frontend.parts.lists.routes();
+    auto table = gateway_.frontend.parts.lists.routes();
     const auto host = request[boost::beast::http::field::host];
     const auto *route = table->find({host.data(), host.size()}, {request.target().data(), request.target().size()});
     if (route == nullptr) {
         return Error{ResultCode::UnknownPath, "no route matches the host and path", {}};
     }
-    RoutedRequest routed{.http = request, .head = gateway_.dialect.readCaller(request), .id = gateway_.frontend.newRequestId(), .table = table};
+    Destination destination{.table = std::move(table), .route = route, .team = nullptr, .head = gateway_.dialect.readCaller(request)};
+    if (destination.table->needsKeys() && !route->isPublic) {
+        destination.team = destination.table->findTeam(destination.head.key);
+        if (destination.team == nullptr) {
+            return Error{destination.head.key.empty() ? ResultCode::MissingKey : ResultCode::UnknownKey, "the API key is missing or unknown", {}};
+        }
+    }
+    return destination;
+}
+
+Result<RoutedRequest> GatewayHandler::admit(const HttpRequest &request) const
+{
+    const auto arrival = gateway_.now();
+    auto found = findDestination(request);
+    if (const auto *error = std::get_if<Error>(&found)) {
+        return *error;
+    }
+    auto &destination = std::get<Destination>(found);
+    const auto &table = destination.table;
+    const auto *route = destination.route;
+    RoutedRequest routed{.http = request, .head = std::move(destination.head), .id = gateway_.frontend.newRequestId(), .table = table};
     routed.route = route;
     routed.priority = route->priority;
-    if (table->needsKeys() && !route->isPublic) {
-        const auto *team = table->findTeam(routed.head.key);
-        if (team == nullptr) {
-            return Error{routed.head.key.empty() ? ResultCode::MissingKey : ResultCode::UnknownKey, "the API key is missing or unknown", {}};
-        }
-        routed.team = team->id;
-        routed.priority = team->priority.value_or(route->priority);
+    if (destination.team != nullptr) {
+        routed.team = destination.team->id;
+        routed.priority = destination.team->priority.value_or(route->priority);
     }
     routed.service = chooseService(*route);
     const auto *service = table->service(routed.service);
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -705,7 +705,7 @@
         if (!isOwnAnswer || state_.mayRetry()) {
             return RunEnd::Failed;
         }
-        if (exchange_->readAll(silenceLimit(), kMaxErrorBytes, yield, &gateway_.responseBytes)) {
+        if (exchange_->readAll(silenceLimit(), kMaxErrorBytes, yield, &gateway_.frontend.clients.budget())) {
             return RunEnd::Failed;
         }
         ended_ = true;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -18,6 +18,10 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include <malloc.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <cstdio>
 #include <cstdlib>
 #include <random>
@@ -34,6 +38,8 @@
 using namespace daisystream;
 
 // Documented in docs/settings.md.
+// Larger blocks, which are bodies of requests and responses, go back to the system when they are freed.
+constexpr int kMappedBlockBytes = 131'072;
 constexpr int kExitFailure = 1;
 constexpr int kExitInvalidSettings = 2;
 constexpr int kExitCannotStart = 3;
@@ -63,10 +69,29 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
-FrontendOptions toOptions(const CallerResourceLimits &bounds)
+/// @return the memory and the descriptors of the machine, where the settings do not state those of the VM.
+MachineLimits machineLimits()
+{
+    MachineLimits limits;
+    limits.memoryBytes = static_cast<std::uint64_t>(::sysconf(_SC_PHYS_PAGES)) * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+    rlimit descriptors{};
+    if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0) {
+        limits.descriptors = descriptors.rlim_cur;
+    }
+    return limits;
+}
+
+FrontendOptions toOptions(const Settings &settings)
 {
+    const CallerResourceLimits &bounds = settings.callers;
+    const auto total = totalCallerLimits(settings, machineLimits());
     FrontendOptions options;
-    options.maxConnections = bounds.connections;
+    options.memoryBytes = total.memoryBytes;
+    options.maxConnections = total.connections;
+    options.fieldLimit = bounds.fields;
+    options.receiveBufferBytes = static_cast<int>(bounds.receiveBufferBytes);
+    options.bodyStallTimeout = bounds.bodyStallTime;
+    options.bodyBytesPerSecond = bounds.bodyBytesPerSecond;
     options.headerLimitBytes = bounds.headerBytes;
     options.bodyLimitBytes = bounds.bodyBytes;
     options.idleTimeout = bounds.idleTime;
@@ -129,7 +154,7 @@
         , records_(control_.platform())
         , frontend_(io_,
                     settings.listen,
-                    toOptions(settings.callers),
+                    toOptions(settings),
                     {.lists = control_.lists(),
                      .dispatcher = control_.dispatcher(),
                      .peers = control_.peers(),
@@ -140,8 +165,8 @@
                      .clock = clock_,
                      .seed = randomSeed(),
                      .gateway = gatewayParts()})
-        , operators_(io_, operatorPages(control_))
-        , readiness_(io_, readinessPages(control_))
+        , operators_(io_, clock_, operatorPages(control_))
+        , readiness_(io_, clock_, readinessPages(control_))
     {
         if (auto *gateway = frontend_.gateway()) {
             control_.setEndpointHandler([gateway](const std::vector<EndpointId> &leaving) { gateway->announceLeaving(leaving); });
@@ -300,6 +325,8 @@
     gflags::SetUsageMessage("daisystreamd --settings FILE [--check]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     google::InitGoogleLogging(argv[0]);
+    // By default the allocator raises this threshold up to 32 MB, after which freed bodies stay in the heap.
+    ::mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
     const auto result = readSettings(FLAGS_settings);
     if (const auto *error = std::get_if<Error>(&result)) {
         std::fprintf(stderr, "%s\n", error->detail.c_str());
--- a/daemon/status/operatorapi.cpp
+++ b/daemon/status/operatorapi.cpp
@@ -11,8 +11,6 @@
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/verb.hpp>
 
-#include <atomic>
-
 namespace daisystream
 {
 
@@ -25,6 +23,8 @@
 {
 
 constexpr unsigned kMaxConnections = 32;
+// For a connection with the longest header and body, which has the number of fields that a header may have.
+constexpr std::uint64_t kConnectionBytes = 128'000;
 constexpr auto kExchangeTimeout = std::chrono::seconds(5);
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(200);
 constexpr std::uint64_t kBodyLimitBytes = 4096; // No page needs a body.
@@ -45,10 +45,11 @@
 class OperatorApi::Private : public std::enable_shared_from_this<Private>
 {
 public:
-    Private(asio::io_context &loop, std::map<std::string, OperatorPage> content)
+    Private(asio::io_context &loop, const Clock &clock, std::map<std::string, OperatorPage> content)
         : io(loop)
         , pages(std::move(content))
         , acceptor(asio::make_strand(loop))
+        , clients({.bytes = kMaxConnections * kConnectionBytes, .connections = kMaxConnections}, clock)
     {
     }
 
@@ -61,7 +62,7 @@
             if (error) {
                 asio::steady_timer timer(acceptor.get_executor(), kAcceptRetryDelay);
                 timer.async_wait(yield[error]);
-            } else if (connections < kMaxConnections) {
+            } else {
                 start(std::move(socket));
             }
         }
@@ -71,16 +72,28 @@
     {
         const auto executor = socket.get_executor();
         auto connection = std::make_shared<HttpConnection>(std::move(socket), nullptr, connectionOptions());
-        // Counts the connection until its coroutine ends, also by an exception.
-        ++connections;
-        auto counted = std::shared_ptr<Private>(this, [self = shared_from_this()](Private *api) { --api->connections; });
+        // If all connections are in use, those that stall most are closed, so that a later check is answered.
+        auto account = clients.open(HttpConnection::baseBytes(false), [executor, weak = std::weak_ptr(connection)] {
+            asio::post(executor, [weak] {
+                if (const auto evicted = weak.lock()) {
+                    evicted->abort();
+                }
+            });
+        });
+        if (!account) {
+            return;
+        }
+        connection->setAccount(std::move(account));
         asio::spawn(
-            executor, [self = std::move(counted), connection](asio::yield_context yield) { self->serve(*connection, yield); }, asio::detached);
+            executor, [self = shared_from_this(), connection](asio::yield_context yield) { self->serve(*connection, yield); }, asio::detached);
     }
 
     void serve(HttpConnection &connection, asio::yield_context yield) const
     {
-        while (const auto request = connection.read(yield)) {
+        const HttpConnection::EarlyRefusal refusal = [this](const HttpRequest &request) {
+            return respond(request);
+        };
+        while (const auto request = connection.read(refusal, yield)) {
             connection.write(respond(*request), yield);
         }
         connection.close(yield);
@@ -104,11 +117,11 @@
     asio::io_context &io;
     const std::map<std::string, OperatorPage> pages;
     tcp::acceptor acceptor;
-    std::atomic<unsigned> connections{0};
+    ClientMemory clients;
 };
 
-OperatorApi::OperatorApi(asio::io_context &io, std::map<std::string, OperatorPage> pages)
-    : d_(std::make_shared<Private>(io, std::move(pages)))
+OperatorApi::OperatorApi(asio::io_context &io, const Clock &clock, std::map<std::string, OperatorPage> pages)
+    : d_(std::make_shared<Private>(io, clock, std::move(pages)))
 {
 }
 
--- a/daemon/status/operatorapi.h
+++ b/daemon/status/operatorapi.h
@@ -16,7 +16,7 @@
 ///
 /// Example:
 /// @code
-///   OperatorApi api(io, {{"/metrics", {"text/plain; version=0.0.4", [&] { return metrics.text(); }}}});
+///   OperatorApi api(io, clock, {{"/metrics", {"text/plain; version=0.0.4", [&] { return metrics.text(); }}}});
 ///   api.start(*settings.listenOperators);
 /// @endcode
 
@@ -36,7 +36,7 @@
 public:
     /// @param io the event loop; must outlive the object.
     /// @param pages the pages by their paths.
-    OperatorApi(boost::asio::io_context &io, std::map<std::string, OperatorPage> pages);
+    OperatorApi(boost::asio::io_context &io, const Clock &clock, std::map<std::string, OperatorPage> pages);
     ~OperatorApi();
 
     /// Starts listening.
--- a/daisystream/base/result.cpp
+++ b/daisystream/base/result.cpp
@@ -50,6 +50,8 @@
         return "RetryBudgetSpent";
     case ResultCode::TimeLimitPassed:
         return "TimeLimitPassed";
+    case ResultCode::NoMemory:
+        return "NoMemory";
     case ResultCode::PromptQuarantined:
         return "PromptQuarantined";
     case ResultCode::Stopping:
--- a/daisystream/base/result.h
+++ b/daisystream/base/result.h
@@ -48,6 +48,7 @@
     RetryBudgetSpent = 206,
     TimeLimitPassed = 207,
     PromptQuarantined = 208,
+    NoMemory = 209,
     // 3xx: states in which the VM accepts no requests.
     Stopping = 301,
     NoLists = 302,
