Fuzz a connection as a whole

Several requests, altered, split at any byte and cut off anywhere, go over a connection whose budget has to stay within its limit and be empty at the end.

--- a/fuzz/main.cpp
+++ b/fuzz/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control/settings.h"
 #include "daemon/endpoints/ssereader.h"
+#include "daemon/frontend/httpconnection.h"
 #include "daemon/http/messageframing.h"
 #include "daemon/peers/peermessage.h"
 #include "daemon/store/storewatch.h"
@@ -8,6 +9,10 @@
 #include "platform/gatewaydialect.h"
 #include "platform/storedialect.h"
 
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <gflags/gflags.h>
 #include <glog/logging.h>
@@ -92,6 +97,63 @@
     return std::nullopt;
 }
 
+/// Sends the bytes over a connection in pieces, which may end anywhere, and closes it.
+std::optional<std::string> serveConnection(const std::string &bytes)
+{
+    namespace asio = boost::asio;
+    using tcp = asio::ip::tcp;
+    constexpr std::uint64_t kBudget = 400'000;
+    constexpr std::size_t kBodyLimit = 65'536;
+    static const ManualClock clock;
+    static asio::io_context io;
+    static tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    ClientMemory clients({.bytes = kBudget, .connections = 1}, clock);
+    tcp::socket client(io);
+    tcp::socket server(io);
+    client.connect(acceptor.local_endpoint());
+    acceptor.accept(server);
+    client.set_option(tcp::no_delay(true));
+    FrontendOptions options;
+    options.bodyLimitBytes = kBodyLimit;
+    options.fieldLimit = 64;
+    bool isDone = false;
+    std::uint64_t most = 0;
+    auto connection = std::make_shared<HttpConnection>(std::move(server), nullptr, options);
+    connection->setAccount(clients.open(HttpConnection::baseBytes(false), [] {}));
+    asio::spawn(
+        io,
+        [&isDone, served = std::move(connection)](asio::yield_context yield) mutable {
+            const HttpConnection::EarlyRefusal refusal = [](const HttpRequest &request) {
+                return request.target().size() % 4 == 0 ? std::optional(textReply(http::status::not_found, "nothing")) : std::nullopt;
+            };
+            while (served->read(refusal, yield)) {
+                served->write(textReply(http::status::ok, "ok"), yield);
+            }
+            served->close(yield);
+            served.reset();
+            isDone = true;
+        },
+        asio::detached);
+    const std::size_t piece = 1 + std::hash<std::string>()(bytes) % 40;
+    boost::system::error_code error;
+    for (std::size_t at = 0; at < bytes.size() && !error; at += piece) {
+        asio::write(client, asio::buffer(std::string_view(bytes).substr(at, piece)), error);
+        io.restart();
+        io.poll();
+        most = std::max(most, clients.budget().held());
+    }
+    client.close(error);
+    while (!isDone) {
+        io.restart();
+        io.run_one();
+        most = std::max(most, clients.budget().held());
+    }
+    if (clients.budget().held() != 0 || clients.connections() != 0) {
+        return std::to_string(clients.budget().held()) + " bytes stay charged after the end of the connection";
+    }
+    return most > kBudget ? std::optional("the connection held " + std::to_string(most) + " bytes") : std::nullopt;
+}
+
 std::optional<std::string> decodeResponse(const std::string &bytes)
 {
     http::response_parser<http::string_body> parser;
@@ -167,6 +229,7 @@
             {"vms", plain([](const std::string &bytes) { return decodeVms(bytes); })},
             {"events", decodeEvents},
             {"request", decodeRequest},
+            {"connection", serveConnection},
             {"response", decodeResponse},
             {"peer", decodePeer}};
 }
@@ -190,6 +253,16 @@
         }
         return inputs;
     }
+    if (decoder == "connection") {
+        // Several requests one after the other, and bodies of each framing.
+        inputs = inputsOf("request");
+        const std::string chunked = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1\r\nd\r\n0\r\nTrailer: t\r\n\r\n";
+        const std::string sized = "POST /ab HTTP/1.1\r\nContent-Length: 9\r\nExpect: 100-continue\r\n\r\n123456789";
+        const std::string refused = "POST /abc HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789";
+        const std::string large = "POST /ab HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + std::string(60'000, 'b');
+        inputs.insert(inputs.end(), {chunked + sized + refused, refused + refused + chunked, large + sized, sized + chunked + "GET /a HTTP/1.1\r\n\r\n"});
+        return inputs;
+    }
     const auto folder = std::filesystem::path(FLAGS_corpus) / decoder;
     std::vector<std::filesystem::path> files;
     if (std::filesystem::is_directory(folder)) {
