--- a/daisystream/scheduler/pauseforecast.cpp
+++ b/daisystream/scheduler/pauseforecast.cpp
@@ -43,23 +43,6 @@
     return static_cast<double>(slow) / static_cast<double>(ascending_.size());
 }
 
-void PaceDistribution::add(double pace)
-{
-    samples_[count_ % kSamples] = static_cast<float>(pace);
-    ++count_;
-    const std::size_t known = std::min(count_, kSamples);
-    auto sorted = samples_;
-    std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(known));
-    for (std::size_t i = 0; i < quartiles_.size(); ++i) {
-        quartiles_[i] = sorted[(2 * i + 1) * known / (2 * quartiles_.size())];
-    }
-}
-
-const std::array<float, 4> &PaceDistribution::quartiles() const
-{
-    return quartiles_;
-}
-
 double missProbability(double stepMilliseconds, double pace, double prefillSeconds, const SlownessDistribution &slowness, std::optional<double> current)
 {
     if (pace <= 0 || stepMilliseconds <= 0) {
--- a/daisystream/scheduler/pauseforecast.h
+++ b/daisystream/scheduler/pauseforecast.h
@@ -2,7 +2,6 @@
 
 #include "daisystream/base/clock.h"
 
-#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -51,25 +50,6 @@
     double sum_ = 0;
 };
 
-/// The paces of the engines of a model as they were measured, for engines whose own pace is not known yet.
-class PaceDistribution
-{
-public:
-    /// Adds a measured pace: duration of a step relative to the cost model.
-    void add(double pace);
-
-    /// @return a value from the middle of each quarter of the latest samples in ascending order; 1 without samples.
-    [[nodiscard]] const std::array<float, 4> &quartiles() const;
-
-private:
-    // About a second of a fleet of 64 engines. The quartiles are computed at each sample, so it has to be short.
-    static constexpr std::size_t kSamples = 64;
-
-    std::array<float, kSamples> samples_{};
-    std::array<float, 4> quartiles_{1, 1, 1, 1};
-    std::size_t count_ = 0; ///< Of all samples ever added.
-};
-
 /// An engine that prefills a further prompt.
 struct PrefillLoad
 {
--- a/daisystream/scheduler/pauseforecast_test.cpp
+++ b/daisystream/scheduler/pauseforecast_test.cpp
@@ -87,17 +87,4 @@
     CHECK(slowness.mean() == doctest::Approx(1));
 }
 
-// Guards against taking one fast engine for all.
-TEST_CASE("the distribution of paces has one value from each quarter")
-{
-    PaceDistribution paces;
-    CHECK(paces.quartiles() == std::array<float, 4>{1, 1, 1, 1});
-    paces.add(0.5);
-    CHECK(paces.quartiles() == std::array<float, 4>{0.5, 0.5, 0.5, 0.5});
-    for (int i = 0; i < 200; ++i) {
-        paces.add(i % 4 == 0 ? 0.5 : 1.25);
-    }
-    CHECK(paces.quartiles() == std::array<float, 4>{0.5, 1.25, 1.25, 1.25});
-}
-
 } // namespace daisystream
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -115,7 +115,6 @@
         double windowSeconds = 0;
         double windowModelSeconds = 0;
         std::uint32_t paceWindows = 0;  // Number of measuring windows that have ended.
-        bool isPaceKnown = false;       // Whether its calibration was measured.
         std::optional<double> slowness; // As the endpoint stated it last.
         TimePoint slownessAt{};
 
@@ -247,7 +246,6 @@
     std::size_t frozenEndpoints_ = 0;
     double typicalCalibration_ = 1.0;
     SlownessDistribution slowness_;
-    PaceDistribution knownPaces_;
     PacedWork latestPaced_;       // The latest assigned request with a promised pace.
     double ownMisses_ = 0;        // Moving average of the probability with which such requests miss it where they are assigned.
     double promptsPerSecond_ = 0; // Assigned prompts, as a moving average.
--- a/daisystream/scheduler/pooldecisions.cpp
+++ b/daisystream/scheduler/pooldecisions.cpp
@@ -325,8 +325,7 @@
     return {.pace = request.work.paceTokensPerSecond, .promptTokens = request.work.promptTokens, .expectedTokens = expectedTokens};
 }
 
-// Returns the probability that an answer misses its pace while the endpoint prefills later prompts. An endpoint whose pace is not known may
-// have that of any known one.
+// Returns the probability that an answer misses its pace while the endpoint prefills later prompts.
 double Pool::ownMissProbability(const Endpoint &endpoint, const PacedWork &work) const
 {
     if (work.pace <= 0) {
@@ -341,18 +340,11 @@
         const double miss = missProbability(factor * step, work.pace, factor * prefillSeconds, slowness_, std::nullopt);
         return miss <= 0 || miss >= 1 ? miss : 1.0 - std::pow(1.0 - miss, factor * prompts);
     };
-    if (endpoint.isPaceKnown) {
-        double sum = 0;
-        for (const double error : kPaceErrors) {
-            sum += missAt(error);
-        }
-        return sum / static_cast<double>(kPaceErrors.size());
-    }
     double sum = 0;
-    for (const float pace : knownPaces_.quartiles()) {
-        sum += missAt(pace / load.calibration());
+    for (const double error : kPaceErrors) {
+        sum += missAt(error);
     }
-    return sum / static_cast<double>(knownPaces_.quartiles().size());
+    return sum / static_cast<double>(kPaceErrors.size());
 }
 
 // Averages the probability with which answers with a promised pace miss it at the endpoints that are chosen for them.
--- a/daisystream/scheduler/poolendpoints.cpp
+++ b/daisystream/scheduler/poolendpoints.cpp
@@ -249,7 +249,6 @@
     }
     const double own = endpoint.load.calibration() + kFirstTokenPaceGain * (ratio - endpoint.load.calibration());
     endpoint.load.setCalibration(std::clamp(own, 0.5 * typicalCalibration_, 2.0 * typicalCalibration_));
-    endpoint.isPaceKnown = true;
 }
 
 // Compares the token rate of own answers with the cost model, about once per second. If the endpoint sends no load reports, the
@@ -274,10 +273,6 @@
         const double gain = std::max(kMinPaceGain, 1.0 / (1.0 + endpoint.paceWindows));
         const double own = endpoint.load.calibration() + gain * (ratio - endpoint.load.calibration());
         endpoint.load.setCalibration(std::clamp(own, 0.5 * typicalCalibration_, 2.0 * typicalCalibration_));
-        endpoint.isPaceKnown = true;
-        if (endpoint.paceWindows == 1) {
-            knownPaces_.add(endpoint.load.calibration()); // Once per endpoint: fast ones run more answers and would outweigh the others.
-        }
         typicalCalibration_ += kTypicalCalibrationGain * (std::min(ratio, 2.0 * typicalCalibration_) - typicalCalibration_);
     }
 }
