Never resume a moved answer at a source in a withdrawn zone

An answer that could not be started again resumed at its source when its target failed, also when the zone of the source had been out of service for longer than the bound. Found by reading; the target is excluded only for answers that can start elsewhere, since a copy takes less time than the bound.

--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -374,7 +374,7 @@
             return complete(yield);
         }
         const auto source = endpoint_.id;
-        if (!moved || (moved->target.id == source && !mayResumeAt(source))) {
+        if (!moved || (moved->target.id == source && !mayResumeAtSource(source))) {
             failure_ = {ResultCode::EndpointReclaimed, "endpoint " + source.value() + " is leaving and the answer could not be moved", kRetryAfterFailure};
             return RunEnd::Failed;
         }
@@ -384,11 +384,11 @@
         awaitsFirstEvent_ = true;
         deliveredInRun_ = false;
         auto end = RunEnd::Failed;
-        if (hasPermitForMove(endpoint_.id, yield) && !isInAvoidedZone(endpoint_.id)) {
+        if (hasPermitForMove(endpoint_.id, yield) && !avoidsTarget(endpoint_.id)) {
             end = runAtEndpoint(moved->memory, yield);
         }
         const bool isAtSource = moved->target.address == moved->memory.holder;
-        if (end != RunEnd::Failed || deliveredInRun_ || callerLeft_ || isAtSource || !mayResumeAt(source)) {
+        if (end != RunEnd::Failed || deliveredInRun_ || callerLeft_ || isAtSource || !mayResumeAtSource(source)) {
             return end;
         }
         // The source has stopped the answer but still keeps its memory, so that the answer can resume there.
@@ -397,16 +397,17 @@
         return hasPermitForMove(source, yield) ? runAtEndpoint(moved->memory, yield) : RunEnd::Failed;
     }
 
-    /// @return whether the answer must not resume at an endpoint because its zone is out of service. An answer that cannot be started
-    ///     again at another engine resumes there nevertheless, since it would be lost.
-    [[nodiscard]] bool isInAvoidedZone(const EndpointId &endpoint) const
+    /// @return whether a moved answer goes elsewhere because the zone of its target went out of service during the copy. An answer that
+    ///     cannot be started again resumes there nevertheless, since it would be lost and the zone is still in its grace period.
+    [[nodiscard]] bool avoidsTarget(const EndpointId &target) const
     {
-        return kind_.resumable && gateway_.isWithdrawn(endpoint);
+        return kind_.resumable && gateway_.isWithdrawn(target);
     }
 
-    [[nodiscard]] bool mayResumeAt(const EndpointId &endpoint)
+    /// @return whether the answer may resume at the engine that it was moved from. Its zone may have been out of service for long.
+    [[nodiscard]] bool mayResumeAtSource(const EndpointId &source)
     {
-        return gateway_.mayResumeAt(endpoint) && !isInAvoidedZone(endpoint);
+        return gateway_.mayResumeAt(source) && !gateway_.isWithdrawn(source);
     }
 
     /// @return whether a moved answer may be sent to an endpoint.
