--- a/daemon/frontend/httpfrontend_test.cpp
+++ b/daemon/frontend/httpfrontend_test.cpp
@@ -100,7 +100,9 @@
 {
     Fleet fleet(shortOptions());
     const std::vector<std::pair<std::string, unsigned>> heads = {{"POST /nothing", 404}, {"POST /readyz", 200}, {"POST /v1/completions", 401}};
-    for (const auto &[head, status] : heads) {
+    for (const auto &answered : heads) {
+        const std::string &head = answered.first;
+        const unsigned status = answered.second;
         CAPTURE(head);
         Caller kept(fleet.vm1->port());
         kept.send(head + " HTTP/1.1\r\nContent-Length: 4000\r\n\r\n");
