Count short answers with a pace among those that displace long ones

The forecast took only answers without a promised pace for short ones. Where short answers have a gap target too, they hid the risk of the long ones in its average, and the cost of displacing them was never counted. An answer is long now if it is expected to be at least as long as the mean.

--- a/daisystream/scheduler/missedpace_test.cpp
+++ b/daisystream/scheduler/missedpace_test.cpp
@@ -79,7 +79,7 @@
     /// Assigns a request and lets its first token arrive.
     std::string start(const std::string &id, bool isLong, double slowness = 0)
     {
-        const std::string engine = assign(id, isLong);
+        std::string engine = assign(id, isLong);
         if (!engine.empty()) {
             now_ += std::chrono::duration_cast<Duration>(
                 std::chrono::duration<double, std::milli>(kPrefillMilliseconds * paces_.at(engine) * std::max(1.0, slowness)));
--- a/daisystream/scheduler/pool.h
+++ b/daisystream/scheduler/pool.h
@@ -202,6 +202,7 @@
     [[nodiscard]] double ownMissProbability(const Endpoint &endpoint, const PacedWork &work) const;
     [[nodiscard]] static PacedWork pacedWork(const Request &request, double expectedTokens);
     void recordOwnMisses(const Endpoint &endpoint, const Request &request, double expectedTokens);
+    [[nodiscard]] bool isLongAndPaced(const Request &request, double expectedTokens) const;
     void countPrompt(TimePoint now);
     [[nodiscard]] bool keepsPace(const Endpoint &endpoint, const WorkRequest &work, bool ordinaryBelowFloor, TimePoint now) const;
     [[nodiscard]] bool keepsUrgentFirstToken(const Endpoint &endpoint, const WorkRequest &work) const;
--- a/daisystream/scheduler/pooldecisions.cpp
+++ b/daisystream/scheduler/pooldecisions.cpp
@@ -314,8 +314,8 @@
         const PrefillLoad prefill{.stepMilliseconds = error * step, .prefillSeconds = error * prefillSeconds, .answersByPace = endpoint.load.streamingByPace()};
         others += prompt == 0 ? 0.0 : expectedMisses(prefill, slowness_, current) / static_cast<double>(kPaceErrors.size());
     }
-    // A request without a promised pace takes the place of one that has a promise and might keep it here more likely than elsewhere.
-    const bool displaces = request.work.paceTokensPerSecond <= 0 && ownMisses_ > 0;
+    // A short answer, or one without a promised pace, takes the place of a long one that might keep its promise here more likely than elsewhere.
+    const bool displaces = !isLongAndPaced(request, expectedTokens) && ownMisses_ > 0;
     const double displaced = displaces ? kDisplacedShare * std::max(0.0, ownMisses_ - ownMissProbability(endpoint, latestPaced_)) : 0.0;
     return others + ownMissProbability(endpoint, pacedWork(request, expectedTokens)) + displaced;
 }
@@ -347,10 +347,16 @@
     return sum / static_cast<double>(kPaceErrors.size());
 }
 
-// Averages the probability with which answers with a promised pace miss it at the endpoints that are chosen for them.
+// Returns whether an answer has a promised pace and runs long enough for later prompts to be prefilled beside it.
+bool Pool::isLongAndPaced(const Request &request, double expectedTokens) const
+{
+    return request.work.paceTokensPerSecond > 0 && expectedTokens >= meanAnswerTokens_;
+}
+
+// Averages the probability with which long answers with a promised pace miss it at the endpoints that are chosen for them.
 void Pool::recordOwnMisses(const Endpoint &endpoint, const Request &request, double expectedTokens)
 {
-    if (request.work.paceTokensPerSecond > 0) {
+    if (isLongAndPaced(request, expectedTokens)) {
         latestPaced_ = pacedWork(request, expectedTokens);
         ownMisses_ += kOwnMissesGain * (ownMissProbability(endpoint, latestPaced_) - ownMisses_);
     }
