Add a case: an entry of another writer sends requests to a foreign service

ROUTE breaks when another writer overwrites an endpoint's row by an entry that names another service and lacks most fields: requests of that service then run at the endpoint.

--- a/review/bed2.hpp
+++ b/review/bed2.hpp
@@ -452,7 +452,8 @@
     out << "],\"services\":[{\"name\":\"model\",\"health_path\":\"/health\",\"max_conns\":252,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":24,"
            "\"kv_capacity\":34422,\"kv_bytes\":131072,\"link_mbps\":19000.0,\"moves\":true,\"backups\":true,\"stride\":4,\"most\":12,\"pin_ms\":4000.0,"
            "\"hold_ms\":2000.0,\"kv_handle_s\":5.0,\"models\":[{\"name\":\"m\"}]}},"
-           "{\"name\":\"desk\",\"health_path\":\"/health\",\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false}],"
+           "{\"name\":\"desk\",\"health_path\":\"/health\",\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false},"
+           "{\"name\":\"ledger\",\"health_path\":\"/health\",\"max_conns\":110,\"protocol\":\"h1\",\"tls\":false}],"
            "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":"
         << maxBodyBytes
         << ",\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
@@ -588,6 +589,12 @@
         return name_;
     }
 
+    /// @return IP:PORT.
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(port_);
+    }
+
     /// @return the headers that an endpoint's own answer has.
     [[nodiscard]] std::string ownHeaders(const Arrival &arrival) const
     {
