A case on DRAIN: orders to an endpoint that left, after a quiet channel to the store fell silent

Channels to the store on which nothing passes go silent, which DEPLOY.md names, and 3.05 s later an engine reports `draining`. The watch of the endpoints waits 7 s before it takes its channel for dead, so that orders go on to reach the engine for 2.6 s after the ack of a store that was never disturbed (`drain_ms` is 2 s).

--- a/review/bed2.hpp
+++ b/review/bed2.hpp
@@ -619,7 +619,20 @@
         return sendAll(handle, size + text + "\r\n");
     }
 
+    /// Reports `draining` to the store and keeps serving. @return when the store has accepted the report, as `now`.
+    double drain()
+    {
+        const std::lock_guard lock(entryMutex_);
+        state_ = "draining";
+        if (!store_.put("servers", name_, entry(), kEntryLapseMs)) {
+            cannotRun("the store took no entry");
+        }
+        return now();
+    }
+
 private:
+    static constexpr int kEntryLapseMs = 3600;
+
     void accept()
     {
         for (;;) {
@@ -689,14 +702,21 @@
         return isKept;
     }
 
-    void heartbeat()
+    [[nodiscard]] std::string entry() const
     {
-        const std::string entry = "{\"service\":" + quoted(service_) + ",\"address\":\"127.0.0.1:" + std::to_string(port_)
-            + "\",\"zone\":\"akl-depot\",\"version\":\"v1\",\"slots\":" + std::to_string(slots_)
-            + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"sequence\":4,\"born\":"
+        return "{\"service\":" + quoted(service_) + ",\"address\":\"127.0.0.1:" + std::to_string(port_)
+            + "\",\"zone\":\"akl-depot\",\"version\":\"v1\",\"slots\":" + std::to_string(slots_) + ",\"state\":" + quoted(state_)
+            + ",\"cold_remaining_ms\":0,\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"sequence\":4,\"born\":"
             + std::to_string(born_) + "}";
+    }
+
+    void heartbeat()
+    {
         for (;;) {
-            (void)store_.put("servers", name_, entry, 3600);
+            {
+                const std::lock_guard lock(entryMutex_);
+                (void)store_.put("servers", name_, entry(), kEntryLapseMs);
+            }
             sleepFor(1.2);
         }
     }
@@ -710,6 +730,8 @@
     int listener_ = -1;
     std::uint16_t port_ = 0;
     std::atomic<unsigned> running_{0};
+    std::mutex entryMutex_; ///< Guards the state and keeps the order of the writes.
+    std::string state_ = "ready";
 };
 
 /// @return a new id of a consumer attempt.
