Log what a response proves and whether the caller gets it

The log could not tell three hypotheses apart: the endpoint's 503 is passed on, the gateway's own 503 after an attempt that it takes for not run, or a refusal by another VM. decision=send and decision=stream now carry `proof` and `forwarded`, and decision=stream the status of the engine's response.

--- a/daemon/endpoints/endpointexchange.cpp
+++ b/daemon/endpoints/endpointexchange.cpp
@@ -141,6 +141,11 @@
     return std::nullopt;
 }
 
+bool EndpointExchange::hasHeader() const
+{
+    return d_->reader->hasHeader();
+}
+
 const EndpointExchange::Response &EndpointExchange::response() const
 {
     return d_->reader->response();
--- a/daemon/endpoints/endpointexchange.h
+++ b/daemon/endpoints/endpointexchange.h
@@ -77,6 +77,9 @@
     /// @return nothing on success, whatever the status of the response; else the fault.
     [[nodiscard]] std::optional<ExchangeFault> open(Request request, const ExchangeTimes &times, boost::asio::yield_context yield);
 
+    /// @return whether the header of the response was read.
+    [[nodiscard]] bool hasHeader() const;
+
     /// @return the response. Its body is empty unless `readAll` was called.
     [[nodiscard]] const Response &response() const;
 
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -274,10 +274,10 @@
             failure_ = Error{code, "endpoint " + endpoint.id.value() + ": " + fault->detail, kRetryAfterFull};
         }
         gateway_.onCallEnded(endpoint.id, result, head.load);
-        log(endpoint, fault, isForOtherRequest);
+        log(endpoint, fault, head, isForOtherRequest);
     }
 
-    void log(const EndpointSettings &endpoint, const std::optional<ExchangeFault> &fault, bool isForOtherRequest) const
+    void log(const EndpointSettings &endpoint, const std::optional<ExchangeFault> &fault, const EndpointHeaders &head, bool isForOtherRequest) const
     {
         gateway_.startLine("send", request_)
             .field("choice", endpoint.id.value())
@@ -291,6 +291,8 @@
                    fault                   ? toString(fault->kind)
                        : isForOtherRequest ? "foreign"
                                            : std::to_string(exchange_->response().result_int()))
+            .field("proof", proofText(head))
+            .field("forwarded", answered_ ? "true" : "false")
             .field("waited_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(gateway_.now() - request_.arrival).count()))
             .write();
     }
--- a/daemon/gateway/gatewaydialect.h
+++ b/daemon/gateway/gatewaydialect.h
@@ -77,6 +77,12 @@
     friend auto operator<=>(const EndpointHeaders &, const EndpointHeaders &) = default;
 };
 
+/// @return what the response proves about the request, for log lines: "not_run", "verified" or "none".
+[[nodiscard]] inline const char *proofText(const EndpointHeaders &head)
+{
+    return head.provenNotRun ? "not_run" : head.isVerified ? "verified" : "none";
+}
+
 /// An engine's reply to a request to copy a running answer's memory to another engine.
 struct MoveReply
 {
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -441,6 +441,7 @@
         endedAfterEvent_ = false;
         eventsOfRun_ = 0;
         provenNotRun_ = false;
+        proof_ = "none";
         reader_ = SseReader();
         registerCancel();
         sentAt_ = gateway_.now();
@@ -499,6 +500,7 @@
     RunEnd relay(asio::yield_context yield)
     {
         const auto head = gateway_.dialect.readEndpoint(exchange_->response());
+        proof_ = proofText(head);
         slownessPercent_ = head.load ? head.load->slownessPercent.value_or(0) : 0;
         slownessReadAt_ = gateway_.now();
         gateway_.onEndpointHeaders(endpoint_.id, head, sentAt_);
@@ -764,6 +766,9 @@
             .field("attempt", std::to_string(state_.sent()))
             .field("limit", gateway_.limitText(endpoint_.id))
             .field("outcome", kNames[static_cast<std::size_t>(end)])
+            .field("status", exchange_->hasHeader() ? std::to_string(exchange_->response().result_int()) : "")
+            .field("proof", proof_)
+            .field("forwarded", started_ || ended_ ? "true" : "false")
             .field("priority", std::to_string(request_.priority))
             .field("events", std::to_string(events_))
             .field("parts", end == RunEnd::Failed && events_ == 0 ? partsText() : "")
@@ -841,6 +846,7 @@
     bool recalled_ = false;             ///< The scheduler cancelled the current run to assign the request again.
     bool isCutByShutdown_ = false;      ///< The request was given up because this VM ends.
     bool provenNotRun_ = false;         ///< The engine proved that it did not run the request.
+    const char *proof_ = "none";        ///< What the response of the current run proves, for the log.
     bool callerLeft_ = false;
 };
 
