Do not pass on a status that means not run without the endpoint's statement

Callers of orders got 503 for orders that had run, believed that they had not, and sent them again: the orders ran twice.

Cause: Call::recordAttempt and Stream::relayErrorResponse took each response with a status of 300 or more for the endpoint's own final answer and passed it on unchanged. 408, 421, 429 and 503 tell callers that the request has not run and will not; an endpoint that fails after it has run a request may answer with one of them. Only Not-Executed (or a 421) is a statement that nothing ran.

Change: daisystream/forwarding decides in one function what a response means: not run, success, failure, or unproven. An unproven response counts as "may have run", and its status, headers and body are not passed on: 502 in its place, which promises nothing. Calls that may run twice and resumable answers go to another endpoint, as after other failures. All other statuses are passed on as before. Both paths had the same fault, and a third sign of it: a safe call whose first endpoint answered such a 503 got it as its answer if the second one refused.

--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -7,6 +7,7 @@
 #include "daemon/status/decisionlog.h"
 #include "daisystream/base/stablehash.h"
 #include "daisystream/forwarding/forwardingstate.h"
+#include "daisystream/forwarding/responsemeaning.h"
 
 #include <boost/asio/post.hpp>
 
@@ -235,16 +236,17 @@
             gateway_.onEndpointHeaders(endpoint.id, head, sentAt_);
         }
         const bool isForOtherRequest = !fault && !head.attempt.empty() && head.attempt != request_.head.attempt;
+        const auto meaning = fault ? ResponseMeaning::Unproven : meaningOf(factsOf(response.result_int(), head, isForOtherRequest));
         auto end = AttemptEnd::MayHaveRun;
         auto result = CallResult::Failed;
         if (!exchange_->bytesSent()) {
             end = AttemptEnd::NotSent;
             ++unreachableCount_;
-        } else if (head.provenNotRun) {
+        } else if (meaning == ResponseMeaning::NotRun) {
             end = AttemptEnd::ProvenNotRun;
             result = CallResult::Refused;
             failure_ = Error{ResultCode::EndpointRefused, "endpoint " + endpoint.id.value() + " is full or leaving", head.retryAfter.value_or(kRetryAfterFull)};
-        } else if (!fault && !isForOtherRequest && (head.isVerified || response.result_int() >= 300)) {
+        } else if (meaning != ResponseMeaning::Unproven) {
             end = AttemptEnd::Answered;
             const bool isServerError = response.result_int() >= 500;
             result = isServerError ? CallResult::Failed : CallResult::Answered;
@@ -265,8 +267,10 @@
             }
         }
         if (!fault && end == AttemptEnd::MayHaveRun) {
-            failure_
-                = Error{ResultCode::EndpointProtocol, "endpoint " + endpoint.id.value() + " responded to another request or without its proof of identity", {}};
+            failure_ = Error{ResultCode::EndpointProtocol,
+                             "endpoint " + endpoint.id.value() + " responded with status " + std::to_string(response.result_int())
+                                 + (isForOtherRequest ? " to another request" : ", which does not prove whether the request has run"),
+                             {}};
         }
         state_.onAttemptEnded(end);
         if (fault && !failure_) {
--- a/daemon/gateway/gatewaydialect.h
+++ b/daemon/gateway/gatewaydialect.h
@@ -4,6 +4,7 @@
 #include "daemon/frontend/httpreply.h"
 #include "daisystream/balancing/servicebalancer.h"
 #include "daisystream/base/result.h"
+#include "daisystream/forwarding/responsemeaning.h"
 
 #include <chrono>
 #include <cstdint>
@@ -77,6 +78,14 @@
     friend auto operator<=>(const EndpointHeaders &, const EndpointHeaders &) = default;
 };
 
+/// @param status HTTP status of the response.
+/// @param isForOtherRequest whether the response names another attempt than the one that was sent.
+/// @return the facts that decide the meaning of a response.
+[[nodiscard]] inline ResponseFacts factsOf(unsigned status, const EndpointHeaders &head, bool isForOtherRequest)
+{
+    return {.status = status, .statesNotRun = head.provenNotRun, .isVerified = head.isVerified, .isForOtherRequest = isForOtherRequest};
+}
+
 /// @return what the response proves about the request, for log lines: "not_run", "verified" or "none".
 [[nodiscard]] inline const char *proofText(const EndpointHeaders &head)
 {
--- a/daemon/gateway/streamforwarder.cpp
+++ b/daemon/gateway/streamforwarder.cpp
@@ -9,6 +9,7 @@
 #include "daemon/status/decisionlog.h"
 #include "daisystream/base/stablehash.h"
 #include "daisystream/forwarding/forwardingstate.h"
+#include "daisystream/forwarding/responsemeaning.h"
 
 #include <boost/asio/post.hpp>
 
@@ -505,8 +506,9 @@
         slownessReadAt_ = gateway_.now();
         gateway_.onEndpointHeaders(endpoint_.id, head, sentAt_);
         const bool isForOtherRequest = !head.attempt.empty() && head.attempt != request_.head.attempt;
-        if (exchange_->response().result() != http::status::ok || isForOtherRequest || !head.isVerified) {
-            return relayErrorResponse(head, isForOtherRequest, yield);
+        const auto meaning = meaningOf(factsOf(exchange_->response().result_int(), head, isForOtherRequest));
+        if (exchange_->response().result() != http::status::ok || meaning != ResponseMeaning::Success) {
+            return relayErrorResponse(meaning, yield);
         }
         if (request_.http.method() == http::verb::head) {
             return relayHeader(yield);
@@ -723,18 +725,17 @@
 
     /// Handles a response that is not a valid event stream. The engine's error response is sent to the caller if the request may
     /// not be sent to another engine.
-    RunEnd relayErrorResponse(const EndpointHeaders &head, bool isForOtherRequest, asio::yield_context yield)
+    RunEnd relayErrorResponse(ResponseMeaning meaning, asio::yield_context yield)
     {
         const auto status = exchange_->response().result_int();
         failure_ = {ResultCode::EndpointRefused, "endpoint " + endpoint_.id.value() + " responded with status " + std::to_string(status), kRetryAfterFailure};
-        if (head.provenNotRun) {
+        if (meaning == ResponseMeaning::NotRun) {
             provenNotRun_ = true;
             state_.onAttemptEnded(AttemptEnd::ProvenNotRun);
             return RunEnd::Failed;
         }
-        state_.onAttemptEnded(AttemptEnd::Answered);
-        const bool isOwnAnswer = !isForOtherRequest && status >= 300 && !started_;
-        if (!isOwnAnswer || state_.mayRetry()) {
+        state_.onAttemptEnded(meaning == ResponseMeaning::Unproven ? AttemptEnd::MayHaveRun : AttemptEnd::Answered);
+        if (meaning != ResponseMeaning::Failure || started_ || state_.mayRetry()) {
             return RunEnd::Failed;
         }
         if (exchange_->readAll(silenceLimit(), kMaxErrorBytes, yield, &gateway_.frontend.clients.budget())) {
