Count a statement that nothing ran only for the request that it names

Cause: the statement (Not-Executed, or status 421) was looked at before the response's Attempt-Id. A 503 that belongs to another request ("an extra response may arrive late, ... the ID identifies it") counted as proof that this request had not run: the caller got 503, and an order could be sent to a second endpoint. A 200 with the statement was also taken for a proof, although it contradicts itself.

Change: meaningOf asks first whether the response belongs to this request. A response that names no request still counts, since it is the first one on a connection of its own ("400 without an id").

--- a/daisystream/forwarding/responsemeaning.cpp
+++ b/daisystream/forwarding/responsemeaning.cpp
@@ -15,13 +15,17 @@
 ResponseMeaning meaningOf(const ResponseFacts &facts)
 {
     constexpr unsigned kFirstRedirection = 300;
+    const bool isSuccess = facts.status < kFirstRedirection;
+    if (facts.isForOtherRequest || (facts.statesNotRun && isSuccess)) {
+        return ResponseMeaning::Unproven;
+    }
     if (facts.statesNotRun) {
         return ResponseMeaning::NotRun;
     }
-    if (facts.isForOtherRequest || impliesNotRun(facts.status)) {
+    if (impliesNotRun(facts.status)) {
         return ResponseMeaning::Unproven;
     }
-    if (facts.status >= kFirstRedirection) {
+    if (!isSuccess) {
         return ResponseMeaning::Failure;
     }
     return facts.isVerified ? ResponseMeaning::Success : ResponseMeaning::Unproven;
--- a/daisystream/forwarding/responsemeaning_test.cpp
+++ b/daisystream/forwarding/responsemeaning_test.cpp
@@ -40,13 +40,24 @@
     }
 }
 
-TEST_CASE("a response to another request is not forwarded")
+// Guards against a response to another request that is forwarded, or whose statement counts for this request.
+TEST_CASE("a response to another request proves nothing")
 {
-    for (const unsigned status : {200U, 404U, 500U, 503U}) {
-        CAPTURE(status);
-        CHECK(meaningOf({.status = status, .isVerified = true, .isForOtherRequest = true}) == ResponseMeaning::Unproven);
+    for (const unsigned status : {200U, 404U, 421U, 429U, 500U, 503U}) {
+        for (const bool statesNotRun : {false, true}) {
+            CAPTURE(status);
+            CAPTURE(statesNotRun);
+            CHECK(meaningOf({.status = status, .statesNotRun = statesNotRun, .isVerified = true, .isForOtherRequest = true}) == ResponseMeaning::Unproven);
+        }
     }
 }
 
+// Guards against a request that is sent again after a response that contradicts itself.
+TEST_CASE("a success that states that the request did not run proves nothing")
+{
+    CHECK(meaningOf({.status = 200, .statesNotRun = true, .isVerified = true}) == ResponseMeaning::Unproven);
+    CHECK(meaningOf({.status = 200, .statesNotRun = true}) == ResponseMeaning::Unproven);
+}
+
 } // namespace
 } // namespace daisystream
