Name the expected engine when an answer's memory is copied

Cause: kv-move was sent without Expect-Instance. Its 404 ("no such run") counts as proof that an answer without a length ended whole just before it was to be stopped. Another start of the engine, or another engine that took over the address, answers 404 as well, and an answer that had broken off after a whole event reached its caller as complete.

Change: the request names the engine, and any other one answers 421, which ends the move without a proof. Such an answer is cut off visibly, as after other failed moves.

--- a/daemon/gateway/answermove.cpp
+++ b/daemon/gateway/answermove.cpp
@@ -173,7 +173,7 @@
     ++copies_;
     EndpointExchange exchange(strand_, plan_.source.address);
     const auto sentAt = gateway_.now();
-    const auto request = gateway_.dialect.moveRequest(plan_.attempt, target.address, isLast);
+    const auto request = gateway_.dialect.moveRequest(plan_.source.name, plan_.attempt, target.address, isLast);
     if (exchange.open(request, {.connect = kConnectTimeout, .header = kCopyTimeout}, yield)) {
         return {};
     }
--- a/daemon/gateway/gatewaydialect.h
+++ b/daemon/gateway/gatewaydialect.h
@@ -130,12 +130,13 @@
     /// @return the response as it is sent to the caller, without header fields that concern only the endpoint's connection.
     [[nodiscard]] virtual HttpResponse toCaller(const HttpResponse &response) const = 0;
 
+    /// @param source name of the engine that runs the answer; a different one at the same address rejects the request. Empty if unknown.
     /// @param attempt the attempt id by which the engine knows the answer.
     /// @param to address of the target engine.
     /// @param isLast whether the engine stops generating the answer before it copies, so that the answer can only resume from
     ///     the copy.
     /// @return the request to an engine to copy the memory of a running answer to another engine.
-    [[nodiscard]] virtual HttpRequest moveRequest(const std::string &attempt, const SocketAddress &to, bool isLast) const = 0;
+    [[nodiscard]] virtual HttpRequest moveRequest(const std::string &source, const std::string &attempt, const SocketAddress &to, bool isLast) const = 0;
 
     /// @return the parsed response to a `moveRequest`.
     [[nodiscard]] virtual MoveReply readMove(const HttpResponse &response) const = 0;
