Send no status that means not run where the outcome is unknown

A caller could get 503 or 429 with the state outcomeUnknown in the same response: the retry budget spent after an engine had got the request, the platform away after an order's record may have been written, another VM out of reach that may have run a ticket's order, an answer of unknown end at a VM that stops.

Cause: errorReply took the status from the error code alone and the state from its caller.

Change: one place decides. Unless the state is notRun, 408, 421, 429 and 503 become 502; code, message, Retry-After and state stay. The command-line tool tells by the code, and no longer by the status, whether another VM can serve an order.

--- a/cli/callercommands.cpp
+++ b/cli/callercommands.cpp
@@ -288,7 +288,7 @@
     for (std::size_t i = 0; i < kMaxFailedRounds * options.vmAddresses.size(); ++i) {
         const auto &vm = options.vmAddresses[i % options.vmAddresses.size()];
         const auto reply = httpCall(context.io, vm, call, yield);
-        if (reply.status != 0 && reply.complete && !(reply.status == 503 && canRetryOnAnotherVm(parseError(reply).code))) {
+        if (reply.status != 0 && reply.complete && !canRetryOnAnotherVm(parseError(reply).code)) {
             return printOrderResult(reply, options, context);
         }
         context.err << toString(vm) << ": " << (reply.reason.empty() ? parseError(reply).message : reply.reason) << '\n';
--- a/daemon/frontend/httpreply.cpp
+++ b/daemon/frontend/httpreply.cpp
@@ -1,5 +1,7 @@
 #include "daemon/frontend/httpreply.h"
 
+#include "daisystream/forwarding/responsemeaning.h"
+
 #include <nlohmann/json.hpp>
 
 namespace daisystream
@@ -82,7 +84,9 @@
 
 HttpResponse errorReply(const Error &error, FinalState outcome)
 {
-    HttpResponse response(statusOf(error.code), 11);
+    const auto status = statusOf(error.code);
+    const bool isMisleading = outcome != FinalState::NotRun && impliesNotRun(static_cast<unsigned>(status));
+    HttpResponse response(isMisleading ? http::status::bad_gateway : status, 11);
     response.set(http::field::content_type, "application/json");
     if (error.retryAfter) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(*error.retryAfter);
--- a/daemon/frontend/httpreply.h
+++ b/daemon/frontend/httpreply.h
@@ -29,7 +29,8 @@
 [[nodiscard]] boost::beast::http::status statusOf(ResultCode code);
 
 /// @return a response with the body `{"error": {"message", "type", "code", "state"}}`, and `Retry-After` in seconds, rounded
-///     up, if the error says when.
+///     up, if the error says when. The status is that of the error code; but 502 if callers would conclude from it that the request has
+///     not run (`impliesNotRun`), and `outcome` is another one.
 [[nodiscard]] HttpResponse errorReply(const Error &error, FinalState outcome);
 
 /// @return a response with status 200 and a JSON body.
--- a/daemon/frontend/orderrouter_test.cpp
+++ b/daemon/frontend/orderrouter_test.cpp
@@ -1,5 +1,10 @@
 #include "daemon/frontend/frontendfixture_test.h"
 
+#include "daemon/frontend/httpreply.h"
+#include "daisystream/forwarding/responsemeaning.h"
+
+#include <initializer_list>
+
 namespace daisystream::frontendtest
 {
 namespace
@@ -71,6 +76,25 @@
     CHECK(fleet.service->counts().at("seat") == 1);
 }
 
+// Guards against a status that means "not run" for an order whose outcome is unknown.
+TEST_CASE("no status that means not run is sent where the outcome is unknown")
+{
+    for (const auto code : {ResultCode::PlatformUnavailable,
+                            ResultCode::PeerUnreachable,
+                            ResultCode::RetryBudgetSpent,
+                            ResultCode::RateLimit,
+                            ResultCode::CallerTooSlow,
+                            ResultCode::Isolated,
+                            ResultCode::EndpointSilent,
+                            ResultCode::TimeLimitPassed}) {
+        CAPTURE(toString(code));
+        for (const auto state : {FinalState::OutcomeUnknown, FinalState::Incomplete, FinalState::Complete}) {
+            CHECK_FALSE(impliesNotRun(errorReply({code, {}, {}}, state).result_int()));
+        }
+        CHECK(errorReply({code, {}, {}}, FinalState::NotRun).result() == statusOf(code));
+    }
+}
+
 // Guards against tickets that are made up, and against a claim about orders of an incarnation that is gone.
 TEST_CASE("forged tickets are refused and tickets of a lost VM leave the outcome unknown")
 {
