Take an engine's refusal for not run only if it says so

Cause: EndpointStream took each 4xx and 503 of an engine for proof that the request did not run, without a statement, and before it compared X-Request-Id. A caller was told notRun after a failure of an engine that had run the request, or after a refusal of another one.

Change: the refusal has to state it, {"error": {"state": "notRun"}}, as the engines' stand-in already did, in a complete body, and must not name another request. meaningOf decides, as in the gateway.

--- a/daemon/endpoints/endpointclient.cpp
+++ b/daemon/endpoints/endpointclient.cpp
@@ -1,6 +1,8 @@
 #include "daemon/endpoints/endpointclient.h"
 
 #include "daemon/endpoints/requestlimitheader.h"
+#include "daisystream/answer/state.h"
+#include "daisystream/forwarding/responsemeaning.h"
 #include "daisystream/limits/requestrate.h"
 
 #include <boost/asio/connect.hpp>
@@ -44,10 +46,16 @@
     }
 }
 
-// Returns whether engines send this status only before they queue a request, so that the request was not run.
-bool provesNotRun(http::status status)
+// Returns whether the body of a refusal states that the engine did not run the request.
+bool statesNotRun(const std::string &body)
 {
-    return http::to_status_class(status) == http::status_class::client_error || status == http::status::service_unavailable;
+    const auto document = nlohmann::json::parse(body, nullptr, false);
+    const auto error = document.is_object() ? document.find("error") : document.end();
+    if (!document.is_object() || error == document.end() || !error->is_object()) {
+        return false;
+    }
+    const auto state = error->find("state");
+    return state != error->end() && state->is_string() && state->get_ref<const std::string &>() == toString(FinalState::NotRun);
 }
 
 // Parses a Retry-After header in seconds. Returns nothing if it is empty or not a number.
@@ -122,14 +130,18 @@
     request.set("X-Priority", std::to_string(call.priority));
     request.set("X-Reader", call.reader);
     request.body() = call.body;
-    if (auto error = open(std::move(request), yield)) {
-        return error;
-    }
-    const auto echoed = response_.response().find("X-Request-Id");
-    if (echoed != response_.response().end() && echoed->value() != call.attempt.value()) {
-        return Error{ResultCode::EndpointProtocol, "endpoint " + endpoint_.id.value() + " returned the X-Request-Id of another request", {}};
+    auto error = open(std::move(request), yield);
+    if (response_.hasHeader()) {
+        const auto echoed = response_.response().find("X-Request-Id");
+        const bool isForOther = echoed != response_.response().end() && echoed->value() != call.attempt.value();
+        const auto meaning
+            = meaningOf({.status = response_.response().result_int(), .statesNotRun = statesNotRun_, .isVerified = true, .isForOtherRequest = isForOther});
+        provenNotRun_ = meaning == ResponseMeaning::NotRun;
+        if (isForOther && !error) {
+            error = Error{ResultCode::EndpointProtocol, "endpoint " + endpoint_.id.value() + " returned the X-Request-Id of another request", {}};
+        }
     }
-    return std::nullopt;
+    return error;
 }
 
 std::optional<Error> EndpointStream::resume(const GenerationId &generation, std::uint64_t offset, const std::string &reader, asio::yield_context yield)
@@ -178,12 +190,12 @@
 
 std::optional<Error> EndpointStream::refusal(asio::yield_context yield)
 {
-    provenNotRun_ = provesNotRun(response_.response().result());
     error_code error;
     stream_.expires_after(options_.endpointSilenceTimeout);
     while (!error && !response_.isDone() && response_.response().body().size() < kRefusalLimitBytes) {
         error = response_.readSome(stream_, yield);
     }
+    statesNotRun_ = !error && response_.isDone() && statesNotRun(response_.response().body());
     const auto retryAfter = retryAfterOf(std::string(response_.response()[http::field::retry_after]));
     return Error{ResultCode::EndpointRefused,
                  "endpoint " + endpoint_.id.value() + " answered with status " + std::to_string(response_.response().result_int()),
--- a/daemon/endpoints/endpointclient.h
+++ b/daemon/endpoints/endpointclient.h
@@ -86,7 +86,7 @@
         return bytesSent_;
     }
 
-    /// @return true if the engine refused the request with a status that it sends only before it runs a request.
+    /// @return true if the engine refused the request and stated in its response that it did not run it.
     [[nodiscard]] bool provenNotRun() const
     {
         return provenNotRun_;
@@ -123,6 +123,7 @@
     std::optional<Error> pendingError_;
     GenerationId generation_;
     bool bytesSent_ = false;
+    bool statesNotRun_ = false; ///< The refusal states that the request to which it belongs was not run.
     bool provenNotRun_ = false;
     bool aborted_ = false;
 };
--- a/daemon/frontend/answerrelay_test.cpp
+++ b/daemon/frontend/answerrelay_test.cpp
@@ -216,6 +216,18 @@
     {
         fleet.engine1->die();
     }
+    SUBCASE("failed")
+    {
+        fleet.engine1->setFaults({.failStart = true});
+        expected = "outcomeUnknown";
+        status = 502;
+    }
+    SUBCASE("a refusal of another request")
+    {
+        fleet.engine1->setFaults({.foreignRefusal = true});
+        expected = "outcomeUnknown";
+        status = 502;
+    }
     SUBCASE("no answer")
     {
         fleet.engine1->setFaults({.hangStart = true});
--- a/standins/engine/engineserver.cpp
+++ b/standins/engine/engineserver.cpp
@@ -227,6 +227,17 @@
     if (fault_.faults.refuse) {
         return sendJson(stream, request, 503, R"({"error":{"state":"notRun"}})", yield);
     }
+    if (fault_.faults.failStart) {
+        return sendJson(stream, request, 503, R"({"error":{}})", yield);
+    }
+    if (fault_.faults.foreignRefusal) {
+        http::response<http::string_body> refusal(http::status::service_unavailable, request.version(), R"({"error":{"state":"notRun"}})");
+        refusal.set("X-Request-Id", "another");
+        refusal.prepare_payload();
+        error_code error;
+        http::async_write(stream, refusal, yield[error]);
+        return false;
+    }
     if (fault_.faults.hangStart) {
         error_code ignored;
         asio::steady_timer timer(yield.get_executor(), kHang);
@@ -430,6 +441,8 @@
                  .reportFrozen = wanted.value("reportFrozen", false),
                  .silentStreams = wanted.value("silentStreams", false),
                  .refuse = wanted.value("refuse", false),
+                 .failStart = wanted.value("failStart", false),
+                 .foreignRefusal = wanted.value("foreignRefusal", false),
                  .hangStart = wanted.value("hangStart", false),
                  .requestsPerSecond = wanted.value("requestsPerSecond", 0.0),
                  .malformedEvery = wanted.value("malformedEvery", 0U),
--- a/standins/engine/engineserver.h
+++ b/standins/engine/engineserver.h
@@ -35,7 +35,9 @@
     bool frozen = false;              ///< No progress, no keep-alive.
     bool reportFrozen = false;        ///< Load reports stay as they are.
     bool silentStreams = false;       ///< Switching it on silences the streams that are open now; new ones work.
-    bool refuse = false;              ///< New work gets 503.
+    bool refuse = false;              ///< New work gets 503 with the statement that it was not run.
+    bool failStart = false;           ///< New work gets 503 without that statement.
+    bool foreignRefusal = false;      ///< New work gets a refusal that belongs to another request.
     bool hangStart = false;           ///< New work gets no answer, not even a header.
     double requestsPerSecond = 0;     ///< States this limit for new work of all callers together, without enforcing it.
     std::uint32_t malformedEvery = 0; ///< The event is cut to a half.
