Count a write as not done only after a status that says so

The record of an order could exist while this VM believed that it did not, and its key stayed "in progress" for good.

--- a/daemon/store/owndialect.cpp
+++ b/daemon/store/owndialect.cpp
@@ -67,8 +67,10 @@
     if (response.result() == http::status::precondition_failed) {
         return StoreConflict{};
     }
-    // After a server error the write may still have taken effect.
-    return response.result_int() >= 500 ? StoreReply(StoreUnclear{statusText(response)}) : StoreReply(StoreRefused{statusText(response)});
+    // The platform rejects a write before it begins with the other client errors. After all other statuses the write may have taken effect.
+    const bool isClientError = http::to_status_class(response.result()) == http::status_class::client_error;
+    const bool isRefused = isClientError && response.result() != http::status::request_timeout;
+    return isRefused ? StoreReply(StoreRefused{statusText(response)}) : StoreReply(StoreUnclear{statusText(response)});
 }
 
 StoreReply objectReply(const Response &response)
