Take a service's 503 for not run only if it says so

An order that a service had run before it failed with 503 was answered with that 503, also when it was repeated with its ticket or key, since the response was kept as the order's outcome.

Cause: OrderRouter::dispatch passed on each response of a service, and replyOf each recorded one.

Change: meaningOf decides, as in the gateway. A 408, 421, 429 or 503 without X-Order-State: notRun leaves the outcome unknown: 502, and the ticket or key is used up. Records that earlier versions wrote with such a status are read in the same way.

Tests: two new cases of orderrouter_test.

--- a/daemon/frontend/orderrouter.cpp
+++ b/daemon/frontend/orderrouter.cpp
@@ -7,6 +7,7 @@
 #include "daemon/status/decisionlog.h"
 #include "daisystream/base/base64.h"
 #include "daisystream/base/stablehash.h"
+#include "daisystream/forwarding/responsemeaning.h"
 #include "daisystream/limits/requestrate.h"
 
 #include <boost/asio/async_result.hpp>
@@ -80,14 +81,14 @@
     return response;
 }
 
-HttpResponse replyOf(const OrderDone &done)
+HttpResponse responseOf(const OrderDone &done, FinalState state)
 {
     HttpResponse response(static_cast<http::status>(done.status), 11);
     if (!done.contentType.empty()) {
         response.set(http::field::content_type, done.contentType);
     }
     response.body() = done.body;
-    return withState(std::move(response), FinalState::Complete);
+    return withState(std::move(response), state);
 }
 
 HttpResponse unknownOutcome(const std::string &detail)
@@ -95,6 +96,18 @@
     return errorReply({ResultCode::OrderOutcomeUnknown, detail, {}}, FinalState::OutcomeUnknown);
 }
 
+/// @param source who gave the response, for the error's detail.
+HttpResponse unprovenOutcome(const std::string &source, unsigned status)
+{
+    return unknownOutcome(source + " has status " + std::to_string(status) + ", which does not prove whether the order has run");
+}
+
+HttpResponse replyOf(const OrderDone &done)
+{
+    // Earlier versions recorded such responses as complete.
+    return impliesNotRun(done.status) ? unprovenOutcome("the recorded response", done.status) : responseOf(done, FinalState::Complete);
+}
+
 HttpResponse inProgress()
 {
     return errorReply({ResultCode::OrderInProgress, "the order is being run", kInProgressRetry}, FinalState::OutcomeUnknown);
@@ -107,6 +120,12 @@
     HttpResponse response;
 };
 
+/// @return whether a service or another VM states with this response that the order has not run.
+bool statesNotRun(const HttpResponse &response)
+{
+    return response[kOrderStateHeader] == toString(FinalState::NotRun);
+}
+
 bool isSafe(http::verb method)
 {
     return method == http::verb::get || method == http::verb::head;
@@ -347,12 +366,16 @@
         auto result = callService(instance, cleaned(request), context_.options, yield);
         if (result.response) {
             permits.onAnswer(instance.id, parseRequestRate(std::string((*result.response)[kRequestLimitHeader])), true, sentAt);
-            const bool refused = (*result.response)[kOrderStateHeader] == toString(FinalState::NotRun);
+            const auto meaning = meaningOf({.status = result.response->result_int(), .statesNotRun = statesNotRun(*result.response), .isVerified = true});
+            if (meaning == ResponseMeaning::Unproven) {
+                return {.outcome = OrderUnknown{},
+                        .response = unprovenOutcome("the response of service instance " + instance.id.value(), result.response->result_int())};
+            }
             OrderDone done{.status = static_cast<std::uint16_t>(result.response->result_int()),
                            .contentType = std::string((*result.response)[http::field::content_type]),
                            .body = result.response->body()};
-            if (refused) {
-                return {.outcome = OrderNotRun{}, .response = withState(replyOf(done), FinalState::NotRun)};
+            if (meaning == ResponseMeaning::NotRun) {
+                return {.outcome = OrderNotRun{}, .response = responseOf(done, FinalState::NotRun)};
             }
             auto response = replyOf(done);
             return {.outcome = std::move(done), .response = std::move(response)};
--- a/daemon/frontend/orderrouter_test.cpp
+++ b/daemon/frontend/orderrouter_test.cpp
@@ -95,6 +95,48 @@
     }
 }
 
+// Guards against "not run" for an order that a service ran before it failed.
+TEST_CASE("the 503 of a service shows that an order did not run only with its statement")
+{
+    Fleet fleet;
+    fleet.service->setFaults({.failures = 2});
+    const auto ticket = ticketOf(*fleet.vm1);
+    for (const auto *vm : {fleet.vm1.get(), fleet.vm2.get()}) {
+        const auto reply = order(*vm, kTicket, ticket, "seat");
+        CHECK(reply.status == 502);
+        CHECK(reply.headers.at(kState) == "outcomeUnknown");
+    }
+    const auto keyed = order(*fleet.vm1, kKey, "k", "hut");
+    CHECK(keyed.status == 502);
+    CHECK(keyed.state() == "outcomeUnknown");
+    const auto again = order(*fleet.vm2, kKey, "k", "hut");
+    CHECK(again.status != 503);
+    CHECK(again.state() == "outcomeUnknown");
+    CHECK(fleet.service->counts() == std::map<std::string, unsigned>{{"seat", 1}, {"hut", 1}});
+}
+
+// Guards against "not run" from a record that an earlier version of this program wrote.
+TEST_CASE("a recorded 503 does not show that an order did not run")
+{
+    Fleet fleet;
+    REQUIRE(order(*fleet.vm1, kKey, "k", "hut").status == 201);
+    Reply again;
+    do { // The outcome is recorded after the response was sent.
+        again = order(*fleet.vm2, kKey, "k", "hut");
+    } while (again.status == 409);
+    REQUIRE(again.status == 201);
+    {
+        const std::lock_guard lock(fleet.records.mutex);
+        auto &row = fleet.records.rows.begin()->second;
+        auto record = json::parse(row.text);
+        record["status"] = 503;
+        row.text = record.dump();
+    }
+    const auto recorded = order(*fleet.vm2, kKey, "k", "hut");
+    CHECK(recorded.status == 502);
+    CHECK(recorded.state() == "outcomeUnknown");
+}
+
 // Guards against tickets that are made up, and against a claim about orders of an incarnation that is gone.
 TEST_CASE("forged tickets are refused and tickets of a lost VM leave the outcome unknown")
 {
--- a/standins/service/serviceserver.cpp
+++ b/standins/service/serviceserver.cpp
@@ -67,6 +67,7 @@
                        .loseReplies = wanted.value("loseReplies", 0U),
                        .refusals = wanted.value("refusals", 0U),
                        .drops = wanted.value("drops", 0U),
+                       .failures = wanted.value("failures", 0U),
                        .requestsPerSecond = wanted.value("requestsPerSecond", 0.0)});
             return sendJson(stream, request, 200, "{}", yield);
         }
@@ -82,6 +83,7 @@
         const auto name = body.is_object() ? body.value("order", std::string("unnamed")) : std::string("unnamed");
         bool hang = false;
         bool lose = false;
+        bool fail = false;
         unsigned count = 0;
         {
             const std::lock_guard lock(mutex_);
@@ -92,6 +94,7 @@
                 count = ++counts_[name];
                 hang = takeOne(faults_.hangs);
                 lose = !hang && takeOne(faults_.loseReplies);
+                fail = !hang && !lose && takeOne(faults_.failures);
             } else {
                 --faults_.refusals;
             }
@@ -99,6 +102,9 @@
         if (count == 0) {
             return sendRefusal(stream, request, yield);
         }
+        if (fail) {
+            return sendJson(stream, request, 503, "{}", yield);
+        }
         if (hang) {
             boost::system::error_code ignored;
             asio::steady_timer timer(yield.get_executor(), kHang);
--- a/standins/service/serviceserver.h
+++ b/standins/service/serviceserver.h
@@ -31,6 +31,7 @@
     unsigned loseReplies = 0; ///< Run the order, then close the connection.
     unsigned refusals = 0;    ///< Answer 503 with the proof that the order was not run.
     unsigned drops = 0;       ///< Close the connection before the order runs.
+    unsigned failures = 0;    ///< Run the order, then answer 503 without a proof.
     /// Not a number of orders: states this limit for the orders of all callers together, without enforcing it.
     double requestsPerSecond = 0;
 };
