Take another VM's 503 for not run only if it says so

Cause: the response of the VM that issued a ticket was passed on as it came. A VM with an earlier version of this program, as there are during an update, sends 503 with the state outcomeUnknown, or none.

Change: a status that means not run needs the state notRun; else the caller gets 502 with the state outcomeUnknown.

--- a/daemon/frontend/orderrouter.cpp
+++ b/daemon/frontend/orderrouter.cpp
@@ -437,7 +437,11 @@
         // An earlier attempt with this ticket may have run at the issuer, so only a reachable issuer can say "not run".
         return errorReply(*error, FinalState::OutcomeUnknown);
     }
-    return toResponse(std::get<OrderReply>(reply));
+    auto response = toResponse(std::get<OrderReply>(reply));
+    if (!statesNotRun(response) && impliesNotRun(response.result_int())) {
+        return unprovenOutcome("the response of VM " + ticket.vm.value(), response.result_int());
+    }
+    return response;
 }
 
 HttpResponse OrderRouter::Private::callWithTicket(
--- a/daemon/frontend/orderrouter_test.cpp
+++ b/daemon/frontend/orderrouter_test.cpp
@@ -137,6 +137,30 @@
     CHECK(recorded.state() == "outcomeUnknown");
 }
 
+// Guards against "not run" from another VM that did not state it, such as one with an earlier version of this program.
+TEST_CASE("the status of another VM shows that an order did not run only with its statement")
+{
+    Fleet fleet;
+    const auto ticket = ticketOf(*fleet.vm2);
+    for (const char *state : {"", "outcomeUnknown", "complete", "notRun"}) {
+        CAPTURE(state);
+        OrderReply fromIssuer{.status = 503, .headers = {}, .body = "{}"};
+        if (*state != 0) {
+            fromIssuer.headers.emplace_back(kState, state);
+        }
+        {
+            const std::lock_guard lock(fleet.net.mutex);
+            fleet.net.handlers[{VmId("vm2"), 22}] = [fromIssuer](const ForwardedOrder &, const OrderForwarding::ReplyHandler &reply) {
+                reply(fromIssuer);
+            };
+        }
+        const auto reply = order(*fleet.vm1, kTicket, ticket, "seat");
+        const bool isNotRun = std::string(state) == "notRun";
+        CHECK(reply.status == (isNotRun ? 503 : 502));
+        CHECK(reply.headers.at(kState) == (isNotRun ? "notRun" : "outcomeUnknown"));
+    }
+}
+
 // Guards against tickets that are made up, and against a claim about orders of an incarnation that is gone.
 TEST_CASE("forged tickets are refused and tickets of a lost VM leave the outcome unknown")
 {
