Do not call an order not run before it was looked up

A caller whose first request with a ticket or key had run was told notRun if it repeated it at a VM that lacked the ticket's key, had no lists, was stopping, did not know the caller's key, or could not reach the platform.

Cause: these refusals come before the order is looked up, and said notRun of the order although it was true of this request only.

Change: a refusal of a request with a ticket or an idempotency key reports outcomeUnknown, as the design page says; requests with neither are refused as notRun as before.

--- a/daemon/frontend/orderrouter.cpp
+++ b/daemon/frontend/orderrouter.cpp
@@ -30,6 +30,7 @@
 namespace
 {
 
+constexpr const char *kKeyHeader = "Idempotency-Key";
 constexpr std::size_t kMaxKeyBytes = 128;
 constexpr auto kInProgressRetry = std::chrono::seconds(1);
 constexpr auto kPlatformRetry = std::chrono::seconds(5);
@@ -449,7 +450,7 @@
 {
     const auto opened = openTicket(ticket, grant.team, service);
     if (const auto *error = std::get_if<Error>(&opened)) {
-        return errorReply(*error, FinalState::NotRun);
+        return errorReply(*error, FinalState::OutcomeUnknown); // The ticket may be sound, and this VM lacks the key that sealed it.
     }
     const auto &known = std::get<OrderTicket>(opened);
     const auto &peers = context_.parts.peers;
@@ -482,7 +483,8 @@
     }
     const auto &error = std::get<Error>(inserted);
     if (error.code == ResultCode::PlatformUnavailable) {
-        return errorReply({error.code, "the order was not run by this attempt: " + error.detail, kPlatformRetry}, FinalState::NotRun);
+        return errorReply({error.code, "the order was not run by this attempt; an earlier one may have run: " + error.detail, kPlatformRetry},
+                          FinalState::OutcomeUnknown);
     }
     return existing(grant, service, name, mine, request, yield);
 }
@@ -585,6 +587,12 @@
     });
 }
 
+FinalState stateOfRefused(const HttpRequest &request)
+{
+    const bool mayRepeat = request.count(kTicketHeader) > 0 || request.count(kKeyHeader) > 0;
+    return mayRepeat ? FinalState::OutcomeUnknown : FinalState::NotRun;
+}
+
 OrderRouter::OrderRouter(FrontendContext &context)
     : d_(std::make_unique<Private>(context))
 {
@@ -598,7 +606,7 @@
         self->d_->context_.spawn([self, order, reply](asio::yield_context yield) {
             const auto ticket = self->d_->openTicket(order.ticket, order.team, order.service);
             if (const auto *error = std::get_if<Error>(&ticket)) {
-                reply(toReply(errorReply(*error, FinalState::NotRun)));
+                reply(toReply(errorReply(*error, FinalState::OutcomeUnknown)));
                 return;
             }
             reply(toReply(self->d_->runTicket(std::get<OrderTicket>(ticket), toRequest(order), yield)));
@@ -656,9 +664,9 @@
         return d_->callWithTicket(grant, service, ticket, request, yield);
     }
     if (const auto refusal = d_->context_.parts.lists.admission()) {
-        return errorReply(*refusal, FinalState::NotRun);
+        return errorReply(*refusal, stateOfRefused(request));
     }
-    const auto key = request.find("Idempotency-Key");
+    const auto key = request.find(kKeyHeader);
     if (key != request.end()) {
         return d_->callWithKey(grant, service, std::string(key->value()), request, yield);
     }
--- a/daemon/frontend/orderrouter.h
+++ b/daemon/frontend/orderrouter.h
@@ -49,6 +49,10 @@
     std::unique_ptr<Private> d_;
 };
 
+/// @return what is known of a request that is refused before its order was looked up: an earlier request with the same ticket or key may
+///     have run the order.
+[[nodiscard]] FinalState stateOfRefused(const HttpRequest &request);
+
 /// Header that carries a ticket.
 constexpr const char *kTicketHeader = "X-Order-Ticket";
 
--- a/daemon/frontend/requesthandler.cpp
+++ b/daemon/frontend/requesthandler.cpp
@@ -85,11 +85,11 @@
     }
     const auto grant = authorize(context_.parts.lists, withoutBody);
     if (const auto *error = std::get_if<Error>(&grant)) {
-        return errorReply(*error, FinalState::NotRun);
+        return errorReply(*error, stateOfRefused(withoutBody));
     }
     if (const auto *service = serviceOf(route)) {
         if (const auto refusal = checkService(std::get<CallerGrant>(grant), *service)) {
-            return errorReply(*refusal, FinalState::NotRun);
+            return errorReply(*refusal, stateOfRefused(withoutBody));
         }
     }
     return std::nullopt;
@@ -110,7 +110,7 @@
         const RunningGuard guard(context_);
         const auto grant = authorize(context_.parts.lists, request);
         if (const auto *error = std::get_if<Error>(&grant)) {
-            connection.write(errorReply(*error, FinalState::NotRun), yield);
+            connection.write(errorReply(*error, stateOfRefused(request)), yield);
         } else {
             serveGranted(route, std::get<CallerGrant>(grant), connection, request, yield);
         }
@@ -169,7 +169,7 @@
 HttpResponse RequestHandler::serviceReply(const ApiRoute &route, const CallerGrant &grant, const HttpRequest &request, boost::asio::yield_context yield)
 {
     if (const auto refusal = checkService(grant, *serviceOf(route))) {
-        return errorReply(*refusal, FinalState::NotRun);
+        return errorReply(*refusal, stateOfRefused(request));
     }
     if (const auto *ticket = std::get_if<TicketRoute>(&route)) {
         if (request.method() != http::verb::post) {
