Let the soak's services fail with statuses that mean not run

Change: a service that fails calls after it has run them answers 500, 503, 429 and 408 in turn, without the statement that the call did not run.

--- a/deploy/standins/fleetendpoint.cpp
+++ b/deploy/standins/fleetendpoint.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <charconv>
 #include <map>
 
@@ -32,6 +33,8 @@
 
 // How often an endpoint writes its entry; the platform's deployments use some hundred milliseconds.
 constexpr milliseconds kHeartbeat{500};
+// Statuses of calls that fail after they have run, in turn. All but the first mean "not run" to callers.
+constexpr std::array kFailures{"500 Internal Server Error", "503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"};
 // The store removes an entry after three intervals of silence.
 constexpr milliseconds kEntryLife = 3 * kHeartbeat;
 // Longer than a slow store takes, shorter than the life of an entry.
@@ -368,7 +371,7 @@
         }
         const bool isFailure = isDue(failEvery_);
         const std::string body = answerBody(run.name, run.attempt) + std::string(run.padding, ' ');
-        std::string text = isFailure ? "HTTP/1.1 500 Internal Server Error\r\n" : "HTTP/1.1 200 OK\r\n";
+        std::string text = "HTTP/1.1 " + std::string(isFailure ? kFailures[failures_++ % kFailures.size()] : "200 OK") + "\r\n";
         text += std::string(names::kAttempt) + ": " + run.attempt + "\r\n" + names::kProof + ": seal\r\n" + names::kLoad + ": " + loadText() + "\r\n"
             + limitLine(run.attempt) + "Content-Type: application/json\r\n";
         text += run.isUnframed ? "Connection: close\r\n\r\n" : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
@@ -497,6 +500,7 @@
     std::uint64_t answers_ = 0;
     unsigned loseEvery_ = 0;
     unsigned failEvery_ = 0;
+    std::size_t failures_ = 0; ///< Calls that failed because of `failEvery_`.
     unsigned garbleEvery_ = 0;
     double slowFactor_ = 1;
     double limitPerSecond_ = 0; ///< Requests a second that it states as its limit; 0: it states none.
