Refuse responses with a folded header line

Callers got an endpoint's response in which a line of the header began with a blank, such as " Content-Length: 5" after "Server-Seal: s": the proof reached them as "s Content-Length: 5", and a body whose length stood in that line was read up to the end of the connection, with whatever followed it.

Cause: the parser joins such a line to the value before it, the obsolete line folding of HTTP, although the sender may have meant a field of its own. A refusal or a proof of another field could be hidden the same way.

ResponseReader now looks at the whole header before the parser does and fails with bad_obs_fold. All clients of the daemon and of the command line read with it, interim responses included. HTTP lets a gateway answer 502 in this case.

--- a/daemon/http/malformedheaders_test.h
+++ b/daemon/http/malformedheaders_test.h
@@ -37,8 +37,10 @@
     }
     for (const auto &name : {"Bad Name"s,
                              "Bad-Name "s,
+                             " Bad-Name"s,
                              "Bad\tName"s,
                              "Bad-Name\t"s,
+                             "\tBad-Name"s,
                              "Bad\0Name"s,
                              "\0Bad-Name"s,
                              "Bad\x01Name"s,
@@ -48,6 +50,8 @@
                              "Bad\nName"s,
                              "Content-Length "s,
                              "Content Length"s,
+                             " Content-Length"s,
+                             "\tContent-Length"s,
                              "Content-Length\x01"s}) {
         const auto malformed = name + ": 3\r\n";
         headers.push_back("HTTP/1.1 " + status + "\r\n" + malformed + fields + "\r\n");
--- a/daemon/http/responsereader.cpp
+++ b/daemon/http/responsereader.cpp
@@ -2,12 +2,16 @@
 
 #include "daemon/http/messageframing.h"
 
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <string_view>
 #include <utility>
 
 namespace daisystream
@@ -21,6 +25,19 @@
 
 // An endpoint that sends interim responses without end must not keep the connection busy until the time limit.
 constexpr unsigned kMaxInterimResponses = 8;
+constexpr std::size_t kMaxReadBytes = 65'536;
+constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+
+std::string_view bytesOf(const boost::beast::flat_buffer &buffer)
+{
+    return {static_cast<const char *>(buffer.data().data()), buffer.size()};
+}
+
+/// @return whether a line of a header begins with a blank.
+bool hasFoldedLine(std::string_view header)
+{
+    return header.find("\r\n ") != std::string_view::npos || header.find("\r\n\t") != std::string_view::npos;
+}
 
 } // namespace
 
@@ -45,11 +62,40 @@
     }
 }
 
+error_code ResponseReader::fillHeader(boost::beast::tcp_stream &stream, boost::asio::yield_context yield)
+{
+    const std::size_t limit = std::min<std::size_t>(limits_.headerBytes, limits_.unparsedBytes);
+    std::size_t searched = 0;
+    for (;;) {
+        const auto received = bytesOf(buffer_);
+        const auto end = received.find(kHeaderEnd, searched);
+        if (end != std::string_view::npos) {
+            // The parser would make such a line a part of the value before it, although its sender may have meant a field.
+            return hasFoldedLine(received.substr(0, end)) ? error_code(http::error::bad_obs_fold) : error_code();
+        }
+        if (received.size() >= limit) {
+            return http::error::header_limit;
+        }
+        searched = received.size() - std::min(received.size(), kHeaderEnd.size() - 1);
+        error_code error;
+        const auto size = stream.async_read_some(buffer_.prepare(boost::beast::read_size(buffer_, kMaxReadBytes)), yield[error]);
+        buffer_.commit(size);
+        if (error == boost::asio::error::eof) {
+            return buffer_.size() == 0 ? http::error::end_of_stream : http::error::partial_message;
+        }
+        if (error) {
+            return error;
+        }
+    }
+}
+
 error_code ResponseReader::readHeader(boost::beast::tcp_stream &stream, boost::asio::yield_context yield)
 {
-    error_code error;
     for (unsigned interim = 0; interim <= kMaxInterimResponses; ++interim) {
-        http::async_read_header(stream, buffer_, *parser_, yield[error]);
+        auto error = fillHeader(stream, yield);
+        if (!error) {
+            http::async_read_header(stream, buffer_, *parser_, yield[error]);
+        }
         if (!error) {
             error = checkFraming(parser_->get());
         }
--- a/daemon/http/responsereader.h
+++ b/daemon/http/responsereader.h
@@ -38,7 +38,7 @@
 };
 
 /// Must be used from one strand only, for a single response. Interim responses (1xx) are skipped, and trailers are dropped: nothing that
-/// follows a body can change what the header says.
+/// follows a body can change what the header says. A header with a line that begins with a blank (obsolete line folding) is an error.
 class ResponseReader
 {
 public:
@@ -84,6 +84,10 @@
 private:
     void startMessage();
 
+    /// Reads until the buffer holds a whole header.
+    /// @return as for `readHeader`, or `bad_obs_fold` if a line of the header begins with a blank.
+    [[nodiscard]] boost::system::error_code fillHeader(boost::beast::tcp_stream &stream, boost::asio::yield_context yield);
+
     const bool isHead_;
     const ResponseLimits limits_;
     boost::beast::flat_buffer buffer_;
--- a/daemon/http/responsereader_test.cpp
+++ b/daemon/http/responsereader_test.cpp
@@ -101,6 +101,11 @@
         CHECK(outcome.field == "a");
         CHECK(outcome.body == "whole");
     }
+    const std::string folded = "HTTP/1.1 200 OK\r\nX-Field: a\r\n Content-Length: 5\r\n\r\n";
+    for (std::size_t i = 1; i < folded.size(); ++i) {
+        CAPTURE(i);
+        CHECK_FALSE(readResponse({folded.substr(0, i), folded.substr(i) + "whole"}).hasHeader);
+    }
 }
 
 // Guards against a body that is taken for a part of the header.
