Do not pass on a malformed response of another VM

A caller whose order was forwarded to the VM that issued its ticket got whatever status and fields that VM's message named: a status of 0 was sent as "HTTP/1.1 000", and a name with a blank or a control byte, or a value with a line ending, as it was.

Cause: responses between VMs do not pass through the HTTP reader, and toResponse() copied the status and the fields of OrderReply unchecked. The status defaults to 0 in the message, and a VM with an earlier version of this program may pass on what a service sent it.

isWellFormed() checks a header that was not parsed, and the order then has an unknown outcome, since the response does not prove one.

--- a/daemon/frontend/orderrouter.cpp
+++ b/daemon/frontend/orderrouter.cpp
@@ -4,6 +4,7 @@
 #include "daemon/endpoints/requestlimitheader.h"
 #include "daemon/endpoints/serviceclient.h"
 #include "daemon/frontend/httprouter.h"
+#include "daemon/http/messageframing.h"
 #include "daemon/status/decisionlog.h"
 #include "daisystream/base/base64.h"
 #include "daisystream/base/stablehash.h"
@@ -439,8 +440,12 @@
         return errorReply(*error, FinalState::OutcomeUnknown);
     }
     auto response = toResponse(std::get<OrderReply>(reply));
+    const auto source = "the response of VM " + ticket.vm.value();
+    if (!isWellFormed(response)) {
+        return unknownOutcome(source + " is malformed");
+    }
     if (!statesNotRun(response) && impliesNotRun(response.result_int())) {
-        return unprovenOutcome("the response of VM " + ticket.vm.value(), response.result_int());
+        return unprovenOutcome(source, response.result_int());
     }
     return response;
 }
--- a/daemon/frontend/orderrouter_test.cpp
+++ b/daemon/frontend/orderrouter_test.cpp
@@ -161,6 +161,41 @@
     }
 }
 
+// Guards against a caller that gets a response that is not HTTP because another VM answered with one.
+TEST_CASE("a malformed response of another VM leaves the outcome unknown")
+{
+    using namespace std::string_literals;
+    std::vector<OrderReply> replies;
+    for (const std::uint32_t status : {0U, 99U, 100U, 101U, 199U, 600U, 1000U, 65736U}) {
+        replies.push_back({.status = status, .headers = {{kState, "complete"}}, .body = "whole"});
+    }
+    for (const auto &name :
+         {""s, "Bad Name"s, "Bad-Name "s, " Bad-Name"s, "Bad\tName"s, "Bad\0Name"s, "Bad\x01Name"s, "Bad\x7fName"s, "Bad\r\nName"s, "Bad:Name"s}) {
+        replies.push_back({.status = 201, .headers = {{kState, "complete"}, {name, "a"}}, .body = "whole"});
+    }
+    for (const auto &value : {"a\r\nBad Name: b"s, "a\nBad Name: b"s, "a\rb"s, "a\0b"s, "a\x7fz"s}) {
+        replies.push_back({.status = 201, .headers = {{kState, "complete"}, {"X-Field", value}}, .body = "whole"});
+    }
+    Fleet fleet;
+    const auto ticket = ticketOf(*fleet.vm2);
+    for (const auto &fromIssuer : replies) {
+        CAPTURE(fromIssuer.status);
+        CAPTURE(fromIssuer.headers.back().first);
+        CAPTURE(fromIssuer.headers.back().second);
+        {
+            const std::lock_guard lock(fleet.net.mutex);
+            fleet.net.handlers[{VmId("vm2"), 22}] = [fromIssuer](const ForwardedOrder &, const OrderForwarding::ReplyHandler &reply) {
+                reply(fromIssuer);
+            };
+        }
+        Reply reply;
+        CHECK_NOTHROW(reply = order(*fleet.vm1, kTicket, ticket, "seat"));
+        CHECK(reply.status == 502);
+        CHECK(reply.headers[kState] == "outcomeUnknown");
+        CHECK(reply.body.find("whole") == std::string::npos);
+    }
+}
+
 // Guards against "not run" from a VM that refuses a request before it knows whether an earlier one ran the same order.
 TEST_CASE("a VM that cannot look an order up does not call it not run")
 {
--- a/daemon/http/messageframing.cpp
+++ b/daemon/http/messageframing.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/verb.hpp>
 
 #include <algorithm>
+#include <string_view>
 #include <vector>
 
 namespace daisystream
@@ -58,6 +59,18 @@
     return codings.size() == 1 ? TransferCoding::Chunked : TransferCoding::Unsupported;
 }
 
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view kTokenCharacters = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+    return !text.empty() && text.find_first_not_of(kTokenCharacters) == std::string_view::npos;
+}
+
+bool hasControlByte(std::string_view text)
+{
+    constexpr unsigned char kDelete = 0x7F;
+    return std::any_of(text.begin(), text.end(), [](unsigned char c) { return (c < ' ' && c != '\t') || c == kDelete; });
+}
+
 bool hasNonZeroLength(const http::fields &header)
 {
     const auto length = header[http::field::content_length];
@@ -107,6 +120,18 @@
     return {};
 }
 
+bool isWellFormed(const ResponseHeader &header)
+{
+    if (header.result_int() < kMinFinalStatus || header.result_int() > kMaxStatus) {
+        return false;
+    }
+    return std::all_of(header.begin(), header.end(), [](const auto &field) {
+        const auto name = field.name_string();
+        const auto value = field.value();
+        return isToken({name.data(), name.size()}) && !hasControlByte({value.data(), value.size()});
+    });
+}
+
 bool isInterim(unsigned status)
 {
     return status >= kMinStatus && status < kMinFinalStatus;
--- a/daemon/http/messageframing.h
+++ b/daemon/http/messageframing.h
@@ -43,6 +43,10 @@
 ///     connection; else `bad_status` or `bad_transfer_encoding` of Beast.
 [[nodiscard]] boost::system::error_code checkFraming(const ResponseHeader &header);
 
+/// Checks a header that was not read by the parser, such as one from a message of another VM.
+/// @return whether the status is one of a final response, each name is a token, and no value has a control byte other than a tab.
+[[nodiscard]] bool isWellFormed(const ResponseHeader &header);
+
 /// @return whether a response with this status is followed by the final one.
 [[nodiscard]] bool isInterim(unsigned status);
 
--- a/daemon/http/messageframing_test.cpp
+++ b/daemon/http/messageframing_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cctype>
 #include <string>
 #include <utility>
 #include <vector>
@@ -89,5 +90,36 @@
     }
 }
 
+// Guards against a header that a client cannot read, or reads as other fields than were meant.
+TEST_CASE("a well-formed header has a final status, tokens as names and no control bytes in values")
+{
+    using namespace std::string_literals;
+    const auto isAccepted = [](unsigned status, const std::string &name, const std::string &value) {
+        ResponseHeader header;
+        header.result(status);
+        header.insert(name, value);
+        return isWellFormed(header);
+    };
+    for (const unsigned status : {200U, 204U, 299U, 304U, 404U, 599U}) {
+        CHECK(isAccepted(status, "Content-Type", "text/plain;\tcharset=utf-8"));
+    }
+    for (const unsigned status : {0U, 99U, 100U, 101U, 199U, 600U, 999U}) {
+        CAPTURE(status);
+        CHECK_FALSE(isAccepted(status, "Content-Type", "text/plain"));
+    }
+    for (const auto &name : {"x"s, "X-1"s, "!#$%&'*+-.^_`|~"s}) {
+        CHECK(isAccepted(200, name, ""));
+    }
+    for (int c = 0; c < 256; ++c) {
+        CAPTURE(c);
+        const auto byte = static_cast<char>(c);
+        const bool isTokenByte = std::isalnum(c) != 0 || (c > 0 && std::string("!#$%&'*+-.^_`|~").find(byte) != std::string::npos);
+        CHECK(isAccepted(200, "X"s + byte + "Y", "a") == isTokenByte);
+        const bool isControl = (c < ' ' && c != '\t') || c == 0x7F;
+        CHECK(isAccepted(200, "X", "a"s + byte + "b") != isControl);
+    }
+    CHECK_FALSE(isAccepted(200, "", "a"));
+}
+
 } // namespace
 } // namespace daisystream
