Do not repeat a malformed recorded response of an order

A caller that sent an order again with its Idempotency-Key got the response in the order's record as it was: a status of 0 was sent as "HTTP/1.1 000" with the state "complete", and a content type with a line ending became further lines of the header, with any name.

Cause: toRecord() took status and content type of a complete record from the store unchecked.

A complete record whose response is not well-formed cannot be read now, and the order's outcome is unknown, both for a repeat and for a query by key. The order does not run again.

--- a/daemon/frontend/orderrouter.cpp
+++ b/daemon/frontend/orderrouter.cpp
@@ -184,6 +184,10 @@
             return std::nullopt;
         }
         record.done.body = std::move(*body);
+        // A record without a response has the status 0.
+        if (record.state == toString(FinalState::Complete) && !isWellFormed(responseOf(record.done, FinalState::Complete))) {
+            return std::nullopt;
+        }
         return record;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/daemon/frontend/orderrouter_test.cpp
+++ b/daemon/frontend/orderrouter_test.cpp
@@ -137,6 +137,48 @@
     CHECK(recorded.state() == "outcomeUnknown");
 }
 
+// Guards against a caller that gets a response that is not HTTP because it was recorded.
+TEST_CASE("a malformed recorded response leaves the outcome unknown")
+{
+    Fleet fleet;
+    REQUIRE(order(*fleet.vm1, kKey, "k", "hut").status == 201);
+    Reply again;
+    do { // The outcome is recorded after the response was sent.
+        again = order(*fleet.vm2, kKey, "k", "hut");
+    } while (again.status == 409);
+    REQUIRE(again.status == 201);
+    const std::vector<std::pair<std::string, json>> changes = {{"status", 0},
+                                                               {"status", 99},
+                                                               {"status", 100},
+                                                               {"status", 600},
+                                                               {"contentType", "text/plain\r\nBad Name: a"},
+                                                               {"contentType", "text/plain\nBad\x01Name: a"}};
+    for (const auto &[member, value] : changes) {
+        CAPTURE(member);
+        CAPTURE(value.dump());
+        std::string sound;
+        {
+            const std::lock_guard lock(fleet.records.mutex);
+            auto &row = fleet.records.rows.begin()->second;
+            sound = row.text;
+            auto record = json::parse(row.text);
+            record[member] = value;
+            row.text = record.dump();
+        }
+        Reply reply;
+        CHECK_NOTHROW(reply = order(*fleet.vm2, kKey, "k", "hut"));
+        CHECK(reply.status == 502);
+        CHECK(reply.headers[kState] == "outcomeUnknown");
+        const auto known = request(fleet.vm1->port(), http::verb::get, "/v1/services/booking/orders/k", kNorth);
+        CHECK(known.status == 502);
+        CHECK(known.headers.at(kState) == "outcomeUnknown");
+        const std::lock_guard lock(fleet.records.mutex);
+        fleet.records.rows.begin()->second.text = sound;
+    }
+    CHECK(order(*fleet.vm2, kKey, "k", "hut").body == again.body);
+    CHECK(fleet.service->counts().at("hut") == 1);
+}
+
 // Guards against "not run" from another VM that did not state it, such as one with an earlier version of this program.
 TEST_CASE("the status of another VM shows that an order did not run only with its statement")
 {
