Let the soak's callers find answers that are not HTTP

checkAnswer() takes a status outside 200 to 599 as a fault, and compares the proof with what endpoints send, since a folded line shows in its value.

With the former conditions of checkAnswer() seven checks of fleetcontent_test fail: six statuses and the proof with a folded line. They pass now.

--- a/deploy/standins/fleetcallers.cpp
+++ b/deploy/standins/fleetcallers.cpp
@@ -123,7 +123,8 @@
         }
         seen.status = parser.is_header_done() ? parser.get().result_int() : 0;
         seen.isComplete = parser.is_done();
-        if (parser.is_header_done()) {
+        seen.fault = faultOf(error);
+        if (seen.fault.empty() && parser.is_header_done()) {
             const auto check = checkAnswer(seen.attempt, seen.kind, parser.get(), seen.isComplete);
             seen.run = check.run;
             seen.fault = check.fault;
--- a/deploy/standins/fleetcontent.cpp
+++ b/deploy/standins/fleetcontent.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/names.h"
 
+#include <boost/beast/http/error.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 {
 
 namespace names = platform::names;
+namespace http = boost::beast::http;
 
 using nlohmann::json;
 using soak::Kind;
@@ -18,6 +20,8 @@
 {
 
 constexpr std::size_t kAnswerFiller = 700;
+constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxStatus = 599;
 
 /// Judges the events of an answer, each of which names its run and its place.
 AnswerCheck checkEvents(Kind kind, std::string_view body, bool isComplete)
@@ -85,9 +89,13 @@
     return "id: " + std::to_string(number) + "\ndata: " + json{{"run", run}, {"number", number}, {"last", last}}.dump() + "\n\n";
 }
 
-AnswerCheck checkAnswer(std::string_view attempt, Kind kind, const boost::beast::http::response<boost::beast::http::string_body> &response, bool isComplete)
+AnswerCheck checkAnswer(std::string_view attempt, Kind kind, const http::response<http::string_body> &response, bool isComplete)
 {
-    const bool isSuccess = response.result_int() / 100 == 2;
+    const auto status = response.result_int();
+    const bool isSuccess = status / 100 == 2;
+    if (status < kMinFinalStatus || status > kMaxStatus) {
+        return {{}, "its status is " + std::to_string(status)};
+    }
     const auto named = response[names::kAttempt];
     if (!named.empty() && named != attempt) {
         return {{}, "it is the answer to " + std::string(named)};
@@ -95,7 +103,7 @@
     if (!isSuccess) {
         return {};
     }
-    if (response.count(names::kProof) == 0) {
+    if (response[names::kProof] != kProofValue) {
         return {{}, "it is a success without an endpoint's proof"};
     }
     if (kind == Kind::Stream || kind == Kind::ResumableStream) {
@@ -109,4 +117,11 @@
     return isWhole ? AnswerCheck{body.value("run", std::string()), {}} : AnswerCheck{{}, "its body is not what an endpoint wrote for it"};
 }
 
+std::string faultOf(const boost::system::error_code &error)
+{
+    const bool isMalformed = error.category() == http::make_error_code(http::error::bad_status).category() && error != http::error::end_of_stream
+        && error != http::error::partial_message;
+    return isMalformed ? "its bytes are no answer: " + error.message() : "";
+}
+
 } // namespace daisystream::standins
--- a/deploy/standins/fleetcontent.h
+++ b/deploy/standins/fleetcontent.h
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <string>
 #include <string_view>
@@ -20,6 +21,9 @@
 namespace daisystream::standins
 {
 
+/// What the header of each answer of an endpoint has as its proof.
+constexpr std::string_view kProofValue = "seal";
+
 /// Parts of prompts whose ids begin so crash each engine that begins an answer on them.
 constexpr std::string_view kDeadlyPart = "dead";
 
@@ -52,4 +56,8 @@
 [[nodiscard]] AnswerCheck
 checkAnswer(std::string_view attempt, soak::Kind kind, const boost::beast::http::response<boost::beast::http::string_body> &response, bool isComplete);
 
+/// @param error with which a caller's read of an answer ended.
+/// @return what is wrong with the bytes that came; empty if they only ended too soon, or none came in time.
+[[nodiscard]] std::string faultOf(const boost::system::error_code &error);
+
 } // namespace daisystream::standins
--- a/deploy/standins/fleetcontent_test.cpp
+++ b/deploy/standins/fleetcontent_test.cpp
@@ -1,5 +1,6 @@
 #include "deploy/standins/fleetcontent.h"
 
+#include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <doctest/doctest.h>
 
@@ -60,6 +61,24 @@
     auto unproven = answer(answerBody("r1", "a1"));
     unproven.erase("Server-Seal");
     CHECK_FALSE(fault(Kind::Safe, unproven).empty());
+    auto folded = answer(answerBody("r1", "a1"));
+    folded.set("Server-Seal", "seal X-Field: a");
+    CHECK_FALSE(fault(Kind::Safe, folded).empty());
+    for (const unsigned status : {0U, 99U, 100U, 199U, 600U, 999U}) {
+        CHECK_FALSE(fault(Kind::Unsafe, answer("", "a1", status)).empty());
+    }
+}
+
+TEST_CASE("bytes that are no answer are told apart from an answer that breaks off")
+{
+    for (const auto error : {http::error::bad_status, http::error::bad_field, http::error::bad_value, http::error::bad_version, http::error::bad_chunk}) {
+        CHECK_FALSE(faultOf(error).empty());
+    }
+    CHECK(faultOf({}).empty());
+    CHECK(faultOf(http::error::end_of_stream).empty());
+    CHECK(faultOf(http::error::partial_message).empty());
+    CHECK(faultOf(boost::beast::error::timeout).empty());
+    CHECK(faultOf(boost::asio::error::connection_reset).empty());
 }
 
 TEST_CASE("a request's body is recognized unchanged only")
