Let the soak's endpoints send malformed headers

Garbled answers had further bytes behind them only. Now they have such bytes, a status of 000, a name with a blank, a name with a control byte, or a folded line in turn, at engines as well, which were not garbled before. A malformed header states no limit, as its VM cannot read it.

--- a/deploy/standins/fleetendpoint.cpp
+++ b/deploy/standins/fleetendpoint.cpp
@@ -74,6 +74,43 @@
     bool hasStopped = false;
 };
 
+/// How an answer is garbled.
+enum class Garbling : std::uint8_t {
+    ExtraAnswer, ///< Another answer follows it.
+    Status,      ///< Its status is 000.
+    Blank,       ///< The name of a field has a blank.
+    ControlByte, ///< The name of a field has a control byte.
+    Folding,     ///< A line begins with a blank.
+};
+constexpr std::array kGarblings{Garbling::ExtraAnswer, Garbling::Status, Garbling::Blank, Garbling::ControlByte, Garbling::Folding};
+
+/// @return whether an answer that is garbled so has a malformed header.
+bool isMalformed(const std::optional<Garbling> &garbled)
+{
+    return garbled && garbled != Garbling::ExtraAnswer;
+}
+
+/// @param header with a proof.
+/// @return the header, malformed as told.
+std::string malformed(std::string header, Garbling how)
+{
+    constexpr std::size_t kStatusAt = 9;
+    const auto afterProof = header.find("\r\n", header.find(names::kProof)) + 2;
+    switch (how) {
+    case Garbling::ExtraAnswer:
+        break;
+    case Garbling::Status:
+        return header.replace(kStatusAt, 3, "000");
+    case Garbling::Blank:
+        return header.insert(afterProof, "Bad Name: a\r\n");
+    case Garbling::ControlByte:
+        return header.insert(afterProof, "Bad\x01Name: a\r\n");
+    case Garbling::Folding:
+        return header.insert(afterProof, " Bad-Name: a\r\n");
+    }
+    return header;
+}
+
 /// @return the number in the query `bytes=` of a target, 0 if there is none.
 std::size_t paddingOf(std::string_view target)
 {
@@ -267,10 +304,10 @@
         soak::write(soak::LimitTold{.endpoint = options_.name, .period = limitPeriod(), .attempt = attempt, .at = soak::now()});
     }
 
-    /// @return the header line that states the limit; empty if there is none.
-    [[nodiscard]] std::string limitLine(const std::string &attempt) const
+    /// @return the header line that states the limit; empty if there is none, or the VM cannot read the header.
+    [[nodiscard]] std::string limitLine(const std::string &attempt, const std::optional<Garbling> &garbled) const
     {
-        if (limitPerSecond_ == 0) {
+        if (limitPerSecond_ == 0 || isMalformed(garbled)) {
             return "";
         }
         noteTold(attempt);
@@ -363,6 +400,12 @@
         return every > 0 && answers_ % every == 0;
     }
 
+    /// @return how to garble the present answer; nothing if it stays as it is.
+    [[nodiscard]] std::optional<Garbling> garbling()
+    {
+        return isDue(garbleEvery_) ? std::optional(kGarblings.at(garblings_++ % kGarblings.size())) : std::nullopt;
+    }
+
     Ending answerCall(Stream &stream, const Run &run, asio::yield_context yield)
     {
         pause(scaled(kCallTime), yield);
@@ -370,13 +413,15 @@
             return Ending::Broken;
         }
         const bool isFailure = isDue(failEvery_);
+        const auto garbled = run.isUnframed ? std::nullopt : garbling();
         const std::string body = answerBody(run.name, run.attempt) + std::string(run.padding, ' ');
         std::string text = "HTTP/1.1 " + std::string(isFailure ? kFailures[failures_++ % kFailures.size()] : "200 OK") + "\r\n";
-        text += std::string(names::kAttempt) + ": " + run.attempt + "\r\n" + names::kProof + ": seal\r\n" + names::kLoad + ": " + loadText() + "\r\n"
-            + limitLine(run.attempt) + "Content-Type: application/json\r\n";
+        text += std::string(names::kAttempt) + ": " + run.attempt + "\r\n" + names::kProof + ": " + std::string(kProofValue) + "\r\n" + names::kLoad + ": "
+            + loadText() + "\r\n" + limitLine(run.attempt, garbled) + "Content-Type: application/json\r\n";
         text += run.isUnframed ? "Connection: close\r\n\r\n" : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-        if (isDue(garbleEvery_) && !run.isUnframed) {
-            writeText(stream, text + body + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", yield);
+        if (garbled) {
+            const std::string extra = garbled == Garbling::ExtraAnswer ? "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad" : "";
+            writeText(stream, malformed(text, *garbled) + body + extra, yield);
             return Ending::Broken;
         }
         return writeText(stream, text + body, yield) ? Ending::Done : Ending::Closed;
@@ -390,10 +435,16 @@
         if (run.mustStop) {
             return Ending::Moved;
         }
-        text += std::string(names::kAttempt) + ": " + run.attempt + "\r\n" + names::kProof + ": seal\r\n" + limitLine(run.attempt) + "\r\n";
+        const auto garbled = garbling();
+        text += std::string(names::kAttempt) + ": " + run.attempt + "\r\n" + names::kProof + ": " + std::string(kProofValue) + "\r\n"
+            + limitLine(run.attempt, garbled) + "\r\n";
         if (run.crashesEngine) {
             crash(stream, run, text, yield);
         }
+        if (isMalformed(garbled)) {
+            writeText(stream, malformed(text, *garbled) + framed(run, eventText(run.name, 1, run.last)), yield);
+            return Ending::Broken;
+        }
         if (!writeText(stream, text, yield)) {
             return Ending::Closed;
         }
@@ -502,6 +553,7 @@
     unsigned failEvery_ = 0;
     std::size_t failures_ = 0; ///< Calls that failed because of `failEvery_`.
     unsigned garbleEvery_ = 0;
+    std::size_t garblings_ = 0; ///< Answers that were garbled because of `garbleEvery_`.
     double slowFactor_ = 1;
     double limitPerSecond_ = 0; ///< Requests a second that it states as its limit; 0: it states none.
     unsigned limitPeriods_ = 0;
--- a/deploy/standins/fleetendpoint.h
+++ b/deploy/standins/fleetendpoint.h
@@ -12,9 +12,10 @@
 /// registers itself in the store and writes what it does as observations.
 ///
 /// `POST /standin/faults` replaces its faults: {"loseEvery": n, "failEvery": n, "garbleEvery": n, "slowFactor": f}; "every"
-/// counts its answers, 0 is never; calls that fail have run, and get 500, 503, 429 and 408 in turn. `POST /standin/limit` with {"perSecond": f} makes it state
-/// a limit of requests a second, which it does not enforce; 0 ends that. Its process ends with `kCrashExitCode` when it begins an answer on a prompt with a
-/// part for which `hasDeadlyPart` is true.
+/// counts its answers, 0 is never; calls that fail have run, and get 500, 503, 429 and 408 in turn; answers that are garbled have further
+/// bytes behind them, a status of 000, a field whose name has a blank or a control byte, or a folded line in turn. `POST /standin/limit` with {"perSecond": f}
+/// makes it state a limit of requests a second, which it does not enforce; 0 ends that. Its process ends with `kCrashExitCode` when it begins an answer on a
+/// prompt with a part for which `hasDeadlyPart` is true.
 ///
 /// Example:
 /// @code
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -205,7 +205,7 @@
 
 const char *nameOf(EndpointFault fault)
 {
-    static constexpr std::array kNames{"loses answers", "fails", "sends bytes behind answers", "is slow"};
+    static constexpr std::array kNames{"loses answers", "fails", "garbles answers", "is slow"};
     return kNames.at(static_cast<std::size_t>(fault));
 }
 
