Fail a scenario's call whose response has an impossible status

A script got the body of a response whose status was 000, 099 or 600 without a failure, with a status of 0 as if no header had arrived; a 100 counted as the final response.

Cause: the parser of Beast takes any three digits for a status, and the call did not look at them. It fails now for a status outside 200 to 599.

"a response that is not HTTP fails the call" failed on the code before for each of the four statuses; names with a blank or a control byte were refused already. All of scenario_tests passes.

--- a/scenarios/httpcall.cpp
+++ b/scenarios/httpcall.cpp
@@ -9,6 +9,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <optional>
+#include <stdexcept>
 #include <thread>
 
 namespace daisystream::scenarios
@@ -19,6 +20,14 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+namespace
+{
+
+constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxStatus = 599;
+
+} // namespace
+
 class HttpCall::Private
 {
 public:
@@ -83,6 +92,10 @@
         while (!parser.is_done()) {
             http::read_some(socket_, buffer, parser);
             if (parser.is_header_done()) {
+                const auto status = parser.get().result_int();
+                if (status < kMinFinalStatus || status > kMaxStatus) {
+                    throw std::runtime_error("the response has status " + std::to_string(status));
+                }
                 publish(parser.get());
             }
         }
