Do not take an engine whose response is malformed for a crashed one

Two engines that answered with malformed headers, the probe included, got the caller's prompt blocked: its next request was refused with 503 for 5 s and more (PromptQuarantined), although no engine had crashed and another one could have served it.

Cause: after a request that failed before it began, PromptGuard probes the engine to tell a crash from other failures, and took every response that could not be read for a process that is gone. Bytes that are no response come from a process that runs.

isMalformed() tells such bytes from a connection that fails, ends within a response or is silent; EndpointExchange had the condition already and shares it now. A probe that gets such bytes finds the engine alive.

--- a/daemon/endpoints/endpointexchange.cpp
+++ b/daemon/endpoints/endpointexchange.cpp
@@ -78,8 +78,7 @@
             kind = ExchangeFault::Kind::Aborted;
         } else if (error == beast::error::timeout) {
             kind = ExchangeFault::Kind::Silent;
-        } else if (error.category() == http::make_error_code(http::error::end_of_stream).category() && error != http::error::end_of_stream
-                   && error != http::error::partial_message) {
+        } else if (isMalformed(error)) {
             kind = ExchangeFault::Kind::Malformed;
         }
         return {.kind = kind, .detail = std::string(failedStep) + ": " + error.message()};
--- a/daemon/endpoints/promptguard.cpp
+++ b/daemon/endpoints/promptguard.cpp
@@ -36,7 +36,7 @@
 // No trial is due before this time, and a caller that comes back at once would only be refused again.
 constexpr milliseconds kMinRetryAfter{100};
 
-/// @return whether a process answers HTTP requests at the address of an engine.
+/// @return whether a process answers at the address of an engine, even if its response is malformed.
 bool answers(const EndpointSettings &engine, const std::string &target, asio::yield_context yield)
 {
     boost::system::error_code error;
@@ -57,7 +57,10 @@
     }
     http::async_write(stream, request, yield[error]);
     ResponseReader reader(request.method(), {.unparsedBytes = kProbeBufferBytes});
-    return !error && !reader.readHeader(stream, yield);
+    if (!error) {
+        error = reader.readHeader(stream, yield);
+    }
+    return !error || isMalformed(error);
 }
 
 } // namespace
--- a/daemon/http/responsereader.cpp
+++ b/daemon/http/responsereader.cpp
@@ -168,6 +168,12 @@
     return buffer_.size() > 0;
 }
 
+bool isMalformed(const error_code &error)
+{
+    return error.category() == http::make_error_code(http::error::bad_status).category() && error != http::error::end_of_stream
+        && error != http::error::partial_message;
+}
+
 bool isReusable(boost::beast::tcp_stream &stream)
 {
     char byte = 0;
--- a/daemon/http/responsereader.h
+++ b/daemon/http/responsereader.h
@@ -96,6 +96,10 @@
     bool hasHeader_ = false;
 };
 
+/// @param error of reading a response.
+/// @return whether bytes were received that are no response, as opposed to a connection that failed, ended or was silent.
+[[nodiscard]] bool isMalformed(const boost::system::error_code &error);
+
 /// @return whether a connection without a request in progress can take the next one: the peer has neither closed it nor sent bytes, which
 ///     would be taken for the beginning of the next response.
 [[nodiscard]] bool isReusable(boost::beast::tcp_stream &stream);
--- a/daemon/http/responsereader_test.cpp
+++ b/daemon/http/responsereader_test.cpp
@@ -73,7 +73,7 @@
     for (const auto &header : malformedHeaders("200 OK", "Content-Length: 5\r\nX-Field: a\r\n")) {
         CAPTURE(header);
         const auto outcome = readResponse({header + "whole"});
-        CHECK(outcome.error.category() == make_error_code(http::error::bad_status).category());
+        CHECK(isMalformed(outcome.error));
         CHECK_FALSE(outcome.hasHeader);
     }
 }
@@ -108,6 +108,19 @@
     }
 }
 
+// Guards against a peer that fails and is taken for one that sends malformed responses.
+TEST_CASE("a response that breaks off is not malformed")
+{
+    for (const std::string part : {"", "HTT", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwho"}) {
+        CAPTURE(part);
+        const auto outcome = readResponse({part});
+        CHECK(outcome.error);
+        CHECK_FALSE(isMalformed(outcome.error));
+    }
+    CHECK_FALSE(isMalformed({}));
+    CHECK_FALSE(isMalformed(boost::beast::error::timeout));
+}
+
 // Guards against a body that is taken for a part of the header.
 TEST_CASE("lines of a body may begin with a space")
 {
