--- a/daemon/frontend/orderrouter_test.cpp
+++ b/daemon/frontend/orderrouter_test.cpp
@@ -153,16 +153,16 @@
                                                                {"status", 600},
                                                                {"contentType", "text/plain\r\nBad Name: a"},
                                                                {"contentType", "text/plain\nBad\x01Name: a"}};
-    for (const auto &[member, value] : changes) {
-        CAPTURE(member);
-        CAPTURE(value.dump());
+    for (const auto &change : changes) {
+        CAPTURE(change.first);
+        CAPTURE(change.second.dump());
         std::string sound;
         {
             const std::lock_guard lock(fleet.records.mutex);
             auto &row = fleet.records.rows.begin()->second;
             sound = row.text;
             auto record = json::parse(row.text);
-            record[member] = value;
+            record[change.first] = change.second;
             row.text = record.dump();
         }
         Reply reply;
--- a/daemon/http/malformedheaders_test.h
+++ b/daemon/http/malformedheaders_test.h
@@ -32,8 +32,12 @@
 {
     using namespace std::string_literals;
     std::vector<std::string> headers;
+    const auto add = [&](const std::string &statusText, const std::string &before, const std::string &after) {
+        auto &header = headers.emplace_back("HTTP/1.1 ");
+        header.append(statusText).append("\r\n").append(before).append(after).append("\r\n");
+    };
     for (const char *code : {"000", "000 OK", "099 OK", "600 OK", "0 OK", "20 OK", "2000 OK", "OK"}) {
-        headers.push_back("HTTP/1.1 "s + code + "\r\n" + fields + "\r\n");
+        add(code, fields, "");
     }
     for (const auto &name : {"Bad Name"s,
                              "Bad-Name "s,
@@ -54,8 +58,8 @@
                              "\tContent-Length"s,
                              "Content-Length\x01"s}) {
         const auto malformed = name + ": 3\r\n";
-        headers.push_back("HTTP/1.1 " + status + "\r\n" + malformed + fields + "\r\n");
-        headers.push_back("HTTP/1.1 " + status + "\r\n" + fields + malformed + "\r\n");
+        add(status, malformed, fields);
+        add(status, fields, malformed);
     }
     return headers;
 }
