--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -11,7 +11,7 @@
 constexpr int kKills = 18;
 constexpr long long kKillEveryMs = 1600;
 constexpr long long kRestartMs = 300;
-constexpr long long kCalmMs = 50000;
+constexpr long long kCalmMs = 60000;
 constexpr long long kRecoverMs = 12000; // recover_s
 constexpr int kEvents = 100;
 constexpr long long kEventMs = 40;
@@ -182,7 +182,7 @@
         send(true, i, i == victim ? 500 : 1000);
         send(false, i, 250);
     }
-    sleepMs(5000);
+    sleepMs(2000);
     for (int i = 0; i < kKills; ++i) {
         if (trouble) {
             record.line("the process of " + machines[victim]->name() + " is killed");
