--- a/review/bed3.hpp
+++ b/review/bed3.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -848,6 +849,7 @@
         const auto log = folder_ + "/" + name_ + ".log";
         pid_ = ::fork();
         if (pid_ == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Also ends with a case that is cut off by its time limit.
             const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(fd, 1);
             ::dup2(fd, 2);
