Reject a response that a reset cuts short while the request is being sent

Cause: EndpointExchange writes the request and reads the response at the same time. The kernel reports the error of a connection to one operation only. If that is the write, which ignored its error because the read would report it, the read gets the received bytes and then an orderly end. That end completes a response which has neither length nor chunks.

When the end of the connection completes a response, the exchange now closes the connection, waits for the result of the write, which the close cancels if it is still in progress, and fails if the write has met an error of the connection. The wait makes the result independent of the order in which the two operations complete. A broken pipe doesn't count: Linux reports it instead of a reset if the other side had ended its stream in order before. Calls, streams, error responses and moves read through this class. Responses with a length or chunks show by themselves whether they are complete and are passed on as before.

--- a/daemon/endpoints/endpointexchange.cpp
+++ b/daemon/endpoints/endpointexchange.cpp
@@ -3,6 +3,7 @@
 #include "daemon/http/responsereader.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -40,6 +41,15 @@
     set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
 }
 
+/// @param error of a write.
+/// @return whether the connection failed before the other side had ended its stream, so that bytes of that stream may be missing.
+bool isConnectionFailure(const error_code &error)
+{
+    const bool isEndedHere = error == asio::error::operation_aborted || error == asio::error::bad_descriptor || error == beast::error::timeout;
+    // After the end of the other side's stream, a reset is reported as a broken pipe.
+    return error && !isEndedHere && error != asio::error::broken_pipe;
+}
+
 } // namespace
 
 const char *toString(ExchangeFault::Kind kind)
@@ -65,6 +75,7 @@
     Private(const asio::any_io_executor &executor, SocketAddress target)
         : address(std::move(target))
         , stream(executor)
+        , writeEnd(executor)
     {
         reader.emplace(http::verb::get);
     }
@@ -88,18 +99,55 @@
     void startWriting()
     {
         bytesSent = true;
+        writeEnd.expires_at(asio::steady_timer::time_point::max());
         http::async_write(stream, request, [self = shared_from_this()](const error_code &error, std::size_t) {
-            self->written = !error; // On failure there is no response, which is reported by the read.
+            self->writeResult = error;
+            self->writeEnd.cancel();
         });
     }
 
+    /// Reads a part of the body.
+    /// @return as for `ResponseReader::readSome`; also the error of the connection if its end would complete a response without length.
+    [[nodiscard]] error_code readBody(asio::yield_context yield)
+    {
+        if (connectionError) {
+            return connectionError;
+        }
+        const auto error = reader->readSome(stream, yield);
+        if (!error && reader->isDone() && reader->endsWithConnection()) {
+            // A socket reports the error of its connection to one operation only. If that was the write, the read sees an orderly end.
+            const auto result = endWrite(yield);
+            connectionError = isConnectionFailure(result) ? result : error_code();
+        }
+        return error ? error : connectionError;
+    }
+
+    /// Closes the connection, which cancels a write that is still in progress.
+    /// @return the result of the write.
+    [[nodiscard]] error_code endWrite(asio::yield_context yield)
+    {
+        stream.close();
+        if (!writeResult) {
+            error_code ignored;
+            writeEnd.async_wait(yield[ignored]);
+        }
+        return writeResult.value_or(error_code());
+    }
+
+    [[nodiscard]] bool isComplete() const
+    {
+        return reader->isDone() && !connectionError;
+    }
+
     const SocketAddress address;
     beast::tcp_stream stream;
     Request request;
-    std::optional<ResponseReader> reader; ///< Replaced when the method of the request is known; never empty.
-    ByteLease lease;                      ///< Share of the byte budget that the body uses.
+    std::optional<ResponseReader> reader;  ///< Replaced when the method of the request is known; never empty.
+    ByteLease lease;                       ///< Share of the byte budget that the body uses.
+    asio::steady_timer writeEnd;           ///< Cancelled at the end of the write.
+    std::optional<error_code> writeResult; ///< Of the finished write.
+    error_code connectionError;            ///< Why the end of the connection did not complete the response.
     bool bytesSent = false;
-    bool written = false;
     bool aborted = false;
 };
 
@@ -153,11 +201,11 @@
 std::variant<std::string, ExchangeFault> EndpointExchange::read(std::chrono::milliseconds silence, asio::yield_context yield)
 {
     const auto d = d_;
-    if (d->reader->isDone()) {
+    if (d->isComplete()) {
         return d->reader->takeBody();
     }
     d->stream.expires_after(silence);
-    const auto error = d->reader->readSome(d->stream, yield);
+    const auto error = d->readBody(yield);
     std::string part = d->reader->takeBody();
     if ((error || d->aborted) && (part.empty() || d->aborted)) {
         return d->faultOf(error, "body");
@@ -174,7 +222,7 @@
     }
     d->stream.expires_after(time);
     while (!error && !d->aborted && !d->reader->isDone()) {
-        error = d->reader->readSome(d->stream, yield);
+        error = d->readBody(yield);
         const auto size = d->reader->response().body().size();
         if (size > limitBytes) {
             return ExchangeFault{.kind = ExchangeFault::Kind::Malformed, .detail = "body: longer than " + std::to_string(limitBytes) + " bytes"};
@@ -184,7 +232,7 @@
         }
     }
     // A response that was complete before `abort` was called is not lost.
-    if (d->reader->isDone()) {
+    if (d->isComplete()) {
         return std::nullopt;
     }
     return d->faultOf(error, "body");
@@ -197,7 +245,7 @@
 
 bool EndpointExchange::isComplete() const
 {
-    return d_->reader->isDone();
+    return d_->isComplete();
 }
 
 bool EndpointExchange::isSelfDelimiting() const
--- a/daemon/endpoints/endpointexchange.h
+++ b/daemon/endpoints/endpointexchange.h
@@ -59,7 +59,8 @@
 };
 
 /// Must be used from one strand only. The request is written while the response is read, because an endpoint may respond before it has read
-/// a long body. Connections are not reused: the endpoint can close a kept connection just as the next request is sent, whose outcome is
+/// a long body. A response that ends with the connection is complete only if neither the read nor the write found that the connection had
+/// failed. Connections are not reused: the endpoint can close a kept connection just as the next request is sent, whose outcome is
 /// then unknown, and a kept connection can deliver a response that belongs to an earlier request.
 class EndpointExchange
 {
--- a/daemon/http/responsereader.h
+++ b/daemon/http/responsereader.h
@@ -75,7 +75,8 @@
     /// @return whether the response was read completely.
     [[nodiscard]] bool isDone() const;
 
-    /// @return whether the body ends with the connection, so that a complete response cannot be told from one that was cut short.
+    /// @return whether the body ends with the connection, so that a complete response cannot be told from one that was cut short. A client
+    ///     that writes while it reads has to check the write as well: an error of the connection that the write got is not reported here.
     [[nodiscard]] bool endsWithConnection() const;
 
     /// @return whether bytes were received that do not belong to the response. The connection must not be used again then.
