Show which broken responses are handled already

The clients of the own interface, of the store and of the command line write the request before they read, and a failed write ends the exchange: an order or a completion whose endpoint resets the connection during the upload has an unknown outcome, a write to the store as well, and the command line reports an incomplete response.

--- a/cli/commands_test.cpp
+++ b/cli/commands_test.cpp
@@ -4,6 +4,7 @@
 #include "cli/httpcall.h"
 
 #include "daemon/control/testloop.h"
+#include "daemon/http/earlyresponse_test.h"
 #include "daemon/http/malformedheaders_test.h"
 #include "standins/platform/platformmodel.h"
 
@@ -145,5 +146,21 @@
     loop.stop();
 }
 
+// Guards against a part of a response that passes for the whole.
+TEST_CASE("a response without length that is reset is not complete")
+{
+    TestLoop loop;
+    EarlyServer server(loop.io, "HTTP/1.1 200 OK\r\n\r\npart", ConnectionEnd::Reset);
+    for (const auto &body : {std::string("x"), longBody()}) {
+        const HttpCall call{.method = "POST", .target = "/v1/completions", .body = body};
+        const auto result = loop.run([&](asio::yield_context yield) { return httpCall(loop.io, {"127.0.0.1", server.port()}, call, yield); });
+        CHECK(result.sent);
+        CHECK_FALSE(result.complete);
+        CHECK_FALSE(result.reason.empty());
+    }
+    CHECK(server.requests() == 2);
+    loop.stop();
+}
+
 } // namespace
 } // namespace daisystream::cli
--- a/daemon/store/platformclient_test.cpp
+++ b/daemon/store/platformclient_test.cpp
@@ -1,6 +1,7 @@
 #include "daemon/store/platformclient.h"
 
 #include "daemon/control/testloop.h"
+#include "daemon/http/earlyresponse_test.h"
 #include "daemon/http/malformedheaders_test.h"
 #include "standins/platform/platformmodel.h"
 
@@ -114,5 +115,21 @@
     loop.stop();
 }
 
+// Guards against a part of a reply that passes for the whole, in reads and in writes that are still being sent.
+TEST_CASE("a reply without length that is reset is no reply")
+{
+    TestLoop loop;
+    EarlyServer server(loop.io, "HTTP/1.1 200 OK\r\nETag: \"7\"\r\n\r\nx", ConnectionEnd::Reset);
+    PlatformClient client(loop.io, SocketAddress{"127.0.0.1", server.port()});
+    const auto row = loop.run([&](asio::yield_context yield) { return client.getRow("lists", "plans", yield); });
+    CHECK(std::holds_alternative<Error>(row));
+    for (const auto &text : {std::string("x"), longBody()}) {
+        const auto written = loop.run([&](asio::yield_context yield) { return client.putRow("lists", "plans", text, IfMatch{1}, yield); });
+        CHECK((codeOf(written) == ResultCode::OutcomeOfWriteUnknown));
+    }
+    CHECK(server.requests() == 3);
+    loop.stop();
+}
+
 } // namespace
 } // namespace daisystream
