Let the relay of tests pass on a reset as a reset

A relay between two processes of a scenario or a soak ended its side in order whenever it met the end of a stream, also when the connection had been reset. The receiver of a response without length then took the part that had arrived for the whole, and a test could not tell a broken response from a complete one. Cause: the handler of a read treated each error as the end of the stream.

An error other than the end of the stream now resets both connections of the relay, as an error of a write did before. A connection that has lost bytes stays silent as before.

--- a/standins/relay/relay.cpp
+++ b/standins/relay/relay.cpp
@@ -88,7 +88,7 @@
     {
         direction.from.async_read_some(asio::buffer(direction.buffer), [self = shared_from_this(), &direction](error_code error, std::size_t count) {
             if (error) {
-                self->finish(direction);
+                self->finish(direction, error);
                 return;
             }
             direction.isLost = direction.isLost || self->mode_ == direction.droppedBy;
@@ -127,12 +127,18 @@
         });
     }
 
-    /// Passes an end of stream on, unless the link has lost bytes: then the other side does not learn of it.
-    void finish(Direction &direction)
+    /// Passes on an end of stream, or a reset if the connection failed, unless the link has lost bytes: then the other side does not
+    /// learn of it.
+    void finish(Direction &direction, const error_code &error)
     {
-        if (!direction.isLost) {
+        if (direction.isLost) {
+            return;
+        }
+        if (error == asio::error::eof) {
             error_code ignored;
             direction.to.shutdown(tcp::socket::shutdown_send, ignored);
+        } else {
+            close();
         }
     }
 
