Reset a broken answer to a caller of HTTP/1.0 however it ends

Cause: only HttpConnection::abort asked for a reset. When a write to the caller exceeds its time limit, the stream closes the socket itself; the kernel sends what it holds and then ends the connection in order. The kernel does the same when the process is killed.

The connection now asks for a reset when such an answer begins, and takes that back when the answer is complete, so that each other end shows that it is not.

The end of a killed process was not tested.

--- a/daemon/frontend/httpconnection.cpp
+++ b/daemon/frontend/httpconnection.cpp
@@ -470,6 +470,13 @@
     closeIfStopping();
     endsWithConnection_ = version_ != kHttp11;
     keepAlive_ = keepAlive_ && !endsWithConnection_;
+    resetOnClose(endsWithConnection_);
+}
+
+void HttpConnection::resetOnClose(bool isReset)
+{
+    error_code ignored;
+    tcp().socket().set_option(asio::socket_base::linger(isReset, 0), ignored);
 }
 
 bool HttpConnection::startEvents(asio::yield_context yield)
@@ -512,6 +519,8 @@
 {
     if (!endsWithConnection_) {
         writeRaw("0\r\n\r\n", {}, {}, yield);
+    } else if (!broken_) {
+        resetOnClose(false);
     }
     endsWithConnection_ = false;
 }
@@ -566,9 +575,6 @@
 {
     broken_ = true;
     error_code ignored;
-    if (endsWithConnection_) {
-        tcp().socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    }
     tcp().socket().close(ignored);
 }
 
--- a/daemon/frontend/httpconnection.h
+++ b/daemon/frontend/httpconnection.h
@@ -133,6 +133,8 @@
     void refuse(const FramingFault &fault, boost::asio::yield_context yield);
     /// Determines how a streamed response ends.
     void beginStream();
+    /// Sets whether the end of the connection is a reset, however it comes about: by a time limit, or with the process.
+    void resetOnClose(bool isReset);
     void closeIfStopping();
     void waitForPeer();
     bool writeRaw(std::string_view first, std::string_view second, std::string_view third, boost::asio::yield_context yield);
