Let the server of early responses pass the linter

scripts/lint ended with an error: the destructor of the tests' EarlyServer posts to its event loop, which may throw. The destructor is removed. The server serves until its event loop ends, as its tests need it to.

--- a/daemon/http/earlyresponse_test.h
+++ b/daemon/http/earlyresponse_test.h
@@ -44,7 +44,8 @@
     return std::string(kBytes, 'x');
 }
 
-/// Responds to each connection with given bytes after the header of the request, and ends it when its receive buffer is full. Thread-safe.
+/// Responds to each connection with given bytes after the header of the request, and ends it when its receive buffer is full. Serves until
+/// its event loop ends. Thread-safe.
 class EarlyServer
 {
 public:
@@ -55,17 +56,6 @@
             state_->strand, [state = state_](boost::asio::yield_context yield) { state->accept(yield); }, boost::asio::detached);
     }
 
-    ~EarlyServer()
-    {
-        boost::asio::post(state_->strand, [state = state_] {
-            boost::system::error_code ignored;
-            state->acceptor.close(ignored);
-        });
-    }
-
-    EarlyServer(const EarlyServer &) = delete;
-    EarlyServer &operator=(const EarlyServer &) = delete;
-
     [[nodiscard]] std::uint16_t port() const
     {
         return state_->port;
