Fail a scenario's call that is closed inside its response

A scenario that closed a call before the end of a response without length got the part that had arrived as the complete response, without a failure. Cause: the call ends its own connection to stop the read of the other thread, and that end completes such a response.

The call now fails if it was closed before its response was complete.

--- a/scenarios/httpcall.cpp
+++ b/scenarios/httpcall.cpp
@@ -46,6 +46,7 @@
     {
         std::lock_guard lock(mutex_);
         if (socket_.is_open()) {
+            isClosed_ = true;
             boost::system::error_code ignored;
             socket_.shutdown(tcp::socket::shutdown_both, ignored); // Ends the blocking read of the other thread.
         }
@@ -59,6 +60,7 @@
     std::string body_;
     std::map<std::string, std::string> headers_;
     std::string failure_;
+    bool isClosed_ = false; ///< `close` was called.
     bool finished_ = false;
 
 private:
@@ -99,6 +101,10 @@
                 publish(parser.get());
             }
         }
+        std::lock_guard lock(mutex_);
+        if (isClosed_ && parser.need_eof()) {
+            throw std::runtime_error("the call was closed before the end of the response");
+        }
     }
 
     void publish(const http::response<http::string_body> &response)
--- a/scenarios/httpcall_test.cpp
+++ b/scenarios/httpcall_test.cpp
@@ -37,6 +37,28 @@
     return call.failure();
 }
 
+// Guards against a call that a scenario gives up and that then passes for one with a complete response.
+TEST_CASE("a call that is closed inside a response without length has failed")
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+    HttpRequest request;
+    request.port = acceptor.local_endpoint().port();
+    request.method = "GET";
+    request.target = "/";
+    HttpCall call(request);
+    auto socket = acceptor.accept();
+    asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+    while (call.body() != "part" && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    REQUIRE(call.body() == "part");
+    call.close();
+    REQUIRE(call.waitFinished(std::chrono::seconds(60)));
+    CHECK_FALSE(call.failure().empty());
+}
+
 // Guards against a scenario that goes on with bytes that are no response.
 TEST_CASE("a response that is not HTTP fails the call")
 {
