Let the soak's callers notice streams that end without an event or inside one

The soak took a streamed answer with status 200 for complete if it ended in order before its first event, inside its first event, or with a part of an event after the last one. A response without length that is cut short looks like this. Cause: the check of the events stopped at the first incomplete event and compared the number of the last complete one with the announced number only, and 0 is both where there is none.

An answer that ends as complete now needs an event, all that were announced and nothing after them. The three new checks failed on the code before and pass now.

--- a/deploy/standins/fleetcontent.cpp
+++ b/deploy/standins/fleetcontent.cpp
@@ -52,8 +52,10 @@
         last = event.value("last", 0U);
         ++expected;
     }
-    if (isComplete && expected != last + 1) {
+    if (isComplete && (last == 0 || expected != last + 1)) {
         check.fault = "it ends as complete behind event " + std::to_string(expected - 1) + " of " + std::to_string(last);
+    } else if (isComplete && !body.empty()) {
+        check.fault = "it ends as complete inside an event";
     }
     return check;
 }
--- a/deploy/standins/fleetcontent_test.cpp
+++ b/deploy/standins/fleetcontent_test.cpp
@@ -55,6 +55,9 @@
     CHECK_FALSE(fault(Kind::Safe, answer(answerBody("r1", "a1"), "a2")).empty());
     CHECK_FALSE(fault(Kind::Safe, answer(answerBody("r1", "a1") + "x")).empty());
     CHECK_FALSE(fault(Kind::Stream, answer(events(1, 8, 9))).empty());
+    CHECK_FALSE(fault(Kind::Stream, answer("")).empty());
+    CHECK_FALSE(fault(Kind::Stream, answer("id: 1\ndata: {\"ru")).empty());
+    CHECK_FALSE(fault(Kind::Stream, answer(events(1, 9, 9) + "id: 10\nda")).empty());
     CHECK_FALSE(fault(Kind::Stream, answer(events(1, 3, 9) + events(5, 9, 9))).empty());
     CHECK_FALSE(fault(Kind::Stream, answer(events(1, 3, 9) + events(3, 9, 9)), false).empty());
     CHECK_FALSE(fault(Kind::Stream, answer(events(1, 4, 9) + events(5, 9, 9, "r2"))).empty());
