Reserve no memory for the length that a response states

Cause: ResponseReader left the limit of a body to its callers, and Beast's parser without a limit reserves memory for the stated length as soon as the header is complete. std::bad_alloc left a completion handler of the event loop.

Why this works: the reader always has a limit, which is checked before the body is read, and its parser reserves nothing for a stated length, so that memory follows received bytes below the limit as well. It is the one reader of calls, streams, moves, load reports, probes, the store, the own interface and the command line. EndpointExchange::readAll checks its own, lower limit first. The response counts as malformed like any other, and the log names the limit and the stated length. Messages of other VMs and requests of callers were read: they have limits, and the former grow with received bytes; unchanged.

--- a/daemon/endpoints/endpointclient.cpp
+++ b/daemon/endpoints/endpointclient.cpp
@@ -118,7 +118,7 @@
 Error EndpointStream::failure(const error_code &error, const char *problem) const
 {
     const auto code = error == beast::error::timeout ? ResultCode::EndpointSilent : ResultCode::EndpointUnreachable;
-    return {code, "endpoint " + endpoint_.id.value() + " " + problem + ": " + error.message(), {}};
+    return {code, "endpoint " + endpoint_.id.value() + " " + problem + ": " + response_.describe(error), {}};
 }
 
 std::optional<Error> EndpointStream::start(const EngineCall &call, asio::yield_context yield)
--- a/daemon/endpoints/endpointexchange.cpp
+++ b/daemon/endpoints/endpointexchange.cpp
@@ -50,6 +50,11 @@
     return error && !isEndedHere && error != asio::error::broken_pipe;
 }
 
+ExchangeFault tooLong(std::uint64_t bytes, std::uint64_t limitBytes)
+{
+    return {.kind = ExchangeFault::Kind::Malformed, .detail = "body: " + std::to_string(bytes) + " bytes exceed the limit of " + std::to_string(limitBytes)};
+}
+
 } // namespace
 
 const char *toString(ExchangeFault::Kind kind)
@@ -92,7 +97,7 @@
         } else if (isMalformed(error)) {
             kind = ExchangeFault::Kind::Malformed;
         }
-        return {.kind = kind, .detail = std::string(failedStep) + ": " + error.message()};
+        return {.kind = kind, .detail = std::string(failedStep) + ": " + reader->describe(error)};
     }
 
     /// Starts to write the request without waiting for the end of the write.
@@ -220,12 +225,15 @@
     if (budget != nullptr) {
         d->lease = ByteLease(*budget);
     }
+    if (const auto stated = d->reader->statedLength(); stated && *stated > limitBytes && !d->isComplete()) {
+        return tooLong(*stated, limitBytes);
+    }
     d->stream.expires_after(time);
     while (!error && !d->aborted && !d->reader->isDone()) {
         error = d->readBody(yield);
         const auto size = d->reader->response().body().size();
         if (size > limitBytes) {
-            return ExchangeFault{.kind = ExchangeFault::Kind::Malformed, .detail = "body: longer than " + std::to_string(limitBytes) + " bytes"};
+            return tooLong(size, limitBytes);
         }
         if (budget != nullptr && !d->lease.grow(size)) {
             return ExchangeFault{.kind = ExchangeFault::Kind::Malformed, .detail = "body: no memory for " + std::to_string(size) + " bytes"};
--- a/daemon/gateway/callforwarder.cpp
+++ b/daemon/gateway/callforwarder.cpp
@@ -297,6 +297,7 @@
                                            : std::to_string(exchange_->response().result_int()))
             .field("proof", proofText(head))
             .field("forwarded", answered_ ? "true" : "false")
+            .field("detail", fault ? fault->detail : "")
             .field("waited_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(gateway_.now() - request_.arrival).count()))
             .write();
     }
--- a/daemon/http/responsereader.cpp
+++ b/daemon/http/responsereader.cpp
@@ -55,11 +55,12 @@
     parser_->skip(isHead_);
     parser_->eager(true);
     parser_->header_limit(limits_.headerBytes);
-    if (limits_.bodyBytes) {
-        parser_->body_limit(*limits_.bodyBytes);
-    } else {
-        parser_->body_limit(boost::none);
-    }
+    parser_->body_limit(limits_.bodyBytes);
+}
+
+void ResponseReader::Parser::on_body_init_impl(const boost::optional<std::uint64_t> & /*statedLength*/, error_code &error)
+{
+    error = {};
 }
 
 error_code ResponseReader::fillHeader(boost::beast::tcp_stream &stream, boost::asio::yield_context yield)
@@ -163,6 +164,23 @@
     return parser_->need_eof();
 }
 
+std::string ResponseReader::describe(const error_code &error) const
+{
+    if (error != http::error::body_limit) {
+        return error.message();
+    }
+    const auto limit = std::to_string(limits_.bodyBytes);
+    const auto stated = parser_->get().find(http::field::content_length);
+    return stated != parser_->get().end() ? "the stated length of " + std::string(stated->value()) + " bytes exceeds the limit of " + limit
+                                          : "body longer than " + limit + " bytes";
+}
+
+std::optional<std::uint64_t> ResponseReader::statedLength() const
+{
+    const auto length = parser_->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
 bool ResponseReader::hasExtraBytes() const
 {
     return buffer_.size() > 0;
--- a/daemon/http/responsereader.h
+++ b/daemon/http/responsereader.h
@@ -27,18 +27,23 @@
 namespace daisystream
 {
 
+/// Limit of a body that is read in parts and not kept, such as a stream of events: more than a fast link transfers in the longest
+/// time that a caller waits.
+constexpr std::uint64_t kMaxBodyBytes = 1ULL << 30U;
+
 /// Sizes of a response, in bytes. A larger one is read with an error.
 struct ResponseLimits
 {
     std::uint32_t headerBytes = 65'536;
-    std::size_t unparsedBytes = 131'072;      ///< Received bytes that are not parsed yet, such as a header or the extension of a chunk.
-    std::optional<std::uint64_t> bodyBytes{}; ///< Not set: the caller limits the body.
+    std::size_t unparsedBytes = 131'072; ///< Received bytes that are not parsed yet, such as a header or the extension of a chunk.
+    std::uint64_t bodyBytes = kMaxBodyBytes;
 
     friend auto operator<=>(const ResponseLimits &, const ResponseLimits &) = default;
 };
 
 /// Must be used from one strand only, for a single response. Interim responses (1xx) are skipped, and trailers are dropped: nothing that
-/// follows a body can change what the header says. A header with a line that begins with a blank (obsolete line folding) is an error.
+/// follows a body can change what the header says. A header with a line that begins with a blank (obsolete line folding) is an error, and
+/// so is one that states a longer body than the limit. The memory in use follows the bytes that were received, whatever length is stated.
 class ResponseReader
 {
 public:
@@ -79,10 +84,23 @@
     ///     that writes while it reads has to check the write as well: an error of the connection that the write got is not reported here.
     [[nodiscard]] bool endsWithConnection() const;
 
+    /// @param error that a function of this reader returned.
+    /// @return the error's text for the log; if the body is too long, with its limit and the stated length.
+    [[nodiscard]] std::string describe(const boost::system::error_code &error) const;
+
+    /// @return the length of the body that the header states; nothing if it states none. Must not be called before the header was read.
+    [[nodiscard]] std::optional<std::uint64_t> statedLength() const;
+
     /// @return whether bytes were received that do not belong to the response. The connection must not be used again then.
     [[nodiscard]] bool hasExtraBytes() const;
 
 private:
+    /// Beast's parser reserves memory for the stated length of a body before a byte of it has arrived; this one does not.
+    class Parser : public boost::beast::http::response_parser<boost::beast::http::string_body>
+    {
+        void on_body_init_impl(const boost::optional<std::uint64_t> &statedLength, boost::system::error_code &error) override;
+    };
+
     void startMessage();
 
     /// Reads until the buffer holds a whole header.
@@ -92,7 +110,7 @@
     const bool isHead_;
     const ResponseLimits limits_;
     boost::beast::flat_buffer buffer_;
-    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+    std::optional<Parser> parser_;
     std::optional<boost::beast::http::response_header<>> header_; ///< Header of a chunked response, without the trailers that the parser adds.
     bool hasHeader_ = false;
 };
--- a/daemon/http/responsereader_test.cpp
+++ b/daemon/http/responsereader_test.cpp
@@ -30,6 +30,8 @@
     unsigned status = 0;
     std::string body;
     std::string field; ///< Value of the field X-Field.
+    std::size_t bodyCapacity = 0;
+    std::string reason; ///< `ResponseReader::describe` of the error.
 };
 
 /// @param parts bytes that the peer sends, each part some time after the one before.
@@ -56,9 +58,11 @@
         Outcome read;
         read.error = reader.readAll(stream, yield);
         read.hasHeader = reader.hasHeader();
+        read.reason = reader.describe(read.error);
         if (read.hasHeader) {
             read.status = reader.response().result_int();
             read.field = std::string(reader.response()["X-Field"]);
+            read.bodyCapacity = reader.response().body().capacity();
             read.body = reader.takeBody();
         }
         return read;
@@ -129,5 +133,46 @@
     CHECK(readResponse({"HTTP/1.1 200 OK\r\n\r\n b"}).body == " b");
 }
 
+// Property LOST: a response that stated a length of 18 digits ended the process, because memory was reserved for it.
+TEST_CASE("memory is reserved for received bytes only, whatever length a response states")
+{
+    for (const std::string framing : {"Content-Length: 1073741824\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n40000000\r\nab"}) {
+        CAPTURE(framing);
+        const auto outcome = readResponse({"HTTP/1.1 200 OK\r\n" + framing});
+        CHECK(outcome.hasHeader);
+        CHECK(outcome.error == http::error::partial_message);
+        CHECK(outcome.body == "ab");
+        CHECK(outcome.bodyCapacity < 65'536);
+    }
+}
+
+// Property LOST, as above, for each range of lengths that a parser may treat differently.
+TEST_CASE("a response that states more than the limit is malformed before its body is read")
+{
+    for (const std::string length : {"1073741825",
+                                     "2147483648",
+                                     "4294967296",
+                                     "800000000000000000",
+                                     "9223372036854775807",
+                                     "9223372036854775808",
+                                     "18446744073709551615",
+                                     "18446744073709551616",
+                                     "1000000000000000000000000000000"}) {
+        CAPTURE(length);
+        const auto outcome = readResponse({"HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nab"});
+        CHECK(isMalformed(outcome.error));
+        CHECK(outcome.body.empty());
+        if (outcome.error == http::error::body_limit) {
+            CHECK(outcome.reason == "the stated length of " + length + " bytes exceeds the limit of 1073741824");
+        }
+    }
+    for (const std::string size : {"40000001", "80000000", "100000000", "7fffffffffffffff", "ffffffffffffffff", "10000000000000000"}) {
+        CAPTURE(size);
+        const auto outcome = readResponse({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + size + "\r\nab"});
+        CHECK(isMalformed(outcome.error));
+        CHECK(outcome.body.empty());
+    }
+}
+
 } // namespace
 } // namespace daisystream
--- a/daemon/store/platformclient.cpp
+++ b/daemon/store/platformclient.cpp
@@ -277,7 +277,7 @@
             error = reader.readAll(*stream, yield);
         }
         if (error) {
-            return {.response = {}, .sent = true, .reason = error.message(), .wasClosedForResend = false};
+            return {.response = {}, .sent = true, .reason = reader.describe(error), .wasClosedForResend = false};
         }
         stream->expires_never();
         const bool hasExtraBytes = reader.hasExtraBytes();
