--- a/daemon/cells/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -336,7 +336,7 @@
         const auto ownVersions = parts.lists.versions();
         const auto now = parts.clock.now();
         // The message is forwarded before its changes are processed here, which takes time.
-        const bool hasChanges = message.endpoints && message.endpoints->upTo > ownVersions[static_cast<std::size_t>(DocumentKind::Endpoints)];
+        const bool hasChanges = message.endpoints && message.endpoints->upTo > ownVersions[static_cast<std::size_t>(DocumentKind::Endpoints)].number;
         bool hasNews = hasChanges || !message.cells.empty() || !message.limits.empty() || !message.quarantine.empty() || !message.slowness.empty();
         bool viewChanged = false;
         std::vector<EndpointId> leaving;
@@ -351,16 +351,16 @@
                 }
             }
             for (const auto &document : message.documents) {
-                if (document.number <= ownVersions[document.kind]) {
+                if (document.version <= ownVersions[document.kind]) {
                     continue;
                 }
-                if (auto &announced = announcedDocuments[document.kind]; document.number > announced.number) {
-                    announced = {.number = document.number, .from = from};
+                if (auto &announced = announcedDocuments[document.kind]; document.version > announced.version) {
+                    announced = {.version = document.version, .from = from};
                 }
                 if (message.relay) {
                     // Announced after it has arrived, so that the receivers can fetch it here.
                     auto &forwarded = documentsToForward[document.kind];
-                    forwarded = std::max(forwarded, document.number);
+                    forwarded = std::max(forwarded, document.version);
                 }
             }
             fanout = viewChanged ? std::nullopt : std::move(fanout);
@@ -391,7 +391,7 @@
             parts.dispatcher.onDigest(message.origin, cell);
         }
         for (const auto &document : message.documents) {
-            if (document.number > ownVersions[document.kind]) {
+            if (document.version > ownVersions[document.kind]) {
                 fetch(from, {document.kind});
             }
         }
@@ -421,7 +421,7 @@
 
     /// @param peerVersions another VM's versions by kind of document.
     /// @return the kinds of documents of which that VM has a newer version.
-    [[nodiscard]] std::vector<std::uint8_t> newerDocumentsAt(const std::vector<std::uint64_t> &peerVersions) const
+    [[nodiscard]] std::vector<std::uint8_t> newerDocumentsAt(const std::vector<StoreRevision> &peerVersions) const
     {
         const auto ownVersions = parts.lists.versions();
         std::vector<std::uint8_t> kinds;
@@ -445,10 +445,10 @@
             sendHeartbeats(true);
             return;
         }
-        const auto number = parts.lists.versions()[static_cast<std::size_t>(kind)];
+        const auto version = parts.lists.versions()[static_cast<std::size_t>(kind)];
         NewsMessage message;
-        message.documents.push_back({.kind = static_cast<std::uint8_t>(kind), .number = number});
-        broadcast(std::move(message), std::string(toString(kind)) + '/' + std::to_string(number));
+        message.documents.push_back({.kind = static_cast<std::uint8_t>(kind), .version = version});
+        broadcast(std::move(message), std::string(toString(kind)) + '/' + std::to_string(version.number));
     }
 
     // Heartbeats and the state of other VMs.
@@ -685,12 +685,15 @@
         vms.push_back(settings.vm);
         parts.peers.send(
             from,
-            DocumentMessage{.kind = message.kind, .number = document.version.number, .changeId = document.version.changeId, .text = document.text, .vms = vms});
+            DocumentMessage{
+                .kind = message.kind, .version = document.version.revision(), .changeId = document.version.changeId, .text = document.text, .vms = vms});
     }
 
     void onDocument(const DocumentMessage &message)
     {
-        if (parts.lists.offer(static_cast<DocumentKind>(message.kind), {.number = message.number, .changeId = message.changeId}, message.text)) {
+        if (parts.lists.offer(static_cast<DocumentKind>(message.kind),
+                              {.number = message.version.number, .changeId = message.changeId, .epoch = message.version.epoch},
+                              message.text)) {
             documentsFetched.add(1);
             bool forwards = false;
             std::optional<VmId> holderOfNewer;
@@ -699,18 +702,18 @@
                 requestedAt[message.kind] = {};
                 const auto forwarded = documentsToForward.find(message.kind);
                 forwards = forwarded != documentsToForward.end();
-                if (forwards && forwarded->second <= message.number) {
+                if (forwards && forwarded->second <= message.version) {
                     documentsToForward.erase(forwarded);
                 }
                 const auto announced = announcedDocuments.find(message.kind);
-                if (announced != announcedDocuments.end() && announced->second.number > message.number) {
+                if (announced != announcedDocuments.end() && announced->second.version > message.version) {
                     holderOfNewer = announced->second.from; // Announced while this document was on its way.
                 }
             }
             if (forwards) {
                 NewsMessage notice;
                 notice.origin = settings.vm;
-                notice.documents.push_back({.kind = message.kind, .number = message.number});
+                notice.documents.push_back({.kind = message.kind, .version = message.version});
                 forwardToZone(std::move(notice));
             }
             if (holderOfNewer) {
@@ -721,6 +724,12 @@
         table.onPeerList(message.vms, parts.clock.now());
     }
 
+    /// @return the latest epoch of the store that this VM knows of.
+    [[nodiscard]] std::uint64_t storeEpoch() const
+    {
+        return std::max(parts.platform.epoch(), peerStoreEpoch.load());
+    }
+
     std::optional<Error> admission()
     {
         // Without a platform, the files named in the settings are always in force.
@@ -745,11 +754,12 @@
     Counter &pollFailures;
     Counter &documentsFetched;
     std::atomic<bool> stopped{false};
+    std::atomic<std::uint64_t> peerStoreEpoch{0}; ///< Latest epoch of the store that another VM has stated.
 
     /// A document that another VM has.
     struct AnnouncedDocument
     {
-        std::uint64_t number = 0;
+        StoreRevision version{};
         VmId from{};
     };
 
@@ -759,13 +769,13 @@
     ListFreshness freshness;
     std::array<std::optional<TimePoint>, kDocumentKinds> contacts;
     std::array<TimePoint, kDocumentKinds> requestedAt{};
-    std::map<VmId, std::vector<std::uint64_t>> versions;
+    std::map<VmId, std::vector<StoreRevision>> versions;
     FleetRing ring;
     bool usesRing = false;
     std::map<VmId, ZoneId> zones;                                 ///< Zones of all VMs, including this one.
     std::optional<Fanout> fanout;                                 ///< Reset when `zones` or the ring's states change, and then created again on use.
     std::set<EndpointId> announcedLeaving;                        ///< Leaving endpoints that were already passed on. Endpoint ids are not reused.
-    std::map<std::uint8_t, std::uint64_t> documentsToForward;     ///< Number of the documents, by kind, announced to this zone once they arrive.
+    std::map<std::uint8_t, StoreRevision> documentsToForward;     ///< Version of the documents, by kind, announced to this zone once they arrive.
     std::map<std::uint8_t, AnnouncedDocument> announcedDocuments; ///< The newest announced to this VM, by kind.
     std::vector<VmId> contactOrder;                               ///< Platform watchers first, then the contact relays, then the other VMs.
     std::vector<VmId> lastReachingPlatform;
@@ -886,8 +896,13 @@
         d_->contactRelayAckAt = std::max(d_->contactRelayAckAt, sentAt);
     }
     // The other VM's contact with the platform also confirms this VM's data if this VM has the same versions. Its age is counted from the
-    // time at which this VM sent the heartbeat, since the other VM can have confirmed it at any time after that.
-    if (!d_->options.polls && view.contactAge && !isBehind(DocumentKind::Routes) && !isBehind(DocumentKind::Zones)) {
+    // time at which this VM sent the heartbeat, since the other VM can have confirmed it at any time after that. Contact with a store that
+    // was restored since confirms nothing.
+    const bool isOutdated = view.storeEpoch < d_->storeEpoch();
+    if (view.storeEpoch > d_->peerStoreEpoch) {
+        d_->peerStoreEpoch = view.storeEpoch; // The lock is held, so that this is the only writer.
+    }
+    if (!d_->options.polls && !isOutdated && view.contactAge && !isBehind(DocumentKind::Routes) && !isBehind(DocumentKind::Zones)) {
         d_->platformContactAt = std::max(d_->platformContactAt, sentAt - *view.contactAge);
         d_->freshness.onPlatformContact(sentAt - *view.contactAge);
     }
@@ -895,7 +910,7 @@
 
 PeerView VmMonitor::view() const
 {
-    PeerView view{.versions = d_->parts.lists.versions(), .contactAge = {}};
+    PeerView view{.versions = d_->parts.lists.versions(), .contactAge = {}, .storeEpoch = d_->storeEpoch()};
     const std::lock_guard lock(d_->mutex);
     if (d_->platformContactAt != TimePoint{}) {
         view.contactAge = std::chrono::ceil<std::chrono::milliseconds>(d_->parts.clock.now() - d_->platformContactAt);
@@ -963,10 +978,10 @@
     const auto ownVersions = d_->parts.lists.versions();
     const std::lock_guard lock(d_->mutex);
     nlohmann::json vms = nlohmann::json::array();
-    const auto add = [&](const VmId &vm, const char *state, std::uint64_t incarnation, const std::vector<std::uint64_t> &versions) {
+    const auto add = [&](const VmId &vm, const char *state, std::uint64_t incarnation, const std::vector<StoreRevision> &versions) {
         nlohmann::json entry{{"vm", vm.value()}, {"state", state}, {"incarnation", incarnation}, {"versions", nlohmann::json::object()}};
         for (std::size_t i = 0; i < versions.size(); ++i) {
-            entry["versions"][toString(static_cast<DocumentKind>(i))] = versions[i];
+            entry["versions"][toString(static_cast<DocumentKind>(i))] = versions[i].number;
         }
         vms.push_back(std::move(entry));
     };
@@ -976,7 +991,7 @@
         add(vm,
             toString(d_->usesRing ? d_->ring.state(vm) : d_->table.state(vm, now)),
             d_->table.incarnation(vm),
-            found == d_->versions.end() ? std::vector<std::uint64_t>() : found->second);
+            found == d_->versions.end() ? std::vector<StoreRevision>() : found->second);
     }
     return vms;
 }
--- a/daemon/control/controlplane_test.cpp
+++ b/daemon/control/controlplane_test.cpp
@@ -134,7 +134,8 @@
     fixture.write(DocumentKind::Plans, plansText(2), 1);
     REQUIRE(TestLoop::waitUntil([&] { return vm.version(DocumentKind::Plans) == 2; }));
     const auto offer = [&](std::uint64_t number, int weight) {
-        vm.control.monitor().onMessage(VmId("stale"), 1, DocumentMessage{.kind = 0, .number = number, .changeId = "x", .text = plansText(weight)});
+        vm.control.monitor().onMessage(
+            VmId("stale"), 1, DocumentMessage{.kind = 0, .version = {.epoch = 0, .number = number}, .changeId = "x", .text = plansText(weight)});
         return vm.control.lists().plans()->findPlan(PlanName("trail"))->weight;
     };
     CHECK(offer(1, 7) == 2);
@@ -144,7 +145,7 @@
     const auto polls = fixture.served("GET /v1/tables/lists/rows/plans");
     REQUIRE(TestLoop::waitUntil([&] { return fixture.served("GET /v1/tables/lists/rows/plans") >= polls + 3; }));
     CHECK(vm.version(DocumentKind::Plans) == 3);
-    vm.control.monitor().onMessage(VmId("broken"), 1, DocumentMessage{.kind = 0, .number = 9, .changeId = "x", .text = "not a list"});
+    vm.control.monitor().onMessage(VmId("broken"), 1, DocumentMessage{.kind = 0, .version = {.epoch = 0, .number = 9}, .changeId = "x", .text = "not a list"});
     CHECK(vm.version(DocumentKind::Plans) == 3);
     fixture.loop.stop();
 }
@@ -248,8 +249,8 @@
                       options);
     REQUIRE(lists.offer(DocumentKind::Routes, {.number = 1, .changeId = {}}, "routes"));
     const auto viewOf = [](std::uint64_t routes, std::optional<milliseconds> age) {
-        PeerView view{.versions = std::vector<std::uint64_t>(kDocumentKinds), .contactAge = age};
-        view.versions[static_cast<std::size_t>(DocumentKind::Routes)] = routes;
+        PeerView view{.versions = std::vector<StoreRevision>(kDocumentKinds), .contactAge = age};
+        view.versions[static_cast<std::size_t>(DocumentKind::Routes)].number = routes;
         return view;
     };
     REQUIRE(lists.routeAdmission());
@@ -268,6 +269,15 @@
     CHECK(lists.routeAdmission());
     monitor.onStoreContact(clock.now() - milliseconds(100));
     CHECK_FALSE(lists.routeAdmission());
+    clock.advance(milliseconds(4500));
+    auto restored = viewOf(1, std::nullopt);
+    restored.storeEpoch = 1;
+    monitor.onAck(VmId("vm3"), clock.now(), restored);
+    monitor.onAck(VmId("vm2"), clock.now(), viewOf(1, milliseconds(10)));
+    CHECK(lists.routeAdmission()); // Contact with the store before it was restored proves nothing about what it holds now.
+    restored.contactAge = milliseconds(10);
+    monitor.onAck(VmId("vm2"), clock.now(), restored);
+    CHECK_FALSE(lists.routeAdmission());
     fixture.loop.stop();
 }
 
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -50,6 +50,7 @@
   heard @4 :List(Heard);          # Forwarded heartbeats of other VMs.
   cutOff @5 :Bool;                # The sender does not reach the platform.
   reports @6 :UInt64;             # Digest of what the sender knows of who is live; 0: it keeps no reports.
+  epochs @7 :List(UInt64);        # Of the versions, by kind; empty: all are 0.
 }
 
 struct Ack {
@@ -57,6 +58,8 @@
   versions @1 :List(UInt64);      # Of the documents, by kind, at the moment of the answer.
   contactAgeMs @2 :Int64 = -1;    # Since the platform showed the sender what is in force; -1: not known.
   issuesPermits @3 :Bool;         # The sender handles permitAsk, which is sent to no other VM.
+  epochs @4 :List(UInt64);        # Of the versions, by kind; empty: all are 0.
+  storeEpoch @5 :UInt64;          # Latest epoch that the store has stated, as far as the sender knows.
 }
 
 struct CellDigest {
@@ -78,6 +81,7 @@
   changeId @2 :Text;
   text @3 :Data;
   vms @4 :List(Text);             # That the sender knows, itself included.
+  epoch @5 :UInt64;               # Epoch of the store to which the number belongs.
 }
 
 struct Work {
@@ -274,6 +278,7 @@
 struct DocumentVersion {
   kind @0 :UInt8;
   number @1 :UInt64;
+  epoch @2 :UInt64;
 }
 
 struct Header {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -120,7 +120,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c3a149f99ce16cd0, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c3a149f99ce16cd0, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -135,7 +135,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a4fdce10ba90fa65, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a4fdce10ba90fa65, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -180,7 +180,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b86e1ef6a38c11c3, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b86e1ef6a38c11c3, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -525,7 +525,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e96ebea7e232d79d, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(e96ebea7e232d79d, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1065,6 +1065,9 @@
 
   inline  ::uint64_t getReports() const;
 
+  inline bool hasEpochs() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getEpochs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1127,6 +1130,14 @@
   inline  ::uint64_t getReports();
   inline void setReports( ::uint64_t value);
 
+  inline bool hasEpochs();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getEpochs();
+  inline void setEpochs( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEpochs(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initEpochs(unsigned int size);
+  inline void adoptEpochs(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownEpochs();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1179,6 +1190,11 @@
 
   inline bool getIssuesPermits() const;
 
+  inline bool hasEpochs() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getEpochs() const;
+
+  inline  ::uint64_t getStoreEpoch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1224,6 +1240,17 @@
   inline bool getIssuesPermits();
   inline void setIssuesPermits(bool value);
 
+  inline bool hasEpochs();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getEpochs();
+  inline void setEpochs( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setEpochs(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initEpochs(unsigned int size);
+  inline void adoptEpochs(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownEpochs();
+
+  inline  ::uint64_t getStoreEpoch();
+  inline void setStoreEpoch( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1467,6 +1494,8 @@
   inline bool hasVms() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getVms() const;
 
+  inline  ::uint64_t getEpoch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1523,6 +1552,9 @@
   inline void adoptVms(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownVms();
 
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4046,6 +4078,8 @@
 
   inline  ::uint64_t getNumber() const;
 
+  inline  ::uint64_t getEpoch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4080,6 +4114,9 @@
   inline  ::uint64_t getNumber();
   inline void setNumber( ::uint64_t value);
 
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5978,6 +6015,44 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::hasEpochs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasEpochs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Heartbeat::Reader::getEpochs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::getEpochs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setEpochs( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setEpochs(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Heartbeat::Builder::initEpochs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptEpochs(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Heartbeat::Builder::disownEpochs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Ack::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6058,6 +6133,58 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Ack::Reader::hasEpochs() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Ack::Builder::hasEpochs() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Ack::Reader::getEpochs() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Ack::Builder::getEpochs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Ack::Builder::setEpochs( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Ack::Builder::setEpochs(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Ack::Builder::initEpochs(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Ack::Builder::adoptEpochs(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Ack::Builder::disownEpochs() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Ack::Reader::getStoreEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Ack::Builder::getStoreEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Ack::Builder::setStoreEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CellDigest::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6330,6 +6457,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Document::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Document::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Document::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Work::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9286,6 +9427,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t DocumentVersion::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t DocumentVersion::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void DocumentVersion::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peerlink.cpp
+++ b/daemon/peers/peerlink.cpp
@@ -618,7 +618,7 @@
         if (!ack) {
             return true;
         }
-        ack->view = shared->view ? shared->view() : PeerView{.versions = std::vector<std::uint64_t>(kDocumentKinds), .contactAge = {}};
+        ack->view = shared->view ? shared->view() : PeerView{.versions = std::vector<StoreRevision>(kDocumentKinds), .contactAge = {}};
         error_code error;
         const std::string framed = withLength(encodeMessage(*ack, shared->clock.now()));
         channel.write(framed, yield, error);
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -223,19 +223,31 @@
     return {.cell = CellId(string(in.getCell())), .request = RequestId(string(in.getRequest()))};
 }
 
-void writeVersions(capnp::List<std::uint64_t>::Builder out, const std::vector<std::uint64_t> &versions)
+/// Writes the versions of the documents. A VM of a build without epochs reads the numbers only.
+template<class Builder>
+void writeVersions(Builder out, const std::vector<StoreRevision> &versions)
 {
+    auto numbers = out.initVersions(static_cast<unsigned>(versions.size()));
     for (unsigned i = 0; i < versions.size(); ++i) {
-        out.set(i, versions[i]);
+        numbers.set(i, versions[i].number);
+    }
+    if (std::any_of(versions.begin(), versions.end(), [](const auto &version) { return version.epoch != 0; })) {
+        auto epochs = out.initEpochs(static_cast<unsigned>(versions.size()));
+        for (unsigned i = 0; i < versions.size(); ++i) {
+            epochs.set(i, versions[i].epoch);
+        }
     }
 }
 
-std::vector<std::uint64_t> readVersions(capnp::List<std::uint64_t>::Reader in)
+template<class Reader>
+std::vector<StoreRevision> readVersions(Reader in)
 {
-    KJ_REQUIRE(in.size() == kDocumentKinds, "wrong number of versions");
-    std::vector<std::uint64_t> versions;
-    for (const auto version : in) {
-        versions.push_back(version);
+    const auto numbers = in.getVersions();
+    const auto epochs = in.getEpochs();
+    KJ_REQUIRE(numbers.size() == kDocumentKinds && (epochs.size() == 0 || epochs.size() == kDocumentKinds), "wrong number of versions");
+    std::vector<StoreRevision> versions;
+    for (unsigned i = 0; i < numbers.size(); ++i) {
+        versions.push_back({.epoch = epochs.size() == 0 ? 0 : epochs[i], .number = numbers[i]});
     }
     return versions;
 }
@@ -329,7 +341,7 @@
     {
         auto out = root_.initHeartbeat();
         out.setSequence(message.sequence);
-        writeVersions(out.initVersions(static_cast<unsigned>(message.versions.size())), message.versions);
+        writeVersions(out, message.versions);
         out.setStopping(message.stopping);
         out.setCutOff(message.cutOff);
         out.setReports(message.reports);
@@ -346,9 +358,10 @@
     {
         auto out = root_.initAck();
         out.setSequence(message.sequence);
-        writeVersions(out.initVersions(static_cast<unsigned>(message.view.versions.size())), message.view.versions);
+        writeVersions(out, message.view.versions);
         out.setContactAgeMs(writeRetry(message.view.contactAge));
         out.setIssuesPermits(message.view.issuesPermits);
+        out.setStoreEpoch(message.view.storeEpoch);
     }
 
     void operator()(const PingMessage &message)
@@ -365,7 +378,8 @@
     {
         auto out = root_.initDocument();
         out.setKind(message.kind);
-        out.setNumber(message.number);
+        out.setNumber(message.version.number);
+        out.setEpoch(message.version.epoch);
         out.setChangeId(text(message.changeId));
         out.setText(data(message.text));
         auto vms = out.initVms(static_cast<unsigned>(message.vms.size()));
@@ -513,7 +527,8 @@
         auto documents = out.initDocuments(static_cast<unsigned>(message.documents.size()));
         for (unsigned i = 0; i < message.documents.size(); ++i) {
             documents[i].setKind(message.documents[i].kind);
-            documents[i].setNumber(message.documents[i].number);
+            documents[i].setNumber(message.documents[i].version.number);
+            documents[i].setEpoch(message.documents[i].version.epoch);
         }
         auto leaving = out.initLeaving(static_cast<unsigned>(message.leaving.size()));
         for (unsigned i = 0; i < message.leaving.size(); ++i) {
@@ -589,7 +604,7 @@
 HeartbeatMessage read(wire::Heartbeat::Reader in)
 {
     HeartbeatMessage message{.sequence = in.getSequence(), .versions = {}, .stopping = in.getStopping(), .cells = {}, .heard = {}, .cutOff = in.getCutOff()};
-    message.versions = readVersions(in.getVersions());
+    message.versions = readVersions(in);
     message.cells = readCells(in.getCells());
     message.reports = in.getReports();
     for (const auto vm : in.getHeard()) {
@@ -734,7 +749,7 @@
         message.endpoints = read(in.getEndpoints());
     }
     for (const auto document : in.getDocuments()) {
-        message.documents.push_back({.kind = readKind(document.getKind()), .number = document.getNumber()});
+        message.documents.push_back({.kind = readKind(document.getKind()), .version = {.epoch = document.getEpoch(), .number = document.getNumber()}});
     }
     for (const auto endpoint : in.getLeaving()) {
         message.leaving.emplace_back(string(endpoint));
@@ -777,7 +792,10 @@
 
 DocumentMessage read(wire::Document::Reader in)
 {
-    DocumentMessage message{.kind = readKind(in.getKind()), .number = in.getNumber(), .changeId = string(in.getChangeId()), .text = string(in.getText())};
+    DocumentMessage message{.kind = readKind(in.getKind()),
+                            .version = {.epoch = in.getEpoch(), .number = in.getNumber()},
+                            .changeId = string(in.getChangeId()),
+                            .text = string(in.getText())};
     for (const auto vm : in.getVms()) {
         message.vms.emplace_back(string(vm));
     }
@@ -806,9 +824,10 @@
         return read(in.getHeartbeat());
     case wire::Message::ACK:
         return AckMessage{.sequence = in.getAck().getSequence(),
-                          .view = {.versions = readVersions(in.getAck().getVersions()),
+                          .view = {.versions = readVersions(in.getAck()),
                                    .contactAge = readRetry(in.getAck().getContactAgeMs()),
-                                   .issuesPermits = in.getAck().getIssuesPermits()}};
+                                   .issuesPermits = in.getAck().getIssuesPermits(),
+                                   .storeEpoch = in.getAck().getStoreEpoch()}};
     case wire::Message::PING:
         return PingMessage{in.getPing()};
     case wire::Message::DOCUMENT_REQUEST:
--- a/daemon/peers/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/peers/orderforwarding.h"
+#include "daisystream/base/storerevision.h"
 #include "daisystream/cell/cellmap.h"
 #include "daisystream/endpoint/endpointdirectory.h"
 #include "daisystream/limits/endpointpermits.h"
@@ -71,7 +72,7 @@
 struct HeartbeatMessage
 {
     std::uint64_t sequence = 0;
-    std::vector<std::uint64_t> versions; ///< Of the documents, by kind.
+    std::vector<StoreRevision> versions; ///< Of the documents, by kind.
     bool stopping = false;
     std::vector<CellDigest> cells; ///< Owned by the sender.
     std::vector<HeardVm> heard;
@@ -84,9 +85,10 @@
 /// What a VM knows of what is in force.
 struct PeerView
 {
-    std::vector<std::uint64_t> versions{};                 ///< Of the documents, by kind.
+    std::vector<StoreRevision> versions{};                 ///< Of the documents, by kind.
     std::optional<std::chrono::milliseconds> contactAge{}; ///< Since the platform last showed what is in force.
     bool issuesPermits = true;                             ///< Handles `PermitAskMessage`; an older daemon does not.
+    std::uint64_t storeEpoch = 0;                          ///< Latest epoch that the platform has stated, as far as the sender knows.
 
     friend auto operator<=>(const PeerView &, const PeerView &) = default;
 };
@@ -117,7 +119,7 @@
 struct DocumentMessage
 {
     std::uint8_t kind = 0;
-    std::uint64_t number = 0;
+    StoreRevision version{};
     std::string changeId;
     std::string text;
     std::vector<VmId> vms{}; ///< That the sender knows, itself included.
@@ -271,7 +273,7 @@
 struct DocumentVersion
 {
     std::uint8_t kind = 0;
-    std::uint64_t number = 0;
+    StoreRevision version{};
 
     friend auto operator<=>(const DocumentVersion &, const DocumentVersion &) = default;
 };
--- a/daemon/peers/peermessage_test.cpp
+++ b/daemon/peers/peermessage_test.cpp
@@ -35,6 +35,15 @@
     return request;
 }
 
+std::vector<StoreRevision> versionsOfTwoEpochs()
+{
+    std::vector<StoreRevision> versions;
+    for (std::uint64_t kind = 0; kind < kDocumentKinds; ++kind) {
+        versions.push_back({.epoch = kind % 2 + 1, .number = kind + 7});
+    }
+    return versions;
+}
+
 std::vector<PeerMessage> oneOfEach(TimePoint now)
 {
     const CellId cell("assistant/0");
@@ -43,17 +52,17 @@
     return {
         HelloMessage{.vm = VmId("vm1"), .incarnation = 7, .zone = ZoneId("z1")},
         HeartbeatMessage{.sequence = 3,
-                         .versions = {1, 2, 3, 4, 5, 6, 7, 8},
+                         .versions = versionsOfTwoEpochs(),
                          .stopping = true,
                          .cells = {{cell, 1, 2, 3}},
                          .heard = {{VmId("vm2"), 8, 9}},
                          .cutOff = true,
                          .reports = 11},
-        AckMessage{3, {{1, 2, 3, 4, 5, 6, 7, 8}, std::chrono::milliseconds(40)}},
-        AckMessage{4, {{1, 2, 3, 4, 5, 6, 7, 8}, {}, false}},
+        AckMessage{3, {versionsOfTwoEpochs(), std::chrono::milliseconds(40)}},
+        AckMessage{4, {std::vector<StoreRevision>(kDocumentKinds, {.epoch = 0, .number = 6}), {}, false, 2}},
         PingMessage{4},
         DocumentRequestMessage{1},
-        DocumentMessage{.kind = 1, .number = 5, .changeId = "c", .text = "{}", .vms = {VmId("vm2")}},
+        DocumentMessage{.kind = 1, .version = {.epoch = 2, .number = 5}, .changeId = "c", .text = "{}", .vms = {VmId("vm2")}},
         AskMessage{cell, work(now)},
         QueuedMessage{cell, request},
         AssignMessage{cell, {request, EndpointId("e1"), 1}},
@@ -87,7 +96,7 @@
                                                                                      .revision = 8},
                                                               .revision = 8},
                                                              {.name = "e2", .entry = {}, .revision = 9}}},
-                    .documents = {{.kind = 4, .number = 12}},
+                    .documents = {{.kind = 4, .version = {.epoch = 3, .number = 12}}},
                     .leaving = {EndpointId("e3")},
                     .cells = {{cell, 1, 2, 3}},
                     .limits = {{.endpoint = EndpointId("e4"), .perSecond = 3.7, .age = std::chrono::milliseconds(30)}}},
@@ -182,6 +191,23 @@
     CHECK_FALSE(std::get<AckMessage>(std::get<PeerMessage>(decoded)).view.issuesPermits);
 }
 
+// Guards a rolling upgrade: a VM of a build without epochs states numbers only, which belong to no later epoch.
+TEST_CASE("versions without epochs belong to the first epoch")
+{
+    const TimePoint now = ManualClock().now();
+    capnp::MallocMessageBuilder builder;
+    auto ack = builder.initRoot<wire::Message>().initAck();
+    auto numbers = ack.initVersions(kDocumentKinds);
+    numbers.set(4, 13);
+    kj::VectorOutputStream packed;
+    capnp::writePackedMessage(packed, builder);
+    const std::string bytes(reinterpret_cast<const char *>(packed.getArray().begin()), packed.getArray().size());
+    const auto message = std::get<PeerMessage>(decodeMessage(bytes, now));
+    const auto &view = std::get<AckMessage>(message).view;
+    CHECK(view.versions.at(4) == StoreRevision{.epoch = 0, .number = 13});
+    CHECK(view.storeEpoch == 0);
+}
+
 // Guards the memory of a VM: packing shrinks zeros without bound, so that 200 bytes became millions of entries.
 TEST_CASE("a few bytes do not become a message of many entries")
 {
--- a/daemon/store/listtable.cpp
+++ b/daemon/store/listtable.cpp
@@ -53,6 +53,19 @@
         return documents[static_cast<std::size_t>(kind)];
     }
 
+    /// Records a later revision of routes that are in force already.
+    /// @return whether the offered document has the text of the routes in force.
+    bool confirmRoutes(DocumentKind kind, const ListVersion &version, const std::string &text)
+    {
+        const std::lock_guard lock(mutex);
+        auto &current = documents[static_cast<std::size_t>(kind)];
+        const bool isInForce = kind == DocumentKind::Routes && current.version.number == version.number && current.text == text;
+        if (isInForce && version.revision() > current.version.revision()) {
+            current.version = version;
+        }
+        return isInForce;
+    }
+
     const RouteParser parseRoutes;
     mutable std::mutex mutex; // Lock order 1.
     std::array<SharedDocument, kDocumentKinds> documents;
@@ -124,19 +137,19 @@
     return d_->of(kind);
 }
 
-std::vector<std::uint64_t> ListTable::versions() const
+std::vector<StoreRevision> ListTable::versions() const
 {
     const std::lock_guard lock(d_->mutex);
-    std::vector<std::uint64_t> versions;
+    std::vector<StoreRevision> versions;
     for (const auto &document : d_->documents) {
-        versions.push_back(document.version.number);
+        versions.push_back(document.version.revision());
     }
     return versions;
 }
 
 bool ListTable::offer(DocumentKind kind, const ListVersion &version, const std::string &text)
 {
-    if (version.number <= document(kind).version.number) {
+    if (version.revision() <= document(kind).version.revision() || d_->confirmRoutes(kind, version, text)) {
         return false;
     }
     // A large document takes milliseconds to parse, so the lock is not held meanwhile.
@@ -159,14 +172,15 @@
         storeParsed(d_->parseRoutes(text), routes);
     }
     if (parseError) {
-        LOG(ERROR) << "event=document_refused document=" << toString(kind) << " version=" << version.number << " reason=\"" << parseError->detail << '"';
+        LOG(ERROR) << "event=document_refused document=" << toString(kind) << " version=" << version.number << " epoch=" << version.epoch << " reason=\""
+                   << parseError->detail << '"';
         return false;
     }
     std::vector<ChangeHandler> handlers;
     {
         const std::lock_guard lock(d_->mutex);
         SharedDocument &current = d_->documents[static_cast<std::size_t>(kind)];
-        if (version.number <= current.version.number) {
+        if (version.revision() <= current.version.revision()) {
             return false;
         }
         current = {.version = version, .text = text};
@@ -175,7 +189,8 @@
         d_->routes = routes ? routes : d_->routes;
         handlers = d_->handlers;
     }
-    LOG(INFO) << "event=document_in_force document=" << toString(kind) << " version=" << version.number << " change=" << version.changeId;
+    LOG(INFO) << "event=document_in_force document=" << toString(kind) << " version=" << version.number << " epoch=" << version.epoch
+              << " change=" << version.changeId;
     for (const auto &handler : handlers) {
         handler(kind);
     }
--- a/daemon/store/listtable.h
+++ b/daemon/store/listtable.h
@@ -14,7 +14,7 @@
 
 /// @file
 /// Holds the shared documents of the deployment: plans, limits, endpoint states and sealing keys, or routes and
-/// endpoints where the platform stores these. A document is replaced only by one with a higher version number.
+/// endpoints where the platform stores these. A document is replaced only by one with a later revision.
 ///
 /// Example:
 /// @code
@@ -83,12 +83,13 @@
     /// @return the document in force with its version; version number 0 means that no document has been received.
     [[nodiscard]] SharedDocument document(DocumentKind kind) const;
 
-    /// Puts a document in force if its version is higher than the current one and its text is valid.
-    /// @return true if the offered document was put in force.
+    /// Puts a document in force if its revision is later than the current one and its text is valid.
+    /// @return true if the offered document was put in force; false also for a later revision of the routes in force, which then has the
+    ///     same text and takes the place of the current one without further effect.
     bool offer(DocumentKind kind, const ListVersion &version, const std::string &text);
 
-    /// @return the version numbers in force, indexed by `DocumentKind`.
-    [[nodiscard]] std::vector<std::uint64_t> versions() const;
+    /// @return the revisions in force, indexed by `DocumentKind`.
+    [[nodiscard]] std::vector<StoreRevision> versions() const;
 
     /// Adds a handler that runs after each change, on the thread that offered it and without locks.
     void onChange(ChangeHandler handler);
--- a/daemon/store/owndialect.cpp
+++ b/daemon/store/owndialect.cpp
@@ -140,6 +140,11 @@
                           },
                           call);
     }
+
+    [[nodiscard]] std::uint64_t epochOf(const Response & /*response*/) const override
+    {
+        return 0; // This protocol has no restored stores.
+    }
 };
 
 } // namespace
--- a/daemon/store/platformclient.cpp
+++ b/daemon/store/platformclient.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <mutex>
 #include <set>
 
@@ -95,6 +96,13 @@
     return {key.substr(0, slash), slash == std::string::npos ? "" : key.substr(slash + 1)};
 }
 
+/// @return the reply to a call whose response is of an earlier epoch than one seen before, so that it does not show the store's state.
+StoreReply outdatedReply(const StoreCall &call, std::uint64_t epoch)
+{
+    auto reason = "reply of the earlier epoch " + std::to_string(epoch);
+    return isRead(call) ? StoreReply(StoreRefused{std::move(reason)}) : StoreReply(StoreUnclear{std::move(reason)});
+}
+
 /// @return how long the platform may delay the reply to a call.
 std::chrono::milliseconds waitOf(const StoreCall &call)
 {
@@ -168,15 +176,44 @@
         const auto timeout = kCallTimeout + waitOf(call);
         auto exchange = send(*request, isRead(call), timeout, yield);
         // `resendWatches` closes the connections of pending watches only, and each of these must be sent again.
-        while (!exchange.response && exchange.wasClosedForResend) {
+        while (!exchange.response && exchange.wasClosedForResend && !isOfEarlierEpoch(call)) {
             exchange = send(*request, true, timeout, yield);
         }
         if (exchange.response) {
-            return dialect->decode(call, *exchange.response);
+            return decode(call, *exchange.response);
+        }
+        if (isOfEarlierEpoch(call)) {
+            return StoreHistoryGone{};
         }
         return exchange.sent ? StoreReply(StoreUnclear{exchange.reason}) : StoreReply(StoreRefused{exchange.reason});
     }
 
+    /// @return whether the call watches a table from a revision of an earlier epoch than one that the store has stated.
+    [[nodiscard]] bool isOfEarlierEpoch(const StoreCall &call) const
+    {
+        const auto *watch = std::get_if<WatchTable>(&call);
+        return watch != nullptr && watch->after.epoch < epoch;
+    }
+
+    StoreReply decode(const StoreCall &call, const Response &response)
+    {
+        const auto stated = dialect->epochOf(response);
+        auto known = epoch.load();
+        while (stated > known && !epoch.compare_exchange_weak(known, stated)) { }
+        if (stated < known) {
+            return outdatedReply(call, stated);
+        }
+        if (isOfEarlierEpoch(call)) {
+            // The restored store has given out the numbers after the watch's revision to other changes, or will.
+            return StoreHistoryGone{};
+        }
+        auto reply = dialect->decode(call, response);
+        if (auto *rows = std::get_if<StoreRows>(&reply)) {
+            rows->revision.epoch = stated;
+        }
+        return reply;
+    }
+
     Exchange send(Request request, bool read, std::chrono::milliseconds timeout, asio::yield_context yield)
     {
         if (!address) {
@@ -295,6 +332,7 @@
     std::vector<Stream> idle;
     std::set<Stream> watchStreams; ///< Connections of watches that have no reply yet.
     unsigned calls = 0;
+    std::atomic<std::uint64_t> epoch{0}; ///< The latest that the store has stated.
 };
 
 PlatformClient::PlatformClient(asio::io_context &io, std::optional<SocketAddress> address, std::shared_ptr<const StoreDialect> dialect)
@@ -309,6 +347,11 @@
     return d_->address.has_value();
 }
 
+std::uint64_t PlatformClient::epoch() const
+{
+    return d_->epoch;
+}
+
 void PlatformClient::resendWatches()
 {
     d_->resendWatches();
--- a/daemon/store/platformclient.h
+++ b/daemon/store/platformclient.h
@@ -65,13 +65,18 @@
     [[nodiscard]] bool isConfigured() const;
 
     /// Performs any call. The timeout of a watch is its wait time plus 2 s.
-    /// @return the reply; `StoreRefused` if the call was not sent, `StoreUnclear` if it may have been sent and no reply arrived.
+    /// @return the reply; `StoreRefused` if the call was not sent, `StoreUnclear` if it may have been sent and no reply arrived. A reply
+    ///     of an earlier epoch than one seen before counts as none.
     [[nodiscard]] StoreReply call(const StoreCall &call, boost::asio::yield_context yield);
 
     /// Closes the connections of all pending watches and sends the watches again. Used after the platform stopped
-    /// responding for a while, since a call that the platform never read gets no reply.
+    /// responding for a while, since a call that the platform never read gets no reply. Those that watch from a revision of an earlier
+    /// epoch end with `StoreHistoryGone` instead.
     void resendWatches();
 
+    /// @return the latest epoch that the store has stated in a response to any call; 0 if it has stated none.
+    [[nodiscard]] std::uint64_t epoch() const;
+
     /// @return the row, nothing if it does not exist, or `PlatformUnavailable`.
     [[nodiscard]] Result<std::optional<Row>> getRow(const std::string &table, const std::string &key, boost::asio::yield_context yield);
 
--- a/daemon/store/storecall.h
+++ b/daemon/store/storecall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daisystream/base/result.h"
+#include "daisystream/base/storerevision.h"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -59,7 +60,7 @@
 struct WatchTable
 {
     std::string table;
-    std::uint64_t after = 0; ///< Only changes after this revision of the store are returned.
+    StoreRevision after{}; ///< Only changes after this revision of the store are returned.
     std::chrono::milliseconds wait{0};
 };
 
@@ -100,7 +101,7 @@
 {
     std::string key;
     std::string text;
-    std::uint64_t version = 0; ///< Increases with each write.
+    std::uint64_t version = 0; ///< Increases with each write of the same epoch.
     bool removed = false;      ///< True if the row was deleted; only set in replies to `WatchTable`.
 
     friend auto operator<=>(const StoreRow &, const StoreRow &) = default;
@@ -109,7 +110,7 @@
 struct StoreRows
 {
     std::vector<StoreRow> rows;
-    std::uint64_t revision = 0;                         ///< Revision of the whole store at the time of the read.
+    StoreRevision revision{};                           ///< Revision of the whole store at the time of the read.
     std::optional<std::chrono::milliseconds> storeTime; ///< Reading of the store's steady clock at that time.
     bool more = false;                                  ///< True if another page of rows follows.
 };
@@ -124,7 +125,7 @@
 {
 };
 
-/// The store has already discarded some of the changes that a `WatchTable` asked for.
+/// The store has already discarded some of the changes that a `WatchTable` asked for, or was restored from a backup since.
 struct StoreHistoryGone
 {
 };
@@ -160,8 +161,11 @@
     /// @return the request for a call, without the `Host` field; nothing if the protocol does not support the call.
     [[nodiscard]] virtual std::optional<Request> encode(const StoreCall &call) const = 0;
 
-    /// @return the reply that the HTTP response to a call stands for.
+    /// @return the reply that the HTTP response to a call stands for. The epoch of its revision is not set.
     [[nodiscard]] virtual StoreReply decode(const StoreCall &call, const Response &response) const = 0;
+
+    /// @return the epoch of the store that a response states, whatever its status; 0 if it states none.
+    [[nodiscard]] virtual std::uint64_t epochOf(const Response &response) const = 0;
 };
 
 /// @return true if the call changes nothing in the store and can therefore be repeated.
--- a/daemon/store/storewatch.cpp
+++ b/daemon/store/storewatch.cpp
@@ -1,5 +1,7 @@
 #include "daemon/store/storewatch.h"
 
+#include "daisystream/routes/configurationorder.h"
+
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
@@ -43,12 +45,8 @@
 constexpr milliseconds kMinOutage{1000};
 constexpr const char *kVmTable = "vms";
 
-/// The store revision up to which a table was read.
-struct Position
-{
-    bool isKnown = false;
-    std::uint64_t revision = 0;
-};
+/// The store revision up to which a table was read; nothing before the first read, and when the table must be read again.
+using Position = std::optional<StoreRevision>;
 
 /// Describes how one table is followed: it is read completely, then watched, and read completely again if the store has
 /// discarded changes.
@@ -170,6 +168,7 @@
         , handlers(std::move(targets))
         , failures(links.metrics.counter("daisystream_platform_failures_total", "Calls to the platform without a usable reply."))
         , calls(links.metrics.counter("daisystream_platform_calls_total", "Calls to the platform by the watch."))
+        , restores(links.metrics.counter("daisystream_store_restores_total", "Restores of the platform's store from a backup."))
         , nextChangeTimer(strand)
     {
     }
@@ -206,15 +205,18 @@
     /// @return false if the platform gave no usable reply.
     bool step(const TableFollower &follower, Position &position, asio::yield_context yield)
     {
-        if (!position.isKnown) {
+        if (position && position->epoch < parts.platform.epoch()) {
+            position.reset(); // The restored store has given out the numbers after the position to other changes, or will.
+        }
+        if (!position) {
             return readFullTable(follower, position, yield);
         }
         const auto sentAt = parts.clock.now();
         calls.add(1);
-        const auto reply = parts.platform.call(WatchTable{.table = follower.table, .after = position.revision, .wait = follower.wait}, yield);
+        const auto reply = parts.platform.call(WatchTable{.table = follower.table, .after = *position, .wait = follower.wait}, yield);
         if (std::holds_alternative<StoreHistoryGone>(reply)) {
-            LOG(INFO) << "event=history_gone table=" << follower.table << " revision=" << position.revision;
-            position.isKnown = false;
+            LOG(INFO) << "event=history_gone table=" << follower.table << " revision=" << *position;
+            position.reset();
             return true;
         }
         const auto *rows = std::get_if<StoreRows>(&reply);
@@ -222,7 +224,7 @@
             failures.add(1);
             return false;
         }
-        position.revision = std::max(position.revision, rows->revision);
+        position = std::max(*position, rows->revision);
         follower.onRows(*rows, false);
         follower.onReply(sentAt, *rows);
         if (!rows->rows.empty() && follower.pauseAfterRows.count() > 0) {
@@ -247,6 +249,9 @@
                 failures.add(1);
                 return false;
             }
+            if (!isFirst && rows->revision.epoch != whole.revision.epoch) {
+                return false; // The store was restored between two pages.
+            }
             if (isFirst) {
                 // The watch starts at the revision of the first page, so it also returns changes made while later pages are read.
                 whole.revision = rows->revision;
@@ -259,12 +264,30 @@
                 from = rows->rows.back().key + std::string(1, '\0');
             }
         } while (whole.more);
+        noteEpoch(whole.revision.epoch);
         follower.onRows(whole, true);
         follower.onReply(sentAt, whole);
-        position = {.isKnown = true, .revision = whole.revision};
+        position = whole.revision;
         return true;
     }
 
+    /// Handles the epoch of a reply. If it has risen, the other tables are read again at once, since their watches may wait for changes
+    /// after revisions that the restored store does not have.
+    void noteEpoch(std::uint64_t stated)
+    {
+        if (!epoch) {
+            epoch = stated;
+        }
+        if (stated <= *epoch) {
+            return;
+        }
+        LOG(WARNING) << "event=store_restored epoch_before=" << *epoch << " epoch=" << stated;
+        epoch = stated;
+        restores.add(1);
+        minClockOffset.reset(); // The restored store may run on another machine.
+        parts.platform.resendWatches();
+    }
+
     // The configuration.
 
     void onConfig(const StoreRows &rows, bool isFullTable)
@@ -279,12 +302,35 @@
                 LOG(ERROR) << "event=document_refused document=routes revision=" << row.version << " reason=malformed";
                 continue;
             }
-            if (parts.lists.offer(DocumentKind::Routes, {.number = *version, .changeId = std::to_string(row.version)}, row.text)) {
+            const auto revision
+                = configurationOrder.versionOf({.number = *version, .text = row.text, .epoch = rows.revision.epoch, .isWrittenInEpoch = !isFullTable});
+            if (!revision) {
+                logOlderConfiguration(*version, row.version, rows.revision.epoch);
+                continue;
+            }
+            const ListVersion offered{.number = revision->number, .changeId = std::to_string(row.version), .epoch = revision->epoch};
+            if (parts.lists.offer(DocumentKind::Routes, offered, row.text)) {
+                configurationOrder.onInForce(*revision, row.text, rows.revision.epoch);
                 handlers.onPublished(DocumentKind::Routes);
             }
         }
     }
 
+    void logOlderConfiguration(std::uint64_t version, std::uint64_t row, std::uint64_t storeEpoch) const
+    {
+        const auto inForce = parts.lists.document(DocumentKind::Routes).version.revision();
+        if (inForce.number > version) {
+            LOG(INFO) << "event=configuration_kept version=" << inForce.number << " read=" << version << " revision=" << row << " epoch=" << storeEpoch;
+        }
+    }
+
+    /// Handles a configuration that was put in force, possibly by another VM.
+    void onRoutesInForce()
+    {
+        const auto document = parts.lists.document(DocumentKind::Routes);
+        configurationOrder.onInForce(document.version.revision(), document.text, epoch.value_or(0));
+    }
+
     // The zones that are out of service.
 
     void onZoneRows(const StoreRows &rows, bool isFullTable)
@@ -299,7 +345,7 @@
             zones.insert(zone);
             changes.push_back({.zone = zone, .isWithdrawn = !row.removed, .revision = row.version});
         }
-        if (isFullTable ? withdrawals.replace(zones, rows.revision) : withdrawals.apply(changes)) {
+        if (isFullTable ? withdrawals.replace(zones, rows.revision.number) : withdrawals.apply(changes)) {
             publishZones();
         }
     }
@@ -403,7 +449,7 @@
                     entries.push_back(std::move(*entry));
                 }
             }
-            directory.replace(entries, rows.revision, now);
+            directory.replace(entries, rows.revision.number, now);
         }
         for (const auto &row : rows.rows) {
             if (isFullTable) {
@@ -588,7 +634,7 @@
         }
         std::vector<ListedVm> list;
         std::transform(vms.begin(), vms.end(), std::back_inserter(list), [](const auto &entry) { return entry.second; });
-        vmsRevision = std::max(vmsRevision, rows.revision);
+        vmsRevision = std::max(vmsRevision, rows.revision.number);
         notifyVms();
         if (parts.lists.offer(DocumentKind::Vms, {.number = vmsRevision, .changeId = {}}, encodeVms(list))) {
             handlers.onPublished(DocumentKind::Vms);
@@ -603,6 +649,9 @@
     const StoreWatchHandlers handlers;
     Counter &failures;
     Counter &calls;
+    Counter &restores;
+    std::optional<std::uint64_t> epoch; ///< Of the store, as its latest reply stated.
+    ConfigurationOrder configurationOrder;
     std::atomic<bool> stopped{false};
     std::atomic<bool> isLost{false}; ///< True while `unreachableSince` is set; readable from any thread.
     EndpointDirectory directory;
@@ -630,6 +679,8 @@
             asio::post(self->strand, [self] { self->onVmDocument(); });
         } else if (self && kind == DocumentKind::Zones) {
             asio::post(self->strand, [self] { self->onZoneDocument(); });
+        } else if (self && kind == DocumentKind::Routes) {
+            asio::post(self->strand, [self] { self->onRoutesInForce(); });
         }
     });
 }
--- a/daisystream/lists/latestlistversion.h
+++ b/daisystream/lists/latestlistversion.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "daisystream/base/storerevision.h"
+
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -25,6 +27,13 @@
 {
     std::uint64_t number = 0; ///< Zero if there is no version.
     std::string changeId;
+    std::uint64_t epoch = 0; ///< Epoch of the store to which the number belongs.
+
+    /// @return what decides which of two versions is newer.
+    [[nodiscard]] StoreRevision revision() const
+    {
+        return {.epoch = epoch, .number = number};
+    }
 
     friend auto operator<=>(const ListVersion &, const ListVersion &) = default;
 };
@@ -60,7 +69,7 @@
     /// @return whether the current version was replaced.
     bool offer(ListVersion version, std::string text)
     {
-        if (version.number == 0 || (current_ && version.number <= current_->version.number && !faults_.acceptLower)) {
+        if (version.number == 0 || (current_ && version.revision() <= current_->version.revision() && !faults_.acceptLower)) {
             return false;
         }
         current_ = ListSnapshot{std::move(version), std::move(text)};
--- a/fuzz/main.cpp
+++ b/fuzz/main.cpp
@@ -221,7 +221,7 @@
             {"load", plain([](const std::string &bytes) { return platform::parseLoad(nlohmann::json::parse(bytes, nullptr, false)); })},
             {"rows", plain([](const std::string &bytes) {
                  StoreDialect::Response response(http::status::ok, 11, bytes);
-                 (void)platform::storeDialect()->decode(WatchTable{.table = "servers", .after = 1, .wait = {}}, response);
+                 (void)platform::storeDialect()->decode(WatchTable{.table = "servers", .after = {.epoch = 0, .number = 1}, .wait = {}}, response);
                  return platform::storeDialect()->decode(ReadTable{.table = "servers", .from = {}}, response);
              })},
             {"settings", plain([](const std::string &bytes) { return parseSettings(bytes, "fuzz"); })},
@@ -242,12 +242,12 @@
         NewsMessage news{.origin = VmId("vm1"), .relay = true};
         news.reports.push_back({.vm = VmId("vm2"), .reporter = VmId("vm3"), .kind = VmReport::Kind::Silent, .incarnation = 1, .sequence = 2});
         news.endpoints = EndpointChanges{.after = 1, .upTo = 2, .changes = {{.name = "e", .entry = EndpointEntry{.name = "e"}, .revision = 2}}};
-        news.documents.push_back({.kind = 4, .number = 7});
+        news.documents.push_back({.kind = 4, .version = {.epoch = 1, .number = 7}});
         news.leaving.emplace_back("e@1");
         news.cells.push_back({.cell = CellId("m/0"), .queuedUrgent = 1, .queuedOrdinary = 2, .running = 3});
         HeartbeatMessage heartbeat;
         heartbeat.versions.resize(kDocumentKinds);
-        DocumentMessage document{.kind = 5, .number = 3, .changeId = "c", .text = "[]"};
+        DocumentMessage document{.kind = 5, .version = {.epoch = 1, .number = 3}, .changeId = "c", .text = "[]"};
         for (const PeerMessage &message : std::vector<PeerMessage>{news, heartbeat, document, PingMessage{3}}) {
             inputs.push_back(encodeMessage(message, kNow));
         }
