--- a/daemon/cells/celldispatcher.cpp
+++ b/daemon/cells/celldispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "daisystream/base/overloaded.h"
 #include "daisystream/cell/asktracker.h"
+#include "daisystream/membership/processtable.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -32,6 +33,12 @@
 // After the owner has cancelled an assignment, the code that serves the caller calls `ask` again at once. If it has not done so
 // within this time, the request is withdrawn and loses its place in the owner's queue.
 constexpr auto kReassignTimeout = std::chrono::seconds(5);
+// An answer without progress is reported at this interval, so that its owner knows that it runs.
+constexpr auto kMaxReportInterval = std::chrono::seconds(2);
+// After this time without a report, an owner asks whether a request still runs, and does so again at the interval.
+constexpr auto kCheckAfter = std::chrono::seconds(3);
+constexpr auto kCheckInterval = std::chrono::seconds(1);
+constexpr std::size_t kMaxChecked = 200; // Requests in one message.
 // Upper bound of the timer's delay. `nextWake` of the scheduler and of the ask tracker does not cover all timeouts.
 constexpr auto kMaxTimerDelay = std::chrono::milliseconds(250);
 
@@ -66,6 +73,7 @@
     EndpointId endpoint;
     std::uint32_t tokens = 0;         ///< Generated so far.
     std::uint32_t reportedTokens = 0; ///< Value of `tokens` in the last report to the owner.
+    TimePoint reportedAt{};           ///< When the owner assigned the endpoint or was last told that the request runs.
     bool hasFirstToken = false;
     TimePoint cancelledAt{};
     std::optional<Result<Assign>> earlyReply; ///< The owner's next decision, if it arrives before `ask` is called again.
@@ -78,6 +86,7 @@
     TeamId team;
     Rank rank = Rank::Ordinary;
     EndpointId endpoint; ///< Empty while queued.
+    TimePoint heardAt{}; ///< When the entry VM last mentioned the request, or the endpoint was assigned.
 };
 
 /// A cell whose requests this VM schedules, as its owner or in place of an owner that does not reply.
@@ -121,6 +130,8 @@
         , assigned(metrics.counter("daisystream_assigned_total", "Requests of this VM's callers that got an endpoint."))
         , decidedAlone(metrics.counter("daisystream_decided_alone_total", "Requests for which no owner replied."))
         , resyncs(metrics.counter("daisystream_resync_total", "Answers reported to a new owner of their cell."))
+        , heldWithoutNews(metrics.gauge("daisystream_held_without_news",
+                                        "Requests that count as running in this VM's cells and that their VMs have not mentioned for 3 s."))
         , metrics(metrics)
         , random(seed)
         , cells(CellMapOptions{})
@@ -279,6 +290,7 @@
             return;
         }
         found->second.endpoint = assign.endpoint;
+        found->second.heardAt = now;
         const VmId entry = found->second.entry;
         LOG(INFO) << "decision=assign request=" << assign.request << " team=" << found->second.team << " rank=" << toString(found->second.rank)
                   << " choice=" << assign.endpoint << " reason=" << (isOwner(id) ? "owner" : "stand_in") << " cell=" << id << " entry=" << entry
@@ -420,6 +432,7 @@
             request.state = LocalRequest::State::Assigned;
             request.owner = owner;
             request.endpoint = assign->endpoint;
+            request.reportedAt = clock.now();
             assigned.add(1);
         } else {
             countRefusal(std::get<Error>(result));
@@ -583,8 +596,10 @@
         lastProgress = now;
         std::map<std::pair<VmId, CellId>, ProgressMessage> groups;
         for (auto &[id, request] : local) {
-            if (request.state == LocalRequest::State::Assigned && request.tokens != request.reportedTokens) {
+            const bool isDue = request.tokens != request.reportedTokens || now - request.reportedAt >= kMaxReportInterval;
+            if (request.state == LocalRequest::State::Assigned && !request.owner.empty() && isDue) {
                 request.reportedTokens = request.tokens;
+                request.reportedAt = now;
                 groups[{request.owner, request.cell}].requests.push_back({.request = id, .tokens = request.tokens});
             }
         }
@@ -594,6 +609,25 @@
         }
     }
 
+    /// Reports running answers of this VM's callers to the owner of their cell, which does not know them.
+    /// @param isMeant selects the answers.
+    template<class Predicate>
+    void reportRunning(const VmId &owner, Predicate isMeant, TimePoint now)
+    {
+        std::map<CellId, ResyncMessage> messages;
+        for (auto &[id, request] : local) {
+            if (request.state == LocalRequest::State::Assigned && request.owner == owner && isMeant(id, request)) {
+                resyncs.add(1);
+                messages[request.cell].running.push_back(
+                    {.work = request.work, .endpoint = request.endpoint, .tokens = request.tokens, .hasFirstToken = request.hasFirstToken});
+            }
+        }
+        for (auto &[cell, message] : messages) {
+            message.cell = cell;
+            sendToOwner(owner, message, now);
+        }
+    }
+
     /// Reports running answers of this VM's callers to the new owner of their cell, and their end to the former owner. Also covers
     /// engines that are in another cell now, which happens when the number of cells changes.
     void resync(TimePoint now)
@@ -673,8 +707,9 @@
 
     void handleAsOwner(const VmId &from, const FirstTokenMessage &message, TimePoint now)
     {
-        if (trackedFrom(from, message.cell, message.request)) {
+        if (const auto tracked = trackedFrom(from, message.cell, message.request)) {
             auto &scheduler = scheduledCells.at(message.cell).scheduler;
+            (*tracked)->second.heardAt = now;
             if (message.slownessPercent > 0) {
                 scheduler.onSlowness(message.request, message.slownessPercent / 100.0, now - std::max(Duration{}, message.slownessAge));
             }
@@ -685,11 +720,18 @@
 
     void handleAsOwner(const VmId &from, const ProgressMessage &message, TimePoint now)
     {
+        CheckMessage check{.cell = message.cell, .running = {}, .unknown = {}};
         for (const auto &progress : message.requests) {
-            if (trackedFrom(from, message.cell, progress.request)) {
+            if (const auto tracked = trackedFrom(from, message.cell, progress.request)) {
+                (*tracked)->second.heardAt = now;
                 scheduledCells.at(message.cell).scheduler.onProgress(progress.request, progress.tokens, now);
+            } else if (check.unknown.size() < kMaxChecked) {
+                check.unknown.push_back(progress.request);
             }
         }
+        if (!check.unknown.empty() && answeringChecks.contains(from) && !cells.endpointsOf(message.cell).empty()) {
+            enqueueMessage(from, std::move(check));
+        }
         decide(message.cell, now);
     }
 
@@ -712,7 +754,7 @@
         for (const auto &running : message.running) {
             WorkRequest work = running.work;
             work.entry = from;
-            cell.requests[work.id] = {.entry = from, .team = work.team, .rank = work.rank, .endpoint = running.endpoint};
+            cell.requests[work.id] = {.entry = from, .team = work.team, .rank = work.rank, .endpoint = running.endpoint, .heardAt = now};
             cell.scheduler.onRunning(work, running.endpoint, running.tokens, now);
             if (running.hasFirstToken) {
                 cell.scheduler.onFirstToken(work.id, now);
@@ -751,22 +793,103 @@
         }
     }
 
-    void dropRequestsOfDeadVms(const std::vector<VmId> &dead, TimePoint now)
+    /// Compares what the owner of a cell has assigned to this VM, and what this VM has told it, with the requests of this VM's callers.
+    void handleAsEntry(const VmId &from, const CheckMessage &message, TimePoint now)
+    {
+        for (const auto &id : message.running) {
+            if (!isHeldAt(from, message.cell, id)) {
+                LOG(INFO) << "event=request_released request=" << id << " cell=" << message.cell << " owner=" << from << " reason=not_running";
+                sendToOwner(from, DoneMessage{.cell = message.cell, .request = id, .tokens = 0, .reason = FinishReason::MovedAway}, now);
+            }
+        }
+        const std::set<RequestId> unknown(message.unknown.begin(), message.unknown.end());
+        reportRunning(
+            from, [&](const RequestId &id, const LocalRequest &request) { return request.cell == message.cell && unknown.contains(id); }, now);
+    }
+
+    /// @return whether the owner rightly counts a request of this VM's callers as its own.
+    [[nodiscard]] bool isHeldAt(const VmId &owner, const CellId &cell, const RequestId &id) const
+    {
+        const auto found = local.find(id);
+        if (found == local.end() || found->second.cell != cell) {
+            return false;
+        }
+        switch (found->second.state) {
+        case LocalRequest::State::Asked:
+            return askTracker.isPendingAt(owner, id);
+        case LocalRequest::State::DecidedLocally:
+            return owner == self;
+        case LocalRequest::State::Assigned:
+        case LocalRequest::State::AssignmentCancelled:
+            break;
+        }
+        return found->second.owner == owner;
+    }
+
+    /// Ends what this VM's cells hold for other VMs.
+    /// @param vms whose processes have ended. Engines need no cancellation: they end the answers of such a process when its connections
+    ///     are closed.
+    /// @return the number of requests that were released.
+    std::size_t releaseRequestsOf(const std::set<VmId> &vms, TimePoint now)
     {
-        const std::set<VmId> deadVms(dead.begin(), dead.end());
+        std::size_t released = 0;
         for (auto &[id, cell] : scheduledCells) {
             for (auto request = cell.requests.begin(); request != cell.requests.end();) {
-                if (!deadVms.contains(request->second.entry)) {
+                if (!vms.contains(request->second.entry)) {
                     ++request;
                     continue;
                 }
-                // Engines need no cancellation: they end the answers of a dead VM when its connections are closed.
                 if (request->second.endpoint.empty()) {
                     cell.scheduler.withdraw(request->first, now);
                 } else {
-                    cell.scheduler.onFinished(request->first, 0, FinishReason::Failed, now);
+                    cell.scheduler.onFinished(request->first, 0, FinishReason::MovedAway, now); // The engine has not failed.
                 }
                 request = cell.requests.erase(request);
+                ++released;
+            }
+        }
+        return released;
+    }
+
+    /// Handles that a process of another VM was replaced. As an owner, the new process knows nothing of the asks and the running answers
+    /// of this VM's callers.
+    void onProcessReplaced(const VmId &vm, TimePoint now)
+    {
+        const auto released = releaseRequestsOf({vm}, now);
+        LOG(INFO) << "event=process_replaced vm=" << vm << " released=" << released;
+        carryOut(askTracker.onVmRestarted(vm, now), now);
+        reportRunning(
+            vm, [](const RequestId &, const LocalRequest &) { return true; }, now);
+        decideAll(now);
+    }
+
+    /// Asks entry VMs about requests that count as running at engines of this VM's cells and of which there was no news for some time:
+    /// the message that ended them, or that assigned them, was lost with its connection.
+    void checkRequestsWithoutNews(TimePoint now)
+    {
+        if (now - lastCheck < kCheckInterval) {
+            return;
+        }
+        lastCheck = now;
+        std::size_t withoutNews = 0;
+        std::map<std::pair<VmId, CellId>, CheckMessage> messages;
+        for (const auto &[id, cell] : scheduledCells) {
+            for (const auto &[request, tracked] : cell.requests) {
+                if (tracked.endpoint.empty() || tracked.entry == self || now - tracked.heardAt < kCheckAfter) {
+                    continue;
+                }
+                ++withoutNews;
+                auto &running = messages[{tracked.entry, id}].running;
+                if (running.size() < kMaxChecked) {
+                    running.push_back(request);
+                }
+            }
+        }
+        heldWithoutNews.set(static_cast<double>(withoutNews));
+        for (auto &[key, message] : messages) {
+            if (answeringChecks.contains(key.first)) {
+                message.cell = key.second;
+                enqueueMessage(key.first, std::move(message));
             }
         }
     }
@@ -805,6 +928,7 @@
         carryOut(askTracker.expire(now), now);
         abandonCancelledRequests(now);
         sendProgress(now);
+        checkRequestsWithoutNews(now);
         decideAll(now);
         dropIdleCells(now);
     }
@@ -854,6 +978,7 @@
     Counter &assigned;
     Counter &decidedAlone;
     Counter &resyncs;
+    Gauge &heldWithoutNews;
     Metrics &metrics;
 
     mutable std::mutex mutex; // Position 4 in the lock order.
@@ -868,6 +993,9 @@
     std::map<CellId, CellDigest> cellLoads;         ///< As the owners last reported.
     std::map<RequestId, LocalRequest> local;        ///< Requests of this VM's callers.
     TimePoint lastProgress{};
+    TimePoint lastCheck{};
+    ProcessTable processes;
+    std::set<VmId> answeringChecks; ///< VMs that handle `CheckMessage`.
     CancelHandler cancelHandler;
     std::function<std::optional<Error>()> assignmentCheck;
     std::function<void(const EndpointSettings &)> probeHandler;
@@ -1069,7 +1197,7 @@
         for (const auto &vm : lostVms) {
             d_->carryOut(d_->askTracker.onVmLost(vm, now), now);
         }
-        d_->dropRequestsOfDeadVms(dead, now);
+        d_->releaseRequestsOf({dead.begin(), dead.end()}, now);
         d_->resync(now);
         d_->decideAll(now);
     });
@@ -1103,9 +1231,26 @@
     d_->apply([&](TimePoint /*now*/) { d_->replaceEndpoints(d_->leaving, endpoints); });
 }
 
-void CellDispatcher::onMessage(const VmId &from, const PeerMessage &message)
+void CellDispatcher::setAnswersChecks(const VmId &vm, bool answersChecks)
+{
+    const std::lock_guard lock(d_->mutex);
+    if (answersChecks) {
+        d_->answeringChecks.insert(vm);
+    } else {
+        d_->answeringChecks.erase(vm);
+    }
+}
+
+void CellDispatcher::onMessage(const VmId &from, std::uint64_t incarnation, const PeerMessage &message)
 {
     d_->apply([&](TimePoint now) {
+        const auto process = d_->processes.onMessage(from, incarnation);
+        if (process == SenderProcess::Former) {
+            return;
+        }
+        if (process == SenderProcess::Replacement) {
+            d_->onProcessReplaced(from, now);
+        }
         std::visit(
             [&](const auto &content) {
                 d_->handleAsOwner(from, content, now);
--- a/daemon/cells/celldispatcher.h
+++ b/daemon/cells/celldispatcher.h
@@ -89,8 +89,13 @@
     /// Replaces the set of endpoints that the platform is about to reclaim. They get no new requests.
     void setLeaving(const std::vector<EndpointId> &endpoints);
 
-    /// Handles a message between an entry VM and the owner of a cell; ignores other kinds of messages.
-    void onMessage(const VmId &from, const PeerMessage &message);
+    /// Handles a message between an entry VM and the owner of a cell; ignores the content of other kinds of messages. If the sending
+    /// process has replaced another one of its VM, ends what this VM holds for the former process.
+    /// @param incarnation of the sending process.
+    void onMessage(const VmId &from, std::uint64_t incarnation, const PeerMessage &message);
+
+    /// Sets whether a VM handles `CheckMessage`. Those of earlier builds do not.
+    void setAnswersChecks(const VmId &vm, bool answersChecks);
 
     /// Passes an engine's load report to the scheduler of its cell; ignored if this VM has none.
     void onLoadReport(const LoadReport &report);
@@ -111,7 +116,7 @@
     /// @param owner the VM that reported it; the report is ignored unless this VM is the cell's owner.
     void onDigest(const VmId &owner, const CellDigest &digest);
 
-    /// Handles expired timeouts, sends progress reports and schedules queued requests. A timer calls it; tests call it after they
+    /// Handles expired timeouts, sends progress reports, checks requests without news and schedules queued requests. A timer calls it; tests call it after they
     /// advance their clock.
     void advance();
 
--- a/daemon/cells/celldispatcher_test.cpp
+++ b/daemon/cells/celldispatcher_test.cpp
@@ -24,22 +24,89 @@
             vms_.emplace_back(name);
         }
         for (const auto &vm : vms_) {
-            Settings settings;
-            settings.vm = vm;
-            for (const char *engine : {"e1", "e2"}) {
-                EndpointSettings endpoint;
-                endpoint.id = EndpointId(engine);
-                endpoint.model = ModelId("assistant");
-                endpoint.memoryTokens = 100000;
-                settings.endpoints.push_back(endpoint);
-            }
-            dispatchers_[vm] = std::make_unique<CellDispatcher>(
-                io, settings, clock, metrics, [this, vm](const VmId &to, const PeerMessage &message) { return post(vm, to, message); }, 7);
-            dispatchers_[vm]->setVms(vms_, {});
+            start(vm);
         }
         reportIdleEngines();
     }
 
+    /// Starts a new process of a VM, in place of the present one if there is one. It has sent nothing yet.
+    /// @param knowsEngines false if the process does not know the engines yet.
+    void start(const VmId &vm, bool knowsEngines = true)
+    {
+        const auto incarnation = ++lastIncarnation_;
+        Settings settings;
+        settings.vm = vm;
+        settings.endpoints = knowsEngines ? engines() : std::vector<EndpointSettings>();
+        dispatchers_[vm] = std::make_unique<CellDispatcher>(
+            io,
+            settings,
+            clock,
+            metrics[vm],
+            [this, vm, incarnation](const VmId &to, const PeerMessage &message) { return post(vm, incarnation, to, message); },
+            7);
+        dispatchers_[vm]->setVms(vms_, {});
+        for (const auto &other : vms_) {
+            dispatchers_[vm]->setAnswersChecks(other, true);
+        }
+        incarnations_[vm] = incarnation;
+    }
+
+    /// Lets a VM connect to all others, which learn of its present process.
+    void connect(const VmId &vm)
+    {
+        for (const auto &other : vms_) {
+            if (other != vm) {
+                post(vm, incarnations_[vm], other, HelloMessage{.vm = vm, .incarnation = incarnations_[vm], .zone = {}});
+            }
+        }
+        deliver();
+    }
+
+    void restart(const VmId &vm)
+    {
+        start(vm);
+        connect(vm);
+    }
+
+    static std::vector<EndpointSettings> engines()
+    {
+        std::vector<EndpointSettings> list;
+        for (const char *engine : {"e1", "e2"}) {
+            EndpointSettings endpoint;
+            endpoint.id = EndpointId(engine);
+            endpoint.model = ModelId("assistant");
+            endpoint.memoryTokens = 100000;
+            list.push_back(endpoint);
+        }
+        return list;
+    }
+
+    [[nodiscard]] std::uint64_t incarnation(const VmId &vm) const
+    {
+        return incarnations_.at(vm);
+    }
+
+    /// Drops all messages that are under way, as the loss of their connections does.
+    void loseMessages()
+    {
+        queue_.clear();
+    }
+
+    void onMessage(const VmId &to, const VmId &from, const PeerMessage &message)
+    {
+        at(to).onMessage(from, incarnations_.at(from), message);
+    }
+
+    /// @return the requests that count as running in the cells of a VM.
+    std::uint32_t runningAt(const VmId &owner)
+    {
+        std::uint32_t running = 0;
+        for (const auto &digest : at(owner).digests()) {
+            running += digest.running;
+        }
+        return running;
+    }
+
     /// Sends current load reports of idle engines to all dispatchers.
     void reportIdleEngines()
     {
@@ -94,16 +161,24 @@
     void deliver()
     {
         while (!queue_.empty()) {
-            const auto [from, to, message] = queue_.front();
+            const auto [from, incarnation, to, message] = queue_.front();
             queue_.erase(queue_.begin());
             if (!silent.contains(to) && !silent.contains(from)) {
-                at(to).onMessage(from, message);
+                at(to).onMessage(from, incarnation, message);
             }
         }
         io.poll();
         io.restart();
     }
 
+    /// Delivers the message that has been under way for longest.
+    void deliverOne()
+    {
+        const auto [from, incarnation, to, message] = queue_.front();
+        queue_.erase(queue_.begin());
+        at(to).onMessage(from, incarnation, message);
+    }
+
     /// Advances the manual clock in steps of 10 ms, and runs timers and messages after each step.
     void advanceTime(milliseconds time)
     {
@@ -127,21 +202,23 @@
 
     boost::asio::io_context io;
     ManualClock clock;
-    Metrics metrics;
+    std::map<VmId, Metrics> metrics; ///< By VM.
     std::set<VmId> silent;
     std::map<RequestId, std::vector<Result<Assign>>> answers;
 
 private:
-    bool post(const VmId &from, const VmId &to, const PeerMessage &message)
+    bool post(const VmId &from, std::uint64_t incarnation, const VmId &to, const PeerMessage &message)
     {
         ++counts_[std::tuple(from, to, std::string(kindOf(message)))];
-        queue_.emplace_back(from, to, message);
+        queue_.emplace_back(from, incarnation, to, message);
         return true;
     }
 
     std::vector<VmId> vms_;
     std::map<VmId, std::unique_ptr<CellDispatcher>> dispatchers_;
-    std::vector<std::tuple<VmId, VmId, PeerMessage>> queue_;
+    std::map<VmId, std::uint64_t> incarnations_;
+    std::uint64_t lastIncarnation_ = 0;
+    std::vector<std::tuple<VmId, std::uint64_t, VmId, PeerMessage>> queue_;
     std::map<std::tuple<VmId, VmId, std::string>, int> counts_;
 };
 
@@ -205,7 +282,7 @@
     fleet.advanceTime(milliseconds(110));
     fleet.silent.clear();
     const CellId cell = fleet.at(owners[0]).digests().at(0).cell;
-    fleet.at(entry).onMessage(owners[0], AssignMessage{cell, {.request = RequestId("r1"), .endpoint = EndpointId("e1")}});
+    fleet.onMessage(entry, owners[0], AssignMessage{cell, {.request = RequestId("r1"), .endpoint = EndpointId("e1")}});
     fleet.deliver();
     CHECK(fleet.sentCount(entry, owners[0], "done") == 1);
     CHECK(fleet.answers[RequestId("r1")].size() <= 1);
@@ -343,12 +420,12 @@
     }
     fleet.at(entry).onFirstToken(RequestId("r1"));
     for (const char *id : {"r1", "r2"}) {
-        fleet.at(entry).onMessage(owners[0], CancelMessage{cell, {.request = RequestId(id), .endpoint = endpointOf(id)}});
+        fleet.onMessage(entry, owners[0], CancelMessage{cell, {.request = RequestId(id), .endpoint = endpointOf(id)}});
     }
     fleet.deliver();
     CHECK(cancels == 1);
     // The owner's next assignment arrives before `ask` is called again, and must not be lost.
-    fleet.at(entry).onMessage(owners[0], AssignMessage{cell, {.request = RequestId("r2"), .endpoint = EndpointId("e2")}});
+    fleet.onMessage(entry, owners[0], AssignMessage{cell, {.request = RequestId("r2"), .endpoint = EndpointId("e2")}});
     fleet.ask(entry, fleet.work("r2"));
     CHECK(fleet.answers[RequestId("r2")].size() == 2);
     CHECK(fleet.at(entry).running() == 2);
@@ -374,5 +451,135 @@
     CHECK(std::holds_alternative<Assign>(fleet.answers[RequestId("moving")].front()));
 }
 
+// Property Starved: an owner never released what the former process of a VM had running if the VM was back before its silence was noticed.
+// After some restarts all engines counted as full, and every stream was refused.
+TEST_CASE("requests of a VM's former process are released when its next process is heard")
+{
+    Fleet fleet({"vm1", "vm2", "vm3"});
+    const auto owners = fleet.owners();
+    for (int restart = 0; restart < 40; ++restart) {
+        CAPTURE(restart);
+        const VmId &entry = owners[1 + restart % 2];
+        for (int i = 0; i < 3; ++i) {
+            const auto id = "r" + std::to_string(restart) + "-" + std::to_string(i);
+            fleet.ask(entry, fleet.work(id));
+            REQUIRE(fleet.answers[RequestId(id)].size() == 1);
+            REQUIRE(std::holds_alternative<Assign>(fleet.answers[RequestId(id)][0]));
+            fleet.at(entry).onFirstToken(RequestId(id));
+        }
+        fleet.deliver();
+        CHECK(fleet.runningAt(owners[0]) == 3);
+        fleet.restart(entry);
+        CHECK(fleet.runningAt(owners[0]) == 0);
+        fleet.reportIdleEngines();
+    }
+}
+
+// Guards against a late message of a former process that releases what its successor has running, or that is served.
+TEST_CASE("a late message of a former process has no effect")
+{
+    Fleet fleet({"vm1", "vm2", "vm3"});
+    const auto owners = fleet.owners();
+    const VmId &entry = owners[2];
+    fleet.connect(entry);
+    const auto former = fleet.incarnation(entry);
+    fleet.restart(entry);
+    fleet.ask(entry, fleet.work("r1"));
+    CHECK(fleet.runningAt(owners[0]) == 1);
+    const CellId cell = fleet.at(owners[0]).digests().at(0).cell;
+    fleet.at(owners[0]).onMessage(entry, former, DoneMessage{.cell = cell, .request = RequestId("r1"), .tokens = 0, .reason = FinishReason::Complete});
+    fleet.at(owners[0]).onMessage(entry, former, AskMessage{.cell = cell, .work = fleet.work("r2")});
+    fleet.deliver();
+    CHECK(fleet.runningAt(owners[0]) == 1);
+}
+
+// Property Starved, as above: a message that ends a request is lost with its connection.
+TEST_CASE("an owner releases a request whose end it was not told")
+{
+    Fleet fleet({"vm1", "vm2", "vm3"});
+    const auto owners = fleet.owners();
+    const VmId &entry = owners[2];
+    for (const char *id : {"r1", "r2"}) {
+        fleet.ask(entry, fleet.work(id));
+        fleet.at(entry).onFirstToken(RequestId(id));
+    }
+    fleet.deliver();
+    REQUIRE(fleet.runningAt(owners[0]) == 2);
+    fleet.at(entry).onFinished(RequestId("r1"), 9, FinishReason::Complete);
+    fleet.loseMessages();
+    fleet.advanceTime(milliseconds(5000));
+    CHECK(fleet.runningAt(owners[0]) == 1);
+    CHECK(fleet.at(entry).running() == 1);
+    fleet.advanceTime(milliseconds(10000)); // r2 makes no progress, but runs.
+    CHECK(fleet.runningAt(owners[0]) == 1);
+    CHECK(fleet.metrics[owners[0]].gauge("daisystream_held_without_news", "").value() == 0);
+}
+
+// Property Starved, as above: the assignment itself is lost with its connection.
+TEST_CASE("an owner releases a request whose assignment did not arrive")
+{
+    Fleet fleet({"vm1", "vm2", "vm3"});
+    const auto owners = fleet.owners();
+    const VmId &entry = owners[2];
+    fleet.at(entry).ask(fleet.work("r1"), [](const Result<Assign> &) {});
+    fleet.deliverOne(); // The ask; the owner assigns.
+    fleet.loseMessages();
+    REQUIRE(fleet.runningAt(owners[0]) == 1);
+    fleet.at(entry).withdraw(RequestId("r1"));
+    fleet.loseMessages();
+    fleet.advanceTime(milliseconds(5000));
+    CHECK(fleet.runningAt(owners[0]) == 0);
+}
+
+// Guards a rolling upgrade: a VM of an earlier build closes connections on which it gets a message that it does not know.
+TEST_CASE("a VM that does not answer checks gets none")
+{
+    Fleet fleet({"vm1", "vm2", "vm3"});
+    const auto owners = fleet.owners();
+    const VmId &entry = owners[2];
+    fleet.at(owners[0]).setAnswersChecks(entry, false);
+    fleet.ask(entry, fleet.work("r1"));
+    fleet.at(entry).onFirstToken(RequestId("r1"));
+    fleet.deliver();
+    fleet.at(entry).onFinished(RequestId("r1"), 9, FinishReason::Complete);
+    fleet.loseMessages();
+    fleet.advanceTime(milliseconds(5000));
+    CHECK(fleet.sentCount(owners[0], entry, "check") == 0);
+    CHECK(fleet.runningAt(owners[0]) == 1);
+    CHECK(fleet.metrics[owners[0]].gauge("daisystream_held_without_news", "").value() == 1);
+}
+
+// Guards against engine capacity that is assigned twice: an owner that restarts within the time limit of its silence knew nothing of the
+// answers that run.
+TEST_CASE("running answers and pending asks are reported to the next process of their owner")
+{
+    for (const bool knowsEngines : {true, false}) {
+        CAPTURE(knowsEngines);
+        Fleet fleet({"vm1", "vm2", "vm3"});
+        const auto owners = fleet.owners();
+        const VmId &entry = owners[2];
+        fleet.connect(owners[0]);
+        fleet.ask(entry, fleet.work("r1"));
+        fleet.at(entry).onFirstToken(RequestId("r1"));
+        fleet.at(entry).onProgress(RequestId("r1"), 17);
+        fleet.deliver();
+        fleet.at(entry).ask(fleet.work("r2"), [&](const Result<Assign> &answer) { fleet.answers[RequestId("r2")].push_back(answer); });
+        fleet.loseMessages(); // The ask is lost with the connection to the former process.
+        fleet.start(owners[0], knowsEngines);
+        fleet.connect(owners[0]);
+        fleet.at(owners[0]).setEndpoints(Fleet::engines());
+        fleet.reportIdleEngines();
+        fleet.advanceTime(milliseconds(knowsEngines ? 500 : 3000));
+        CHECK(fleet.runningAt(owners[0]) == (knowsEngines ? 2 : 1));
+        if (knowsEngines) {
+            REQUIRE(fleet.answers[RequestId("r2")].size() == 1);
+            CHECK(std::holds_alternative<Assign>(fleet.answers[RequestId("r2")][0]));
+        }
+        fleet.at(entry).onFinished(RequestId("r1"), 20, FinishReason::Complete);
+        fleet.deliver();
+        CHECK(fleet.runningAt(owners[0]) == (knowsEngines ? 1 : 0));
+    }
+}
+
 } // namespace
 } // namespace daisystream
--- a/daemon/control/controlplane.cpp
+++ b/daemon/control/controlplane.cpp
@@ -394,13 +394,14 @@
     }
     d_->peers.setMessageHandler([this](const VmId &from, std::uint64_t incarnation, const PeerMessage &message) {
         d_->monitor.onMessage(from, incarnation, message);
-        d_->dispatcher.onMessage(from, message);
+        d_->dispatcher.onMessage(from, incarnation, message);
         d_->permits.onMessage(from, message);
         d_->slowness.onMessage(message);
     });
     d_->peers.setAckHandler([this](const VmId &from, TimePoint sentAt, const PeerView &view) {
         d_->monitor.onAck(from, sentAt, view);
         d_->permits.onIssuing(from, view.issuesPermits);
+        d_->dispatcher.setAnswersChecks(from, view.answersChecks);
     });
     d_->peers.setViewSource([this] { return d_->monitor.view(); });
     d_->dispatcher.setAssignmentCheck([this] { return d_->monitor.assignment(); });
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -32,6 +32,7 @@
     permitAsk @21 :PermitAsk;
     permitReply @22 :PermitReply;
     slowness @23 :Slowness;       # To the collector of the endpoint.
+    check @24 :Check;             # From the owner of a cell to an entry VM.
   }
 }
 
@@ -60,6 +61,7 @@
   issuesPermits @3 :Bool;         # The sender handles permitAsk, which is sent to no other VM.
   epochs @4 :List(UInt64);        # Of the versions, by kind; empty: all are 0.
   storeEpoch @5 :UInt64;          # Latest epoch that the store has stated, as far as the sender knows.
+  answersChecks @6 :Bool;         # The sender handles check, which is sent to no other VM.
 }
 
 struct CellDigest {
@@ -155,6 +157,12 @@
   reason @3 :UInt8;
 }
 
+struct Check {
+  cell @0 :Text;
+  running @1 :List(Text);         # Requests that run as far as the owner knows, and that it has not heard of for some time.
+  unknown @2 :List(Text);         # Requests that the owner was told of and does not know.
+}
+
 struct Resync {
   cell @0 :Text;
   running @1 :List(Running);
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -31,6 +31,7 @@
 CAPNP_DECLARE_SCHEMA(c5e762968385be05);
 CAPNP_DECLARE_SCHEMA(aaac0189256539d9);
 CAPNP_DECLARE_SCHEMA(986d94006a57b765);
+CAPNP_DECLARE_SCHEMA(82d77315266d587b);
 CAPNP_DECLARE_SCHEMA(f7a48791ecd22d09);
 CAPNP_DECLARE_SCHEMA(dca02de30646f441);
 CAPNP_DECLARE_SCHEMA(ddea611008b880e6);
@@ -87,6 +88,7 @@
     PERMIT_ASK,
     PERMIT_REPLY,
     SLOWNESS,
+    CHECK,
   };
 
   struct _capnpPrivate {
@@ -307,6 +309,21 @@
   };
 };
 
+struct Check {
+  Check() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(82d77315266d587b, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Resync {
   Resync() = delete;
 
@@ -691,6 +708,10 @@
   inline bool hasSlowness() const;
   inline  ::daisystream::wire::Slowness::Reader getSlowness() const;
 
+  inline bool isCheck() const;
+  inline bool hasCheck() const;
+  inline  ::daisystream::wire::Check::Reader getCheck() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -904,6 +925,14 @@
   inline void adoptSlowness(::capnp::Orphan< ::daisystream::wire::Slowness>&& value);
   inline ::capnp::Orphan< ::daisystream::wire::Slowness> disownSlowness();
 
+  inline bool isCheck();
+  inline bool hasCheck();
+  inline  ::daisystream::wire::Check::Builder getCheck();
+  inline void setCheck( ::daisystream::wire::Check::Reader value);
+  inline  ::daisystream::wire::Check::Builder initCheck();
+  inline void adoptCheck(::capnp::Orphan< ::daisystream::wire::Check>&& value);
+  inline ::capnp::Orphan< ::daisystream::wire::Check> disownCheck();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1195,6 +1224,8 @@
 
   inline  ::uint64_t getStoreEpoch() const;
 
+  inline bool getAnswersChecks() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1251,6 +1282,9 @@
   inline  ::uint64_t getStoreEpoch();
   inline void setStoreEpoch( ::uint64_t value);
 
+  inline bool getAnswersChecks();
+  inline void setAnswersChecks(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2527,6 +2561,109 @@
 };
 #endif  // !CAPNP_LITE
 
+class Check::Reader {
+public:
+  typedef Check Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCell() const;
+  inline  ::capnp::Text::Reader getCell() const;
+
+  inline bool hasRunning() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRunning() const;
+
+  inline bool hasUnknown() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnknown() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Check::Builder {
+public:
+  typedef Check Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCell();
+  inline  ::capnp::Text::Builder getCell();
+  inline void setCell( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCell(unsigned int size);
+  inline void adoptCell(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCell();
+
+  inline bool hasRunning();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRunning();
+  inline void setRunning( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRunning(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRunning(unsigned int size);
+  inline void adoptRunning(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRunning();
+
+  inline bool hasUnknown();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUnknown();
+  inline void setUnknown( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setUnknown(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUnknown(unsigned int size);
+  inline void adoptUnknown(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnknown();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Check::Pipeline {
+public:
+  typedef Check Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Resync::Reader {
 public:
   typedef Resync Reads;
@@ -5757,6 +5894,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isCheck() const {
+  return which() == Message::CHECK;
+}
+inline bool Message::Builder::isCheck() {
+  return which() == Message::CHECK;
+}
+inline bool Message::Reader::hasCheck() const {
+  if (which() != Message::CHECK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasCheck() {
+  if (which() != Message::CHECK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::daisystream::wire::Check::Reader Message::Reader::getCheck() const {
+  KJ_IREQUIRE((which() == Message::CHECK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Check>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::daisystream::wire::Check::Builder Message::Builder::getCheck() {
+  KJ_IREQUIRE((which() == Message::CHECK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Check>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setCheck( ::daisystream::wire::Check::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CHECK);
+  ::capnp::_::PointerHelpers< ::daisystream::wire::Check>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::daisystream::wire::Check::Builder Message::Builder::initCheck() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CHECK);
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Check>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptCheck(
+    ::capnp::Orphan< ::daisystream::wire::Check>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::CHECK);
+  ::capnp::_::PointerHelpers< ::daisystream::wire::Check>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::daisystream::wire::Check> Message::Builder::disownCheck() {
+  KJ_IREQUIRE((which() == Message::CHECK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::daisystream::wire::Check>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t Hello::Reader::getProtocolVersion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6185,6 +6376,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Ack::Reader::getAnswersChecks() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Ack::Builder::getAnswersChecks() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Ack::Builder::setAnswersChecks(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CellDigest::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7701,6 +7906,116 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Check::Reader::hasCell() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Check::Builder::hasCell() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Check::Reader::getCell() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Check::Builder::getCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Check::Builder::setCell( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Check::Builder::initCell(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Check::Builder::adoptCell(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Check::Builder::disownCell() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Check::Reader::hasRunning() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Check::Builder::hasRunning() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Check::Reader::getRunning() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Check::Builder::getRunning() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Check::Builder::setRunning( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Check::Builder::setRunning(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Check::Builder::initRunning(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Check::Builder::adoptRunning(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Check::Builder::disownRunning() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Check::Reader::hasUnknown() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Check::Builder::hasUnknown() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Check::Reader::getUnknown() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Check::Builder::getUnknown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Check::Builder::setUnknown( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Check::Builder::setUnknown(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Check::Builder::initUnknown(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Check::Builder::adoptUnknown(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Check::Builder::disownUnknown() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Resync::Reader::hasCell() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peerlink.cpp
+++ b/daemon/peers/peerlink.cpp
@@ -579,6 +579,7 @@
             return;
         }
         limit(kIncomingSilence);
+        deliver(*hello, *first); // Tells at once if another process of the VM was there before.
         while (const auto message = readMessage(*channel, shared->clock, shared->bytes, yield, reason)) {
             limit(kIncomingSilence);
             if (!acknowledge(*channel, *message, yield)) {
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -217,6 +217,22 @@
     out.setRequest(text(message.request.value()));
 }
 
+void writeRequests(capnp::List<capnp::Text>::Builder out, const std::vector<RequestId> &requests)
+{
+    for (unsigned i = 0; i < requests.size(); ++i) {
+        out.set(i, text(requests[i].value()));
+    }
+}
+
+std::vector<RequestId> readRequests(capnp::List<capnp::Text>::Reader in)
+{
+    std::vector<RequestId> requests;
+    for (const auto request : in) {
+        requests.emplace_back(string(request));
+    }
+    return requests;
+}
+
 template<class Message>
 Message readReference(wire::Reference::Reader in)
 {
@@ -362,6 +378,7 @@
         out.setContactAgeMs(writeRetry(message.view.contactAge));
         out.setIssuesPermits(message.view.issuesPermits);
         out.setStoreEpoch(message.view.storeEpoch);
+        out.setAnswersChecks(message.view.answersChecks);
     }
 
     void operator()(const PingMessage &message)
@@ -551,6 +568,14 @@
         write(root_.initSlowness(), message.report, now_);
     }
 
+    void operator()(const CheckMessage &message)
+    {
+        auto out = root_.initCheck();
+        out.setCell(text(message.cell.value()));
+        writeRequests(out.initRunning(static_cast<unsigned>(message.running.size())), message.running);
+        writeRequests(out.initUnknown(static_cast<unsigned>(message.unknown.size())), message.unknown);
+    }
+
     void operator()(const PermitAskMessage &message)
     {
         auto out = root_.initPermitAsk();
@@ -827,7 +852,8 @@
                           .view = {.versions = readVersions(in.getAck()),
                                    .contactAge = readRetry(in.getAck().getContactAgeMs()),
                                    .issuesPermits = in.getAck().getIssuesPermits(),
-                                   .storeEpoch = in.getAck().getStoreEpoch()}};
+                                   .storeEpoch = in.getAck().getStoreEpoch(),
+                                   .answersChecks = in.getAck().getAnswersChecks()}};
     case wire::Message::PING:
         return PingMessage{in.getPing()};
     case wire::Message::DOCUMENT_REQUEST:
@@ -881,6 +907,10 @@
         return read(in.getPermitReply());
     case wire::Message::SLOWNESS:
         return SlownessMessage{read(in.getSlowness(), now)};
+    case wire::Message::CHECK: {
+        const auto check = in.getCheck();
+        return CheckMessage{.cell = CellId(string(check.getCell())), .running = readRequests(check.getRunning()), .unknown = readRequests(check.getUnknown())};
+    }
     }
     kj::throwFatalException(KJ_EXCEPTION(FAILED, "unknown kind of message"));
 }
@@ -890,8 +920,9 @@
 const char *kindOf(const PeerMessage &message)
 {
     static constexpr std::array<const char *, std::variant_size_v<PeerMessage>> kNames{
-        "hello",      "heartbeat", "ack",  "ping",   "documentRequest", "document",   "ask",   "queued",     "assign", "refuse",    "withdraw",    "cancel",
-        "firstToken", "progress",  "done", "resync", "shareRequest",    "shareGrant", "order", "orderReply", "news",   "permitAsk", "permitReply", "slowness",
+        "hello",  "heartbeat",  "ack",    "ping",       "documentRequest", "document", "ask",    "queued",       "assign",
+        "refuse", "withdraw",   "cancel", "firstToken", "progress",        "done",     "resync", "shareRequest", "shareGrant",
+        "order",  "orderReply", "news",   "permitAsk",  "permitReply",     "slowness", "check",
     };
     return kNames[message.index()];
 }
--- a/daemon/peers/peermessage.h
+++ b/daemon/peers/peermessage.h
@@ -89,6 +89,7 @@
     std::optional<std::chrono::milliseconds> contactAge{}; ///< Since the platform last showed what is in force.
     bool issuesPermits = true;                             ///< Handles `PermitAskMessage`; an older daemon does not.
     std::uint64_t storeEpoch = 0;                          ///< Latest epoch that the platform has stated, as far as the sender knows.
+    bool answersChecks = true;                             ///< Handles `CheckMessage`; an older daemon does not.
 
     friend auto operator<=>(const PeerView &, const PeerView &) = default;
 };
@@ -212,6 +213,17 @@
     friend auto operator<=>(const DoneMessage &, const DoneMessage &) = default;
 };
 
+/// Sent by the owner of a cell to an entry VM, so that both know the same requests as running. The entry VM replies with a `DoneMessage`
+/// for each of `running` that it does not know, and with a `ResyncMessage` for those of `unknown` that run.
+struct CheckMessage
+{
+    CellId cell;
+    std::vector<RequestId> running{}; ///< Requests that run as far as the owner knows, and that it has not heard of for some time.
+    std::vector<RequestId> unknown{}; ///< Requests that the owner was told of and does not know.
+
+    friend auto operator<=>(const CheckMessage &, const CheckMessage &) = default;
+};
+
 /// One running answer of the sender.
 struct RunningWork
 {
@@ -340,7 +352,8 @@
                                  NewsMessage,
                                  PermitAskMessage,
                                  PermitReplyMessage,
-                                 SlownessMessage>;
+                                 SlownessMessage,
+                                 CheckMessage>;
 
 /// @return the name of the message's kind, as in the schema.
 [[nodiscard]] const char *kindOf(const PeerMessage &message);
--- a/daisystream/cell/asktracker.cpp
+++ b/daisystream/cell/asktracker.cpp
@@ -73,6 +73,19 @@
         askCurrent(ask, now, actions);
     }
 
+    /// @return the requests whose asks are pending at a VM, in an order that does not depend on the hash table.
+    [[nodiscard]] std::vector<RequestId> pendingAt(const VmId &vm) const
+    {
+        std::vector<RequestId> requests;
+        for (const auto &[id, ask] : pending) {
+            if (ask.owners[ask.current] == vm) {
+                requests.push_back(id);
+            }
+        }
+        std::sort(requests.begin(), requests.end());
+        return requests;
+    }
+
     /// @return the ask if it is pending at this owner, otherwise nullptr.
     PendingAsk *findPendingAt(const VmId &owner, const RequestId &request)
     {
@@ -158,20 +171,27 @@
 
 std::vector<AskAction> AskTracker::onVmLost(const VmId &vm, TimePoint now)
 {
-    std::vector<RequestId> affected;
-    for (const auto &[id, ask] : d_->pending) {
-        if (ask.owners[ask.current] == vm) {
-            affected.push_back(id);
-        }
-    }
-    std::sort(affected.begin(), affected.end()); // The order of the actions must not depend on the iteration order of the hash table.
     std::vector<AskAction> actions;
-    for (const RequestId &id : affected) {
+    for (const RequestId &id : d_->pendingAt(vm)) {
         d_->askNext(d_->pending.at(id), now, actions);
     }
     return actions;
 }
 
+std::vector<AskAction> AskTracker::onVmRestarted(const VmId &vm, TimePoint now)
+{
+    std::vector<AskAction> actions;
+    for (const RequestId &id : d_->pendingAt(vm)) {
+        d_->askCurrent(d_->pending.at(id), now, actions);
+    }
+    return actions;
+}
+
+bool AskTracker::isPendingAt(const VmId &vm, const RequestId &request) const
+{
+    return d_->findPendingAt(vm, request) != nullptr;
+}
+
 std::vector<AskAction> AskTracker::expire(TimePoint now)
 {
     std::vector<AskAction> actions;
--- a/daisystream/cell/asktracker.h
+++ b/daisystream/cell/asktracker.h
@@ -158,6 +158,15 @@
     /// @return for each such ask SendWithdraw, and SendAsk or DecideLocally.
     [[nodiscard]] std::vector<AskAction> onVmLost(const VmId &vm, TimePoint now);
 
+    /// Handles that a VM has a new process, which knows nothing of the asks that were sent to the former one.
+    /// @param vm the VM that is asked.
+    /// @param now the current time.
+    /// @return SendAsk for each ask that is pending at the VM.
+    [[nodiscard]] std::vector<AskAction> onVmRestarted(const VmId &vm, TimePoint now);
+
+    /// @return whether the ask is pending at this VM.
+    [[nodiscard]] bool isPendingAt(const VmId &vm, const RequestId &request) const;
+
     /// Handles every timeout that has passed.
     /// @param now the current time.
     /// @return the actions that result: an ask that is repeated, sent to the next owner, decided by this VM, or settled with
