Believe an endpoint that states that it leaves, whatever its entry did

Cause: the gateway kept in one table the endpoints that stated that they leave and those that were missing in the store, for 5 minutes, and took a statement of any of them for known.

Why this works: the control plane alone decides whether a statement is new, by the endpoints (name and start) that have stated it; the gateway passes each on. When an endpoint is in service again, the gateway forgets that it was missing, so that one that only lost the store serves on, its running answers may go back to it, and the balancer keeps what it knows of it.

--- a/daemon/control/controlplane.cpp
+++ b/daemon/control/controlplane.cpp
@@ -214,17 +214,19 @@
         return engines;
     }
 
-    /// Takes an endpoint out of service that stated that it is leaving before the store reported it.
-    void onEngineLeaving(const EndpointId &engine)
+    /// Takes an endpoint out of service that stated that it is leaving. What the store says of it does not matter.
+    /// @return whether this VM did not know of the statement.
+    bool onEngineLeaving(const EndpointId &engine)
     {
         {
             const std::lock_guard lock(mutex);
             if (!statedLeaving.insert(engine).second) {
-                return;
+                return false;
             }
         }
         LOG(INFO) << "event=endpoint endpoint=" << engine << " state=draining reason=said_itself";
         applyEndpoints();
+        return true;
     }
 
     /// Tells the other VMs about an endpoint that stated to this VM that it is leaving.
@@ -271,8 +273,9 @@
         }
         permits.setColdLimits(coldLimits);
         scheduleColdEnd(coldEnd);
-        std::vector<EndpointId> leaving;
-        std::set_difference(inServiceBefore.begin(), inServiceBefore.end(), inService.begin(), inService.end(), std::back_inserter(leaving));
+        EndpointServiceChanges changes;
+        std::set_difference(inServiceBefore.begin(), inServiceBefore.end(), inService.begin(), inService.end(), std::back_inserter(changes.ended));
+        std::set_difference(inService.begin(), inService.end(), inServiceBefore.begin(), inServiceBefore.end(), std::back_inserter(changes.begun));
         inServiceBefore = std::move(inService);
         dispatcher.setDraining(draining);
         dispatcher.setWithdrawn(withdrawn);
@@ -281,8 +284,8 @@
         std::transform(endpoints.begin(), endpoints.end(), std::back_inserter(ids), [](const auto &endpoint) { return endpoint.id; });
         permits.setEndpoints(ids);
         slowness.setEndpoints(ids);
-        if (!leaving.empty() && endpointHandler) {
-            endpointHandler(leaving);
+        if (changes != EndpointServiceChanges() && endpointHandler) {
+            endpointHandler(changes);
         }
     }
 
@@ -342,12 +345,12 @@
     SlownessShare slowness;
     LoadPoller load;
     std::optional<StoreWatch> watch;
-    std::function<void(const std::vector<EndpointId> &)> endpointHandler;
+    std::function<void(const EndpointServiceChanges &)> endpointHandler;
     std::function<void(std::size_t)> vmHandler;
     std::mutex applyMutex;                      // Locked before every other mutex; prevents an older endpoint list from replacing a newer one.
     std::mutex mutex;                           // Level 3 in the lock order.
     std::vector<EndpointEntry> listedEndpoints; ///< Latest endpoint list of the store, guarded by `mutex`.
-    std::set<EndpointId> statedLeaving;         ///< Endpoints that stated that they are leaving, guarded by `mutex`. Ids are never reused.
+    std::set<EndpointId> statedLeaving;         ///< Endpoints that stated that they are leaving, guarded by `mutex`. An id names one process.
     std::set<EndpointId> inServiceBefore;       ///< Endpoints in service after the last update, guarded by `applyMutex`.
     ZoneWithdrawals zones;                      ///< Guarded by `mutex`.
     std::map<EndpointId, TimePoint> coldUntil;  ///< Of each listed endpoint, guarded by `mutex`.
@@ -361,7 +364,7 @@
 
 ControlPlane::~ControlPlane() = default;
 
-void ControlPlane::setEndpointHandler(std::function<void(const std::vector<EndpointId> &leaving)> handler)
+void ControlPlane::setEndpointHandler(std::function<void(const EndpointServiceChanges &)> handler)
 {
     d_->endpointHandler = std::move(handler);
 }
@@ -373,8 +376,9 @@
 
 void ControlPlane::onEndpointLeaving(const EndpointId &endpoint)
 {
-    d_->onEngineLeaving(endpoint);
-    d_->announceEndpointLeaving(endpoint);
+    if (d_->onEngineLeaving(endpoint)) {
+        d_->announceEndpointLeaving(endpoint);
+    }
 }
 
 void ControlPlane::setLoadPollHandlers(std::function<bool(const EndpointId &)> mayAsk,
--- a/daemon/control/controlplane.h
+++ b/daemon/control/controlplane.h
@@ -43,6 +43,15 @@
     PlatformAdapter adapter{};
 };
 
+/// Which endpoints are in service and were not before, and the reverse.
+struct EndpointServiceChanges
+{
+    std::vector<EndpointId> ended{}; ///< They drain, have stated that they are leaving, or are missing in the store.
+    std::vector<EndpointId> begun{}; ///< They are new, or are back after they were missing in the store.
+
+    friend auto operator<=>(const EndpointServiceChanges &, const EndpointServiceChanges &) = default;
+};
+
 /// Owns the components of the control plane and connects them. Must be destroyed only after the event loop has stopped.
 class ControlPlane
 {
@@ -55,11 +64,11 @@
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane &operator=(const ControlPlane &) = delete;
 
-    /// Sets the handler for endpoints that were in service and no longer are. Must be called before `start`.
-    void setEndpointHandler(std::function<void(const std::vector<EndpointId> &leaving)> handler);
+    /// Sets the handler of changes of the endpoints in service. Must be called before `start`.
+    void setEndpointHandler(std::function<void(const EndpointServiceChanges &)> handler);
 
-    /// Must be called when an endpoint states in a response that it is leaving. Takes the endpoint out of service and tells the
-    /// other VMs.
+    /// Must be called when an endpoint states in a response that it is leaving. At the first statement of each process of the endpoint,
+    /// takes it out of service and tells the other VMs.
     void onEndpointLeaving(const EndpointId &endpoint);
 
     /// Sets the handlers of load polling. Must be called before `start`.
--- a/daemon/control/controlplane_test.cpp
+++ b/daemon/control/controlplane_test.cpp
@@ -305,7 +305,10 @@
     WatchingVm()
         : control(loop.io, settings(), clock, options())
     {
-        control.setEndpointHandler([this](const std::vector<EndpointId> &endpoints) { leaving += endpoints.size(); });
+        control.setEndpointHandler([this](const EndpointServiceChanges &changes) {
+            leaving += changes.ended.size();
+            joined += changes.begun.size();
+        });
         REQUIRE_FALSE(control.start());
         REQUIRE(control.lists().offer(DocumentKind::Routes, {.number = 1, .changeId = {}}, "{}"));
     }
@@ -362,6 +365,7 @@
     BootClock clock;
     ControlPlane control;
     std::atomic<std::size_t> leaving{0}; ///< Endpoints that were announced as leaving.
+    std::atomic<std::size_t> joined{0};  ///< Endpoints that were announced as in service.
 };
 
 // Endpoints that are announced as leaving lose their answers to a move, through links that other moves need.
@@ -383,6 +387,30 @@
     CHECK(vm.leaving == 0);
 }
 
+// Property DRAIN: an endpoint whose entry had lapsed and come back was not believed when it stated that it leaves.
+TEST_CASE("a statement that an endpoint leaves takes effect whatever the store has said of it, and holds for that process only")
+{
+    WatchingVm vm;
+    const auto both = encodeEndpoints({WatchingVm::entry("i-1", "a"), WatchingVm::entry("i-2", "a")});
+    vm.offer(DocumentKind::Endpoints, 5, both);
+    REQUIRE(TestLoop::waitUntil([&] { return vm.inService() == 2; }));
+    vm.offer(DocumentKind::Endpoints, 6, encodeEndpoints({WatchingVm::entry("i-2", "a")}));
+    REQUIRE(TestLoop::waitUntil([&] { return vm.inService() == 1 && vm.leaving == 1; }));
+    vm.offer(DocumentKind::Endpoints, 7, both);
+    REQUIRE(TestLoop::waitUntil([&] { return vm.inService() == 2 && vm.joined == 3; }));
+    vm.control.onEndpointLeaving(EndpointId("i-1@1"));
+    CHECK(vm.inService() == 1);
+    CHECK(vm.leaving == 2);
+    vm.offer(DocumentKind::Endpoints, 8, encodeEndpoints({WatchingVm::entry("i-2", "a")}));
+    vm.offer(DocumentKind::Endpoints, 9, both);
+    REQUIRE(TestLoop::waitUntil([&] { return vm.control.dispatcher().findEndpoint(EndpointId("i-1@1")).has_value(); }));
+    CHECK(vm.inService() == 1); // The store still calls it ready.
+    auto restarted = WatchingVm::entry("i-1", "a");
+    restarted.startedAt = 2;
+    vm.offer(DocumentKind::Endpoints, 10, encodeEndpoints({restarted, WatchingVm::entry("i-2", "a")}));
+    CHECK(TestLoop::waitUntil([&] { return vm.inService() == 2; }));
+}
+
 // An entry that is not written again must not keep its endpoint cold, and a cold endpoint must be limited before it gets a request.
 TEST_CASE("an endpoint has the limit of a cold one from the arrival of its entry until its time is over")
 {
--- a/daemon/gateway/gatewaycontext.cpp
+++ b/daemon/gateway/gatewaycontext.cpp
@@ -271,19 +271,15 @@
     if (!head.isLeaving && !head.isThrottled) {
         return;
     }
-    const auto at = now();
-    bool isNewlyLeaving = false;
-    {
+    if (head.isThrottled && head.retryAfter) {
+        const auto at = now();
         const std::lock_guard lock(mutex_);
-        if (head.isThrottled && head.retryAfter) {
-            cooldowns_.startCooldown(endpoint, *head.retryAfter, at);
-        }
-        isNewlyLeaving = head.isLeaving && !leavingSince_.contains(endpoint);
+        cooldowns_.startCooldown(endpoint, *head.retryAfter, at);
     }
     if (head.isThrottled) {
         DecisionLine("rest").field("choice", endpoint.value()).field("retry_ms", std::to_string(head.retryAfter->count())).write();
     }
-    if (isNewlyLeaving && leavingHandler_) {
+    if (head.isLeaving && leavingHandler_) {
         leavingHandler_(endpoint);
     }
 }
@@ -401,6 +397,14 @@
     }
 }
 
+void GatewayContext::onInService(const std::vector<EndpointId> &endpoints)
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto &endpoint : endpoints) {
+        leavingSince_.erase(endpoint);
+    }
+}
+
 TimePoint GatewayContext::beginShutdown()
 {
     const auto at = now();
--- a/daemon/gateway/gatewaycontext.h
+++ b/daemon/gateway/gatewaycontext.h
@@ -155,8 +155,8 @@
     /// @return the requests a second that the endpoint states as its limit, for the log; empty if it states none.
     [[nodiscard]] std::string limitText(const EndpointId &endpoint);
 
-    /// Sets the handler for endpoints that state in a response that they are leaving. It is called without locks and only until
-    /// `announceLeaving` has been called for the endpoint.
+    /// Sets the handler for endpoints that state in a response that they are leaving. It is called without locks for each such response,
+    /// whatever else is known of the endpoint.
     void setLeavingHandler(std::function<void(const EndpointId &)> handler);
 
     /// @return whether the endpoint has asked this VM to send nothing for a time that is not over yet.
@@ -188,9 +188,12 @@
     /// @return keeps the callback registered.
     [[nodiscard]] std::shared_ptr<void> watchEndpoint(const EndpointId &endpoint, std::function<void()> onLeaving);
 
-    /// Calls the callbacks that `watchEndpoint` registered for these endpoints, which are leaving.
+    /// Calls the callbacks that `watchEndpoint` registered for these endpoints, which are leaving or seem to be gone.
     void announceLeaving(const std::vector<EndpointId> &endpoints);
 
+    /// Handles that endpoints are in service, possibly again: they had not left.
+    void onInService(const std::vector<EndpointId> &endpoints);
+
     /// Must be called on SIGTERM. The platform kills the process `GatewaySettings::graceTime` later.
     /// @return when every request must have its final response, except for answers that have begun.
     TimePoint beginShutdown();
@@ -270,7 +273,7 @@
     ServiceRetryBudget budget_;
     Watches watches_;
     std::vector<std::weak_ptr<std::function<void()>>> shutdownWatches_;
-    std::map<EndpointId, TimePoint> leavingSince_; ///< When this VM learned that an endpoint is leaving.
+    std::map<EndpointId, TimePoint> leavingSince_; ///< When this VM learned that an endpoint is leaving; not those in service again.
     ShutdownAdmission shutdownAdmission_;
     std::optional<TimePoint> lastAnswer_; ///< Set when the shutdown began: when every request must have its final response.
     std::size_t nextPrune_ = 0;           ///< Number of callbacks at which expired ones are removed.
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -169,7 +169,12 @@
         , readiness_(io_, clock_, readinessPages(control_))
     {
         if (auto *gateway = frontend_.gateway()) {
-            control_.setEndpointHandler([gateway](const std::vector<EndpointId> &leaving) { gateway->announceLeaving(leaving); });
+            control_.setEndpointHandler([gateway](const EndpointServiceChanges &changes) {
+                gateway->onInService(changes.begun);
+                if (!changes.ended.empty()) {
+                    gateway->announceLeaving(changes.ended);
+                }
+            });
             gateway->setLeavingHandler([this](const EndpointId &endpoint) { control_.onEndpointLeaving(endpoint); });
             control_.setLoadPollHandlers([gateway](const EndpointId &engine) { return !gateway->isInCooldown(engine); },
                                          [gateway](const EndpointId &engine, const LoadPoller::Response &response) {
