Order endpoints, zones and VMs by the epoch of the store too

The store's word on endpoints had no effect on any VM, until its versions were above those of before.

Cause: EndpointDirectory, ZoneWithdrawals and the list of VMs accept only rising versions, and compared them without the epoch: the whole read after the status 410 was dropped, and each change after it. The row of a VM that had started after the backup was made was missing for good.

Why this works: all of them compare StoreRevision, also between VMs. A VM whose row a later list lacks writes it again.

--- a/daemon/cells/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -336,7 +336,7 @@
         const auto ownVersions = parts.lists.versions();
         const auto now = parts.clock.now();
         // The message is forwarded before its changes are processed here, which takes time.
-        const bool hasChanges = message.endpoints && message.endpoints->upTo > ownVersions[static_cast<std::size_t>(DocumentKind::Endpoints)].number;
+        const bool hasChanges = message.endpoints && message.endpoints->upTo > ownVersions[static_cast<std::size_t>(DocumentKind::Endpoints)];
         bool hasNews = hasChanges || !message.cells.empty() || !message.limits.empty() || !message.quarantine.empty() || !message.slowness.empty();
         bool viewChanged = false;
         std::vector<EndpointId> leaving;
--- a/daemon/control/controlplane.cpp
+++ b/daemon/control/controlplane.cpp
@@ -320,7 +320,7 @@
         if (monitor.isPlatformWatcher()) {
             NewsMessage news;
             news.endpoints = changes;
-            monitor.broadcast(std::move(news), "endpoints/" + std::to_string(changes.upTo));
+            monitor.broadcast(std::move(news), "endpoints/" + std::to_string(changes.upTo.number));
         }
     }
 
@@ -531,7 +531,7 @@
         for (const auto &zone : d_->zones.zones()) {
             withdrawn.push_back(zone.value());
         }
-        status["withdrawnZones"] = {{"zones", withdrawn}, {"revision", d_->zones.revision()}};
+        status["withdrawnZones"] = {{"zones", withdrawn}, {"revision", d_->zones.revision().number}};
     }
     const auto refusal = d_->lists.admission();
     status["admission"] = refusal ? toString(refusal->code) : "open";
--- a/daemon/peers/peer.capnp
+++ b/daemon/peers/peer.capnp
@@ -268,6 +268,8 @@
   after @0 :UInt64;
   upTo @1 :UInt64;
   changes @2 :List(EndpointChange);
+  afterEpoch @3 :UInt64;
+  epoch @4 :UInt64;               # Of upTo and of the revisions of all changes.
 }
 
 struct EndpointChange {
--- a/daemon/peers/peer.capnp.h
+++ b/daemon/peers/peer.capnp.h
@@ -512,7 +512,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(942410a7cc2c3ff7, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(942410a7cc2c3ff7, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3986,6 +3986,10 @@
   inline bool hasChanges() const;
   inline  ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
 
+  inline  ::uint64_t getAfterEpoch() const;
+
+  inline  ::uint64_t getEpoch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4027,6 +4031,12 @@
   inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::daisystream::wire::EndpointChange,  ::capnp::Kind::STRUCT>> disownChanges();
 
+  inline  ::uint64_t getAfterEpoch();
+  inline void setAfterEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9494,6 +9504,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t EndpointChanges::Reader::getAfterEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EndpointChanges::Builder::getAfterEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EndpointChanges::Builder::setAfterEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EndpointChanges::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EndpointChanges::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void EndpointChanges::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EndpointChange::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/daemon/peers/peermessage.cpp
+++ b/daemon/peers/peermessage.cpp
@@ -292,13 +292,15 @@
 
 void write(wire::EndpointChanges::Builder out, const EndpointChanges &changes)
 {
-    out.setAfter(changes.after);
-    out.setUpTo(changes.upTo);
+    out.setAfter(changes.after.number);
+    out.setAfterEpoch(changes.after.epoch);
+    out.setUpTo(changes.upTo.number);
+    out.setEpoch(changes.upTo.epoch);
     auto list = out.initChanges(static_cast<unsigned>(changes.changes.size()));
     for (unsigned i = 0; i < changes.changes.size(); ++i) {
         const EndpointChange &change = changes.changes[i];
         list[i].setName(text(change.name));
-        list[i].setRevision(change.revision);
+        list[i].setRevision(change.revision.number);
         list[i].setRemoved(!change.entry);
         if (change.entry) {
             list[i].setService(text(change.entry->service.value()));
@@ -314,9 +316,10 @@
 
 EndpointChanges read(wire::EndpointChanges::Reader in)
 {
-    EndpointChanges changes{.after = in.getAfter(), .upTo = in.getUpTo(), .changes = {}};
+    const auto epoch = in.getEpoch();
+    EndpointChanges changes{.after = {.epoch = in.getAfterEpoch(), .number = in.getAfter()}, .upTo = {.epoch = epoch, .number = in.getUpTo()}, .changes = {}};
     for (const auto change : in.getChanges()) {
-        EndpointChange read{.name = string(change.getName()), .entry = {}, .revision = change.getRevision()};
+        EndpointChange read{.name = string(change.getName()), .entry = {}, .revision = {.epoch = epoch, .number = change.getRevision()}};
         if (!change.getRemoved()) {
             read.entry = EndpointEntry{.name = read.name,
                                        .service = ServiceId(string(change.getService())),
--- a/daemon/store/platformclient.cpp
+++ b/daemon/store/platformclient.cpp
@@ -210,6 +210,8 @@
         auto reply = dialect->decode(call, response);
         if (auto *rows = std::get_if<StoreRows>(&reply)) {
             rows->revision.epoch = stated;
+        } else if (auto *written = std::get_if<StoreWritten>(&reply)) {
+            written->epoch = stated;
         }
         return reply;
     }
--- a/daemon/store/storecall.h
+++ b/daemon/store/storecall.h
@@ -118,6 +118,7 @@
 struct StoreWritten
 {
     std::uint64_t version = 0;
+    std::uint64_t epoch = 0; ///< Of the store that was written to.
 };
 
 /// The condition of a write did not hold; nothing was written.
--- a/daemon/store/storewatch.cpp
+++ b/daemon/store/storewatch.cpp
@@ -1,5 +1,6 @@
 #include "daemon/store/storewatch.h"
 
+#include "daisystream/base/stablehash.h"
 #include "daisystream/routes/configurationorder.h"
 
 #include <boost/asio/detached.hpp>
@@ -43,6 +44,12 @@
 constexpr milliseconds kMaxRetryDelay{800};
 // A shorter gap between replies does not count as an outage, since no entry can have expired in it.
 constexpr milliseconds kMinOutage{1000};
+// After a restore of the store, a VM that the store lacks stays listed for this time, in which it registers again.
+constexpr milliseconds kVmReregistrationTime{10'000};
+// VMs that have to register again do so spread over this time, since after a restore that can be all of them.
+constexpr std::uint64_t kReregistrationSpreadMs = 500;
+// After a restore of the store, the operator has written the withdrawn zones again by then.
+constexpr milliseconds kZoneRewriteTime{10'000};
 constexpr const char *kVmTable = "vms";
 
 /// The store revision up to which a table was read; nothing before the first read, and when the table must be read again.
@@ -76,7 +83,8 @@
                         entry.slots,
                         entry.startedAt,
                         entry.coldDuration.count(),
-                        entry.revision});
+                        entry.revision.number,
+                        entry.revision.epoch});
     }
     return list.dump();
 }
@@ -95,7 +103,8 @@
             entry.slots = item.at(5).get<std::uint32_t>();
             entry.startedAt = item.at(6).get<std::uint64_t>();
             entry.coldDuration = milliseconds(item.at(7).get<std::int64_t>());
-            entry.revision = item.at(8).get<std::uint64_t>();
+            entry.revision.number = item.at(8).get<std::uint64_t>();
+            entry.revision.epoch = item.size() > 9 ? item.at(9).get<std::uint64_t>() : 0; // A VM of a build without epochs states none.
             entries.push_back(std::move(entry));
         }
     } catch (const nlohmann::json::exception &fault) {
@@ -170,6 +179,8 @@
         , calls(links.metrics.counter("daisystream_platform_calls_total", "Calls to the platform by the watch."))
         , restores(links.metrics.counter("daisystream_store_restores_total", "Restores of the platform's store from a backup."))
         , nextChangeTimer(strand)
+        , zoneReleaseTimer(strand)
+        , keptVmsTimer(strand)
     {
     }
 
@@ -343,39 +354,68 @@
             }
             const ZoneId zone(row.key.substr(source.zonePrefix.size()));
             zones.insert(zone);
-            changes.push_back({.zone = zone, .isWithdrawn = !row.removed, .revision = row.version});
+            changes.push_back({.zone = zone, .isWithdrawn = !row.removed, .revision = {.epoch = rows.revision.epoch, .number = row.version}});
         }
-        if (isFullTable ? withdrawals.replace(zones, rows.revision.number) : withdrawals.apply(changes)) {
+        if (isFullTable ? withdrawals.replace(zones, rows.revision) : withdrawals.apply(changes)) {
             publishZones();
         }
+        scheduleZoneRelease();
     }
 
     void publishZones()
     {
-        if (parts.lists.offer(DocumentKind::Zones, {.number = withdrawals.revision(), .changeId = {}}, encodeZones(withdrawals.zones()))) {
+        if (parts.lists.offer(DocumentKind::Zones, versionOf(withdrawals.revision()), encodeZones(withdrawals.registered()))) {
             handlers.onPublished(DocumentKind::Zones);
         }
         notifyZones("store");
     }
 
+    /// Ends the withdrawal of zones that a restored store lacks once the operator has had time to write them again.
+    void scheduleZoneRelease()
+    {
+        if (!withdrawals.hasKept() || isZoneReleaseScheduled) {
+            return;
+        }
+        isZoneReleaseScheduled = true;
+        zoneReleaseTimer.expires_after(kZoneRewriteTime);
+        zoneReleaseTimer.async_wait([weak = weak_from_this()](const error_code &cancelled) {
+            const auto self = weak.lock();
+            if (!self || cancelled) {
+                return;
+            }
+            self->isZoneReleaseScheduled = false;
+            if (self->withdrawals.releaseKept()) {
+                self->notifyZones("time");
+            }
+        });
+    }
+
+    /// @return the version of a document that shows the store as of a revision.
+    static ListVersion versionOf(const StoreRevision &revision)
+    {
+        return {.number = revision.number, .changeId = {}, .epoch = revision.epoch};
+    }
+
     /// Applies a set of zones received from another VM, if it is newer; else, puts the own set in force again, which is newer and
     /// which the other VM lacks.
     void onZoneDocument()
     {
         const auto document = parts.lists.document(DocumentKind::Zones);
         const auto zones = decodeZones(document.text);
-        if (!zones || document.version.number == withdrawals.revision()) {
+        const auto revision = document.version.revision();
+        if (!zones || revision == withdrawals.revision()) {
             return;
         }
-        if (document.version.number < withdrawals.revision()) {
-            if (*zones != withdrawals.zones()) {
+        if (revision < withdrawals.revision()) {
+            if (*zones != withdrawals.registered()) {
                 publishZones();
             }
             return;
         }
-        if (withdrawals.replace(*zones, document.version.number)) {
+        if (withdrawals.replace(*zones, revision)) {
             notifyZones("other_vm");
         }
+        scheduleZoneRelease();
     }
 
     void notifyZones(const char *from)
@@ -441,27 +481,28 @@
     void onEndpointRows(const StoreRows &rows, bool isFullTable)
     {
         const auto now = parts.clock.now();
-        EndpointChanges changes{.after = directory.revision(), .upTo = 0, .changes = {}};
+        EndpointChanges changes{.after = directory.revision(), .upTo = {}, .changes = {}};
         if (isFullTable) {
             std::vector<EndpointEntry> entries;
             for (const auto &row : rows.rows) {
-                if (auto entry = parseEndpoint(row)) {
+                if (auto entry = parseEndpoint(row, rows.revision.epoch)) {
                     entries.push_back(std::move(*entry));
                 }
             }
-            directory.replace(entries, rows.revision.number, now);
+            directory.replace(entries, rows.revision, now);
         }
         for (const auto &row : rows.rows) {
             if (isFullTable) {
                 break;
             }
-            const auto entry = row.removed ? std::nullopt : parseEndpoint(row);
+            const StoreRevision revision{.epoch = rows.revision.epoch, .number = row.version};
+            const auto entry = row.removed ? std::nullopt : parseEndpoint(row, rows.revision.epoch);
             if (entry) {
-                directory.put(*entry, row.version, now);
+                directory.put(*entry, revision, now);
             } else {
-                directory.remove(row.key, row.version, now);
+                directory.remove(row.key, revision, now);
             }
-            changes.changes.push_back({.name = row.key, .entry = entry, .revision = row.version});
+            changes.changes.push_back({.name = row.key, .entry = entry, .revision = revision});
         }
         changes.upTo = directory.revision();
         if (!isFullTable && changes.upTo > changes.after) {
@@ -472,11 +513,11 @@
         }
     }
 
-    std::optional<EndpointEntry> parseEndpoint(const StoreRow &row) const
+    std::optional<EndpointEntry> parseEndpoint(const StoreRow &row, std::uint64_t storeEpoch) const
     {
         auto entry = source.parseEndpoint(row.key, row.text);
         if (entry) {
-            entry->revision = row.version;
+            entry->revision = {.epoch = storeEpoch, .number = row.version};
         } else {
             LOG(WARNING) << "event=endpoint_ignored row=" << row.version << " reason=malformed_entry";
         }
@@ -488,8 +529,7 @@
     void publish(bool announces)
     {
         const auto now = parts.clock.now();
-        if (parts.lists.offer(DocumentKind::Endpoints, {.number = directory.revision(), .changeId = {}}, encodeEndpoints(directory.registered(now)))
-            && announces) {
+        if (parts.lists.offer(DocumentKind::Endpoints, versionOf(directory.revision()), encodeEndpoints(directory.registered(now))) && announces) {
             handlers.onPublished(DocumentKind::Endpoints);
         }
         notifyEndpoints(directory.entries(now), now);
@@ -534,12 +574,12 @@
     void onDocument()
     {
         const auto document = parts.lists.document(DocumentKind::Endpoints);
-        if (document.version.number <= directory.revision()) {
+        if (document.version.revision() <= directory.revision()) {
             return;
         }
         const auto entries = decodeEndpoints(document.text);
         const auto now = parts.clock.now();
-        if (entries && directory.replace(*entries, document.version.number, now)) {
+        if (entries && directory.replace(*entries, document.version.revision(), now)) {
             notifyEndpoints(directory.entries(now), now);
         }
     }
@@ -565,24 +605,55 @@
     void onVmDocument()
     {
         const auto document = parts.lists.document(DocumentKind::Vms);
-        const auto list = document.version.number > vmsRevision ? decodeVms(document.text) : std::nullopt;
+        const auto list = document.version.revision() > vmsRevision ? decodeVms(document.text) : std::nullopt;
         if (!list) {
             return;
         }
-        vmsRevision = document.version.number;
-        vms.clear();
+        beginVmList(document.version.revision());
         for (const auto &vm : *list) {
-            vms[vm.vm.value()] = vm;
+            putVm(vm.vm.value(), vm);
         }
         notifyVms();
     }
 
+    /// Empties the list of VMs, which is about to be replaced. If the store was restored since the last one, VMs that the new list lacks are
+    /// kept until they have had time to register again.
+    void beginVmList(const StoreRevision &revision)
+    {
+        if (revision.epoch > vmsRevision.epoch && vmsRevision != StoreRevision()) {
+            keptVms.insert(vms.begin(), vms.end());
+            keptVmsTimer.expires_after(kVmReregistrationTime);
+            keptVmsTimer.async_wait([weak = weak_from_this()](const error_code &cancelled) {
+                const auto self = weak.lock();
+                if (self && !cancelled && !self->keptVms.empty()) {
+                    self->keptVms.clear();
+                    self->notifyVms();
+                }
+            });
+        }
+        vmsRevision = std::max(vmsRevision, revision);
+        vms.clear();
+    }
+
+    void putVm(const std::string &key, const ListedVm &vm)
+    {
+        vms[key] = vm;
+        keptVms.erase(key);
+    }
+
     void notifyVms()
     {
         std::vector<ListedVm> list;
-        std::transform(vms.begin(), vms.end(), std::back_inserter(list), [](const auto &entry) { return entry.second; });
+        for (const auto *source : {&vms, &keptVms}) {
+            std::transform(source->begin(), source->end(), std::back_inserter(list), [](const auto &entry) { return entry.second; });
+        }
         handlers.onVms(list);
         isVmListKnown = true;
+        if (registeredAs && *registeredAs < vmsRevision && !vms.contains(settings.vm.value())) {
+            registeredAs.reset();
+            LOG(WARNING) << "event=registration_missing revision=" << vmsRevision;
+            registerSelf(milliseconds(stableHash(settings.vm.value()) % kReregistrationSpreadMs));
+        }
     }
 
     [[nodiscard]] bool isWaitingForVms() const
@@ -590,22 +661,30 @@
         return !isVmListKnown && parts.clock.now() - startedAt < kMaxVmListWait;
     }
 
-    void registerSelf(std::uint16_t peerPort)
+    /// Writes the row of this VM, which is the same each time.
+    /// @param delay before the first attempt.
+    void registerSelf(milliseconds delay)
     {
         asio::spawn(
             strand,
-            [self = shared_from_this(), peerPort](asio::yield_context yield) {
+            [self = shared_from_this(), delay](asio::yield_context yield) {
                 const auto &settings = self->settings;
-                const SocketAddress bound{.ip = settings.listenPeers ? settings.listenPeers->ip : settings.listen.ip, .port = peerPort};
+                const SocketAddress bound{.ip = settings.listenPeers ? settings.listenPeers->ip : settings.listen.ip, .port = self->peerPort};
                 const ListedVm vm{.vm = settings.vm, .zone = settings.zone, .peerAddress = settings.advertisePeers.value_or(bound), .leaving = false};
                 asio::steady_timer timer(self->strand);
                 error_code ignored;
                 auto pause = kMinRetryDelay;
+                if (delay.count() > 0) {
+                    timer.expires_after(delay);
+                    timer.async_wait(yield[ignored]);
+                }
                 const WriteRow write{.table = kVmTable, .key = settings.vm.value(), .text = encodeListedVm(vm), .condition = Always{}};
                 // Each attempt writes the same text, so a write whose reply was lost can safely be repeated.
                 while (!self->stopped) {
                     self->calls.add(1);
-                    if (std::holds_alternative<StoreWritten>(self->parts.platform.call(write, yield))) {
+                    const auto reply = self->parts.platform.call(write, yield);
+                    if (const auto *written = std::get_if<StoreWritten>(&reply)) {
+                        self->registeredAs = StoreRevision{.epoch = written->epoch, .number = written->version};
                         return;
                     }
                     timer.expires_after(pause);
@@ -619,14 +698,15 @@
     void onVmRows(const StoreRows &rows, bool isFullTable)
     {
         if (isFullTable) {
-            vms.clear();
+            beginVmList(rows.revision);
         }
         for (const auto &row : rows.rows) {
             const auto vm = row.removed ? std::nullopt : parseListedVm(row.text);
             if (vm) {
-                vms[row.key] = *vm;
+                putVm(row.key, *vm);
             } else {
                 vms.erase(row.key);
+                keptVms.erase(row.key);
             }
         }
         if (!isFullTable && rows.rows.empty()) {
@@ -634,9 +714,9 @@
         }
         std::vector<ListedVm> list;
         std::transform(vms.begin(), vms.end(), std::back_inserter(list), [](const auto &entry) { return entry.second; });
-        vmsRevision = std::max(vmsRevision, rows.revision.number);
+        vmsRevision = std::max(vmsRevision, rows.revision);
         notifyVms();
-        if (parts.lists.offer(DocumentKind::Vms, {.number = vmsRevision, .changeId = {}}, encodeVms(list))) {
+        if (parts.lists.offer(DocumentKind::Vms, versionOf(vmsRevision), encodeVms(list))) {
             handlers.onPublished(DocumentKind::Vms);
         }
     }
@@ -659,13 +739,19 @@
     ZoneWithdrawals withdrawals;
     std::set<ZoneId> loggedZones; ///< The zones that the log names as withdrawn.
     std::map<std::string, ListedVm> vms;
-    std::uint64_t vmsRevision = 0;
+    StoreRevision vmsRevision;
+    std::map<std::string, ListedVm> keptVms;   ///< VMs that a restored store lacks and that have not had time to register again.
+    std::optional<StoreRevision> registeredAs; ///< Revision of this VM's row; nothing while it is being written.
+    std::uint16_t peerPort = 0;
     std::atomic<bool> isVmListKnown{false};
     TimePoint startedAt{};
     std::optional<TimePoint> unreachableSince;
     std::optional<TimePoint> lastConfigReplyAt; ///< Time of the last reply for the configuration table.
     std::optional<Duration> minClockOffset;     ///< Smallest difference seen between this VM's clock and the store's.
     asio::steady_timer nextChangeTimer;
+    asio::steady_timer zoneReleaseTimer;
+    bool isZoneReleaseScheduled = false;
+    asio::steady_timer keptVmsTimer;
 };
 
 StoreWatch::StoreWatch(asio::io_context &io, const Settings &settings, WatchSource source, const StoreWatchParts &parts, StoreWatchHandlers handlers)
@@ -695,7 +781,8 @@
     const auto ignore = [](TimePoint, const StoreRows &) {
     };
     auto *d = d_.get(); // The coroutines started by follow() keep the object alive.
-    d->registerSelf(peerPort);
+    d->peerPort = peerPort;
+    d->registerSelf(milliseconds(0));
     d->startedAt = d->parts.clock.now();
     d->follow({.table = d->source.configTable,
                .wait = kConfigWait,
--- a/daisystream/endpoint/endpointdirectory.cpp
+++ b/daisystream/endpoint/endpointdirectory.cpp
@@ -6,6 +6,14 @@
 namespace daisystream
 {
 
+namespace
+{
+
+// Longer than the age of a backup, which is some seconds.
+constexpr std::chrono::minutes kDepartureRetention{2};
+
+} // namespace
+
 EndpointId EndpointEntry::id() const
 {
     return EndpointId(name + "@" + std::to_string(startedAt));
@@ -16,11 +24,14 @@
 {
 }
 
-bool EndpointDirectory::replace(const std::vector<EndpointEntry> &entries, std::uint64_t revision, TimePoint now)
+bool EndpointDirectory::replace(const std::vector<EndpointEntry> &entries, const StoreRevision &revision, TimePoint now)
 {
     if (revision < revision_) {
         return false;
     }
+    if (revision.epoch > revision_.epoch && snapshotRevision_ != StoreRevision()) {
+        onRestored(revision, now);
+    }
     std::set<std::string> names;
     for (const auto &entry : entries) {
         names.insert(entry.name);
@@ -38,7 +49,7 @@
     return true;
 }
 
-void EndpointDirectory::put(const EndpointEntry &entry, std::uint64_t revision, TimePoint now)
+void EndpointDirectory::put(const EndpointEntry &entry, const StoreRevision &revision, TimePoint now)
 {
     if (isNewChange(revision)) {
         store(entry, now);
@@ -46,7 +57,7 @@
     }
 }
 
-void EndpointDirectory::remove(const std::string &name, std::uint64_t revision, TimePoint now)
+void EndpointDirectory::remove(const std::string &name, const StoreRevision &revision, TimePoint now)
 {
     if (!isNewChange(revision)) {
         return;
@@ -81,7 +92,7 @@
 }
 
 // An equal revision counts as new, because all changes of one transaction of the store have the same revision.
-bool EndpointDirectory::isNewChange(std::uint64_t revision) const
+bool EndpointDirectory::isNewChange(const StoreRevision &revision) const
 {
     return revision > snapshotRevision_ && revision >= revision_;
 }
@@ -90,16 +101,48 @@
 {
     StoredEntry stored{.entry = entry, .coldUntil = now + entry.coldDuration};
     const auto known = entries_.find(entry.name);
-    const bool isSame = known != entries_.end() && entry.revision != 0 && known->second.entry.revision == entry.revision;
+    const bool isSame = known != entries_.end() && entry.revision != StoreRevision() && known->second.entry.revision == entry.revision;
     if (isSame) {
         stored.coldUntil = std::min(stored.coldUntil, known->second.coldUntil);
     }
+    if (known != entries_.end() && known->second.entry.id() != entry.id()) {
+        noteDeparture(known->second.entry.id(), now);
+    }
+    if (mayHaveLeft(entry)) {
+        stored.outOfServiceUntil = restoredAt_ + options_.expiryTime;
+    } else if (entry.state == EndpointState::InService) {
+        departed_.erase(entry.id());
+    }
     entries_[entry.name] = std::move(stored);
 }
 
+void EndpointDirectory::onRestored(const StoreRevision &revision, TimePoint now)
+{
+    restoredAs_ = revision;
+    restoredAt_ = now;
+    storeReturnedAt_ = now;
+    for (const auto &[name, stored] : entries_) {
+        if (stored.entry.state != EndpointState::InService || now < stored.outOfServiceUntil) {
+            noteDeparture(stored.entry.id(), now);
+        }
+    }
+}
+
+bool EndpointDirectory::mayHaveLeft(const EndpointEntry &entry) const
+{
+    return restoredAs_ && entry.revision <= *restoredAs_ && entry.state == EndpointState::InService && departed_.contains(entry.id());
+}
+
+void EndpointDirectory::noteDeparture(const EndpointId &endpoint, TimePoint now)
+{
+    std::erase_if(departed_, [now](const auto &entry) { return now - entry.second > kDepartureRetention; });
+    departed_[endpoint] = now;
+}
+
 EndpointEntry EndpointDirectory::aged(const StoredEntry &stored, TimePoint now)
 {
     auto entry = stored.entry;
+    entry.state = now < stored.outOfServiceUntil ? EndpointState::Draining : entry.state;
     entry.coldDuration = std::chrono::ceil<std::chrono::milliseconds>(std::max(stored.coldUntil - now, Duration::zero()));
     return entry;
 }
@@ -107,8 +150,9 @@
 void EndpointDirectory::markUnregistered(std::map<std::string, StoredEntry>::iterator entry, TimePoint now)
 {
     // A draining endpoint has deregistered itself and does not register again.
-    const bool mayRegisterAgain = entry->second.entry.state == EndpointState::InService;
+    const bool mayRegisterAgain = entry->second.entry.state == EndpointState::InService && now >= entry->second.outOfServiceUntil;
     entry->second.isUnregistered = true;
+    noteDeparture(entry->second.entry.id(), now);
     if (!mayRegisterAgain || !isValid(entry->second, now)) {
         entries_.erase(entry);
     }
@@ -148,7 +192,9 @@
     std::vector<EndpointEntry> found;
     for (const auto &[name, stored] : entries_) {
         if (!stored.isUnregistered) {
-            found.push_back(aged(stored, now));
+            auto entry = aged(stored, now);
+            entry.state = stored.entry.state;
+            found.push_back(std::move(entry));
         }
     }
     return found;
@@ -156,12 +202,19 @@
 
 std::optional<TimePoint> EndpointDirectory::nextChange(TimePoint now) const
 {
-    const bool hasKeptEntries
-        = std::any_of(entries_.begin(), entries_.end(), [&](const auto &entry) { return entry.second.isUnregistered && isValid(entry.second, now); });
-    if (!hasKeptEntries || storeLost_ || !storeReturnedAt_) {
-        return std::nullopt;
+    std::optional<TimePoint> next;
+    const auto consider = [&next](TimePoint at) {
+        next = std::min(next.value_or(at), at);
+    };
+    for (const auto &[name, stored] : entries_) {
+        if (stored.isUnregistered && isValid(stored, now) && !storeLost_ && storeReturnedAt_) {
+            consider(*storeReturnedAt_ + options_.reregistrationTime);
+        }
+        if (now < stored.outOfServiceUntil) {
+            consider(stored.outOfServiceUntil);
+        }
     }
-    return *storeReturnedAt_ + options_.reregistrationTime;
+    return next;
 }
 
 } // namespace daisystream
--- a/daisystream/endpoint/zonewithdrawals.cpp
+++ b/daisystream/endpoint/zonewithdrawals.cpp
@@ -10,18 +10,22 @@
 {
 }
 
-bool ZoneWithdrawals::replace(const std::set<ZoneId> &zones, std::uint64_t revision)
+bool ZoneWithdrawals::replace(const std::set<ZoneId> &zones, const StoreRevision &revision)
 {
     if (revision < revision_ && !faults_.ignoresRevisions) {
         return false;
     }
+    const auto before = this->zones();
+    if (revision.epoch > revision_.epoch) {
+        kept_ = before;
+    }
+    std::erase_if(kept_, [&](const ZoneId &zone) { return zones.contains(zone); });
     revision_ = std::max(revision_, revision);
-    const bool hasChanged = zones != zones_;
-    zones_ = zones;
-    return hasChanged;
+    registered_ = zones;
+    return this->zones() != before;
 }
 
-bool ZoneWithdrawals::apply(const ZoneId &zone, bool isWithdrawn, std::uint64_t revision)
+bool ZoneWithdrawals::apply(const ZoneId &zone, bool isWithdrawn, const StoreRevision &revision)
 {
     return apply({ZoneChange{.zone = zone, .isWithdrawn = isWithdrawn, .revision = revision}});
 }
@@ -36,26 +40,46 @@
         }
         isNewer = true;
         revision_ = std::max(revision_, change.revision);
+        kept_.erase(change.zone);
         if (change.isWithdrawn) {
-            zones_.insert(change.zone);
+            registered_.insert(change.zone);
         } else {
-            zones_.erase(change.zone);
+            registered_.erase(change.zone);
         }
     }
     return isNewer;
 }
 
+bool ZoneWithdrawals::releaseKept()
+{
+    const bool hasChanged = hasKept();
+    kept_.clear();
+    return hasChanged;
+}
+
 bool ZoneWithdrawals::contains(const ZoneId &zone) const
 {
-    return zones_.contains(zone);
+    return registered_.contains(zone) || kept_.contains(zone);
+}
+
+std::set<ZoneId> ZoneWithdrawals::zones() const
+{
+    auto zones = registered_;
+    zones.insert(kept_.begin(), kept_.end());
+    return zones;
+}
+
+const std::set<ZoneId> &ZoneWithdrawals::registered() const
+{
+    return registered_;
 }
 
-const std::set<ZoneId> &ZoneWithdrawals::zones() const
+bool ZoneWithdrawals::hasKept() const
 {
-    return zones_;
+    return !kept_.empty();
 }
 
-std::uint64_t ZoneWithdrawals::revision() const
+const StoreRevision &ZoneWithdrawals::revision() const
 {
     return revision_;
 }
--- a/fuzz/main.cpp
+++ b/fuzz/main.cpp
@@ -241,7 +241,9 @@
     if (decoder == "peer") {
         NewsMessage news{.origin = VmId("vm1"), .relay = true};
         news.reports.push_back({.vm = VmId("vm2"), .reporter = VmId("vm3"), .kind = VmReport::Kind::Silent, .incarnation = 1, .sequence = 2});
-        news.endpoints = EndpointChanges{.after = 1, .upTo = 2, .changes = {{.name = "e", .entry = EndpointEntry{.name = "e"}, .revision = 2}}};
+        news.endpoints = EndpointChanges{.after = {.epoch = 1, .number = 1},
+                                         .upTo = {.epoch = 1, .number = 2},
+                                         .changes = {{.name = "e", .entry = EndpointEntry{.name = "e"}, .revision = {.epoch = 1, .number = 2}}}};
         news.documents.push_back({.kind = 4, .version = {.epoch = 1, .number = 7}});
         news.leaving.emplace_back("e@1");
         news.cells.push_back({.cell = CellId("m/0"), .queuedUrgent = 1, .queuedOrdinary = 2, .running = 3});
--- a/schedules/zones.cpp
+++ b/schedules/zones.cpp
@@ -196,7 +196,7 @@
                 revision_ += isNewRevision ? 1 + queue_.random.below(3) : 0;
                 accepted_[revision_] = zones;
                 acceptedAt_[revision_] = queue_.now();
-                history_.push_back({.zone = zone, .isWithdrawn = isWithdrawn, .revision = revision_});
+                history_.push_back({.zone = zone, .isWithdrawn = isWithdrawn, .revision = {.epoch = 0, .number = revision_}});
             });
             delay += isOneTransaction ? 0ms : queue_.between(0ms, 300ms);
         }
@@ -225,7 +225,8 @@
         queue_.after(storeDelay(), vm.process, [this, index] {
             Vm &asking = *vms_[index];
             asking.waits = ++watches_;
-            const bool hasNews = !asking.position || *asking.position < historyFrom_ || (!history_.empty() && history_.back().revision > *asking.position);
+            const bool hasNews
+                = !asking.position || *asking.position < historyFrom_ || (!history_.empty() && history_.back().revision.number > *asking.position);
             queue_.after(hasNews ? 0ms : kWatchTime, [this, index, number = asking.waits] { answer(index, number); });
         });
     }
@@ -240,12 +241,12 @@
         vm.waits = 0;
         const bool isWhole = !vm.position || *vm.position < historyFrom_;
         std::vector<ZoneChange> changes;
-        std::copy_if(history_.begin(), history_.end(), std::back_inserter(changes), [&](const auto &change) { return change.revision > vm.position; });
+        std::copy_if(history_.begin(), history_.end(), std::back_inserter(changes), [&](const auto &change) { return change.revision.number > vm.position; });
         queue_.after(storeDelay(), vm.process, [this, index, isWhole, changes, zones = accepted_.rbegin()->second, revision = revision_, asOf = queue_.now()] {
             if (!isCutFromStore(index)) {
                 Vm &reader = *vms_[index];
                 reader.position = revision;
-                const bool hasChanged = isWhole ? reader.zones.replace(zones, revision) : reader.zones.apply(changes);
+                const bool hasChanged = isWhole ? reader.zones.replace(zones, {.epoch = 0, .number = revision}) : reader.zones.apply(changes);
                 if (hasChanged) {
                     publish(index);
                 }
@@ -261,10 +262,10 @@
     void publish(std::size_t index)
     {
         Vm &vm = *vms_[index];
-        if (vm.zones.revision() <= vm.documentNumber) {
+        if (vm.zones.revision().number <= vm.documentNumber) {
             return;
         }
-        vm.documentNumber = vm.zones.revision();
+        vm.documentNumber = vm.zones.revision().number;
         vm.document = vm.zones.zones();
         const auto end = order_.begin() + static_cast<std::ptrdiff_t>(std::min(kWatchers, order_.size()));
         if (std::find(order_.begin(), end, id(index)) == end) {
@@ -327,10 +328,10 @@
         }
         vm.documentNumber = number;
         vm.document = zones;
-        if (number < vm.zones.revision() && zones != vm.zones.zones()) {
+        if (number < vm.zones.revision().number && zones != vm.zones.zones()) {
             publish(at);
-        } else if (number > vm.zones.revision()) {
-            vm.zones.replace(zones, number);
+        } else if (number > vm.zones.revision().number) {
+            vm.zones.replace(zones, {.epoch = 0, .number = number});
         }
         checkSet(at);
         vm.fetchedAt = {};
@@ -425,9 +426,9 @@
     void checkSet(std::size_t index)
     {
         const auto &zones = vms_[index]->zones;
-        const auto known = std::prev(accepted_.upper_bound(zones.revision()));
+        const auto known = std::prev(accepted_.upper_bound(zones.revision().number));
         if (known->second != zones.zones()) {
-            queue_.fail(id(index).value() + " has another set than the store had at revision " + std::to_string(zones.revision()));
+            queue_.fail(id(index).value() + " has another set than the store had at revision " + std::to_string(zones.revision().number));
         }
     }
 
@@ -437,7 +438,7 @@
         const auto due = std::find_if(acceptedAt_.rbegin(), acceptedAt_.rend(), [this](const auto &change) { return change.second <= queue_.now() - kBound; });
         for (std::size_t i = 0; due != acceptedAt_.rend() && i < plan_.vms; ++i) {
             const auto &zones = vms_[i]->zones;
-            if (serves(i) && zones.revision() < due->first && !wasAccepted(zones.zones(), due->first)) {
+            if (serves(i) && zones.revision().number < due->first && !wasAccepted(zones.zones(), due->first)) {
                 queue_.fail(id(i).value() + " serves without change " + std::to_string(due->first));
             }
         }
@@ -452,7 +453,7 @@
 
     void checkShare(std::uint64_t revision)
     {
-        const auto knowing = std::count_if(vms_.begin(), vms_.end(), [&](const auto &vm) { return vm->zones.revision() >= revision; });
+        const auto knowing = std::count_if(vms_.begin(), vms_.end(), [&](const auto &vm) { return vm->zones.revision().number >= revision; });
         if (100 * static_cast<std::size_t>(knowing) < 99 * plan_.vms) {
             queue_.fail("revision " + std::to_string(revision) + " is known to " + std::to_string(knowing) + " of " + std::to_string(plan_.vms)
                         + " VMs in time");
