Learn of the store's restore from other VMs as well

A VM in a long watch learned of a new epoch of the store only when that watch ended, after up to 10 s, or when a peer's document came. The epoch that another VM states in an acknowledgement now counts as stated: pending watches end and the tables are read again, and a stale reply is refused although this VM has not met the new epoch itself. One owner, PlatformClient, holds the epoch.

By reading: a configuration that another VM had confirmed for a later epoch hid the next one that this VM read whole, since the order still had the earlier epoch. The order now takes the configuration in force before it decides; the case of configurationorder_test covers whole reads too.

--- a/daemon/cells/vmmonitor.cpp
+++ b/daemon/cells/vmmonitor.cpp
@@ -724,12 +724,6 @@
         table.onPeerList(message.vms, parts.clock.now());
     }
 
-    /// @return the latest epoch of the store that this VM knows of.
-    [[nodiscard]] std::uint64_t storeEpoch() const
-    {
-        return std::max(parts.platform.epoch(), peerStoreEpoch.load());
-    }
-
     std::optional<Error> admission()
     {
         // Without a platform, the files named in the settings are always in force.
@@ -754,7 +748,6 @@
     Counter &pollFailures;
     Counter &documentsFetched;
     std::atomic<bool> stopped{false};
-    std::atomic<std::uint64_t> peerStoreEpoch{0}; ///< Latest epoch of the store that another VM has stated.
 
     /// A document that another VM has.
     struct AnnouncedDocument
@@ -882,6 +875,7 @@
 
 void VmMonitor::onAck(const VmId &from, TimePoint sentAt, const PeerView &view)
 {
+    d_->parts.platform.onEpochOfOtherVm(view.storeEpoch);
     d_->fetch(from, d_->newerDocumentsAt(view.versions));
     const auto ownVersions = d_->parts.lists.versions();
     const auto isBehind = [&](DocumentKind kind) {
@@ -898,10 +892,7 @@
     // The other VM's contact with the platform also confirms this VM's data if this VM has the same versions. Its age is counted from the
     // time at which this VM sent the heartbeat, since the other VM can have confirmed it at any time after that. Contact with a store that
     // was restored since confirms nothing.
-    const bool isOutdated = view.storeEpoch < d_->storeEpoch();
-    if (view.storeEpoch > d_->peerStoreEpoch) {
-        d_->peerStoreEpoch = view.storeEpoch; // The lock is held, so that this is the only writer.
-    }
+    const bool isOutdated = view.storeEpoch < d_->parts.platform.epoch();
     if (!d_->options.polls && !isOutdated && view.contactAge && !isBehind(DocumentKind::Routes) && !isBehind(DocumentKind::Zones)) {
         d_->platformContactAt = std::max(d_->platformContactAt, sentAt - *view.contactAge);
         d_->freshness.onPlatformContact(sentAt - *view.contactAge);
@@ -910,7 +901,7 @@
 
 PeerView VmMonitor::view() const
 {
-    PeerView view{.versions = d_->parts.lists.versions(), .contactAge = {}, .storeEpoch = d_->storeEpoch()};
+    PeerView view{.versions = d_->parts.lists.versions(), .contactAge = {}, .storeEpoch = d_->parts.platform.epoch()};
     const std::lock_guard lock(d_->mutex);
     if (d_->platformContactAt != TimePoint{}) {
         view.contactAge = std::chrono::ceil<std::chrono::milliseconds>(d_->parts.clock.now() - d_->platformContactAt);
--- a/daemon/store/platformclient.cpp
+++ b/daemon/store/platformclient.cpp
@@ -195,12 +195,19 @@
         return watch != nullptr && watch->after.epoch < epoch;
     }
 
-    StoreReply decode(const StoreCall &call, const Response &response)
+    /// @return whether the epoch is later than the known one.
+    bool raiseEpoch(std::uint64_t stated)
     {
-        const auto stated = dialect->epochOf(response);
         auto known = epoch.load();
         while (stated > known && !epoch.compare_exchange_weak(known, stated)) { }
-        if (stated < known) {
+        return stated > known;
+    }
+
+    StoreReply decode(const StoreCall &call, const Response &response)
+    {
+        const auto stated = dialect->epochOf(response);
+        raiseEpoch(stated);
+        if (stated < epoch) {
             return outdatedReply(call, stated);
         }
         if (isOfEarlierEpoch(call)) {
@@ -354,6 +361,13 @@
     return d_->epoch;
 }
 
+void PlatformClient::onEpochOfOtherVm(std::uint64_t epoch)
+{
+    if (d_->raiseEpoch(epoch)) {
+        resendWatches();
+    }
+}
+
 void PlatformClient::resendWatches()
 {
     d_->resendWatches();
--- a/daemon/store/platformclient.h
+++ b/daemon/store/platformclient.h
@@ -74,9 +74,12 @@
     /// epoch end with `StoreHistoryGone` instead.
     void resendWatches();
 
-    /// @return the latest epoch that the store has stated in a response to any call; 0 if it has stated none.
+    /// @return the latest epoch that the store has stated in a response to any call, of this VM or of another one; 0 if it has stated none.
     [[nodiscard]] std::uint64_t epoch() const;
 
+    /// Handles an epoch that the store has stated to another VM. If it is later than the known one, ends the pending watches.
+    void onEpochOfOtherVm(std::uint64_t epoch);
+
     /// @return the row, nothing if it does not exist, or `PlatformUnavailable`.
     [[nodiscard]] Result<std::optional<Row>> getRow(const std::string &table, const std::string &key, boost::asio::yield_context yield);
 
--- a/daemon/store/storewatch.cpp
+++ b/daemon/store/storewatch.cpp
@@ -308,6 +308,7 @@
             if (row.key != source.configKey || row.removed) {
                 continue;
             }
+            onRoutesInForce(); // Another VM may have confirmed or replaced them in this moment.
             const auto version = source.configVersion(row.text);
             if (!version) {
                 LOG(ERROR) << "event=document_refused document=routes revision=" << row.version << " reason=malformed";
@@ -339,6 +340,9 @@
     void onRoutesInForce()
     {
         const auto document = parts.lists.document(DocumentKind::Routes);
+        if (document.version.number == 0) {
+            return;
+        }
         configurationOrder.onInForce(document.version.revision(), document.text, epoch.value_or(0));
     }
 
--- a/daisystream/routes/configurationorder_test.cpp
+++ b/daisystream/routes/configurationorder_test.cpp
@@ -116,10 +116,12 @@
 // Guards against a VM that ignores the operator because another VM told it that its configuration is of the new epoch.
 TEST_CASE("a version from another VM does not hide what is written afterwards")
 {
-    auto vm = vmInUse();
-    vm.putInForce({.epoch = 2, .number = 13}, "13", 2);
-    CHECK(vm.read(14, "14", 2, kChange));
-    CHECK(vm.inForce == StoreRevision{.epoch = 2, .number = 14});
+    for (const bool isChange : {kWholeTable, kChange}) {
+        auto vm = vmInUse();
+        vm.putInForce({.epoch = 2, .number = 13}, "13", 2);
+        CHECK(vm.read(14, "14", 2, isChange));
+        CHECK(vm.inForce == StoreRevision{.epoch = 2, .number = 14});
+    }
 }
 
 } // namespace
