--- a/daisystream/membership/processtable.h
+++ b/daisystream/membership/processtable.h
@@ -10,8 +10,8 @@
 /// Tells which process of each VM is the present one, by the incarnations in the messages of the VM.
 ///
 /// What a process of a VM holds at other VMs ends with the process, also if the VM is back before its silence is noticed. Incarnations
-/// are not compared with each other, because the clock of a VM that restarts may have been set back: the process that was heard first last
-/// is the present one.
+/// are not compared with each other, because the clock of a VM may be set back before it restarts: the process whose first message came
+/// last is the present one.
 ///
 /// Example:
 /// @code
